--- /dev/null
+++ b/src/caller_api.cpp
@@ -0,0 +1,1 @@
+// Callers' HTTP API on libevhtp.
--- /dev/null
+++ b/src/controller.cpp
@@ -0,0 +1,1 @@
+// Acceptance of changes, roll-outs, controller lease and orders to engines.
--- /dev/null
+++ b/src/event_log.cpp
@@ -0,0 +1,1 @@
+// Structured event log through log4cxx.
--- /dev/null
+++ b/src/event_loop_p.h
@@ -0,0 +1,59 @@
+// One task: a libevent base with its own thread, a mailbox for messages from other tasks, and timers. Everything that a
+// task owns is touched on its thread only.
+#pragma once
+
+#include "foxtaildyke/foxtaildyke.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+struct event;
+struct event_base;
+
+namespace foxtaildyke
+{
+
+class event_loop
+{
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop &) = delete;
+    event_loop &operator=(const event_loop &) = delete;
+
+    /// Runs until stop(); on the calling thread.
+    void run();
+
+    /// Ends run(). Safe from any thread.
+    void stop();
+
+    /// Runs a message on the task's thread. Safe from any thread.
+    void post(std::function<void()> message);
+
+    /// Runs a callback once after a delay. Only on the task's thread.
+    void after(std::chrono::microseconds delay, std::function<void()> callback);
+
+    /// Runs a callback on a signal of the process. Only before run().
+    void onSignal(int signal, std::function<void()> callback);
+
+    /// @returns monotonic time of this host.
+    [[nodiscard]] static instant now();
+
+    [[nodiscard]] event_base *base() const { return m_base; }
+
+private:
+    struct timer;
+    struct signal_handler;
+    void drainMailbox();
+
+    event_base *m_base = nullptr;
+    event *m_wakeup = nullptr;
+    std::mutex m_mailboxLock; ///< guards m_mailbox only
+    std::deque<std::function<void()>> m_mailbox;
+    std::vector<std::unique_ptr<signal_handler>> m_signals;
+};
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/fleet_p.h
@@ -0,0 +1,120 @@
+// Typed, immutable view of one generation of the configuration: client accounts, models, versions, request kinds,
+// registered hosts and tuning. Built by settings.cpp; shared read-only between tasks of a process.
+#pragma once
+
+#include "foxtaildyke/foxtaildyke.h"
+
+#include <memory>
+#include <vector>
+
+namespace foxtaildyke
+{
+
+struct account_config {
+    std::string name;
+    std::string apiKey; ///< bearer key that callers present
+    double requestsPerSecond = 0; ///< over all hosts
+    std::uint32_t burst = 1; ///< requests
+    std::uint32_t concurrency = 1; ///< requests in flight, over all hosts
+    std::uint32_t weight = 1; ///< share in the fair queue
+    std::vector<version_handle> grants; ///< versions the account may use, sorted
+};
+
+struct model_config {
+    std::string name;
+    std::string service; ///< pool of upstreams that serves it
+    std::uint32_t promptMicroUnitsPer1k = 0; ///< cost in micro-units per 1000 prompt tokens
+    std::uint32_t completionMicroUnitsPer1k = 0; ///< cost in micro-units per 1000 completion tokens
+    std::vector<version_handle> versions; ///< in the order of the file: oldest first
+};
+
+struct version_config {
+    std::string name; ///< unique over all models
+    model_handle model;
+    version_state state = version_state::active;
+    std::uint32_t sharePermille = 1000; ///< share of new sessions while rolling out
+    std::uint32_t exposureBudget = 8; ///< dispatched and not yet rated answers while rolling out, over all hosts
+    version_handle baseline; ///< version it is compared with; invalid for the first
+};
+
+struct kind_config {
+    std::string name;
+    request_class priority = request_class::standard;
+    bool idempotent = true;
+    std::vector<model_handle> cascade; ///< cheapest first; one entry means no cascade
+    std::uint32_t targetPermille = 900; ///< least score of an answer that meets the quality target
+    bool rated = true; ///< answers are sent to the rating service
+    std::chrono::milliseconds deadline{30000}; ///< used where the caller names none, and the most it may name
+    std::uint32_t maxTokens = 1024;
+};
+
+struct host_config {
+    std::string name;
+    std::string region;
+    std::string failureDomain;
+    std::string address; ///< IP address
+    std::uint16_t peerPort = 0;
+};
+
+/// Weights of the three measures in the choice of a model; they need not add up to one.
+struct objective_weights {
+    double cost = 1;
+    double latency = 1;
+    double exposure = 1;
+};
+
+struct tuning {
+    std::chrono::milliseconds freshnessLease{4000};
+    std::chrono::milliseconds exchangePeriod{500};
+    std::chrono::seconds ledgerRetention{3600};
+    std::uint32_t ledgerSegments = 16;
+    std::uint32_t retryBudgetPercent = 10; ///< retries per 100 first attempts
+    std::uint32_t interactiveReservePercent = 20; ///< slots of a pool that only interactive requests may take
+    std::chrono::seconds quarantineLifetime{600};
+    objective_weights weights;
+    std::string sessionKey; ///< HMAC key of session tokens
+};
+
+/// One generation of the configuration, with the overlay of one failure domain applied.
+/// @remarks Invariant: every handle stored inside refers to an entry of this fleet.
+struct fleet {
+    generation_number generation = 0;
+    std::vector<account_config> accounts;
+    std::vector<model_config> models;
+    std::vector<version_config> versions;
+    std::vector<kind_config> kinds;
+    std::vector<host_config> hosts; ///< registered entry hosts, sorted by region, failure domain, name
+    tuning tune;
+
+    [[nodiscard]] const account_config &operator[](account_handle h) const { return accounts[h.index]; }
+    [[nodiscard]] const model_config &operator[](model_handle h) const { return models[h.index]; }
+    [[nodiscard]] const version_config &operator[](version_handle h) const { return versions[h.index]; }
+    [[nodiscard]] const kind_config &operator[](kind_handle h) const { return kinds[h.index]; }
+    [[nodiscard]] const host_config &operator[](host_handle h) const { return hosts[h.index]; }
+
+    [[nodiscard]] account_handle accountByKey(std::string_view apiKey) const;
+    [[nodiscard]] account_handle accountByName(std::string_view name) const;
+    [[nodiscard]] model_handle modelByName(std::string_view name) const;
+    [[nodiscard]] version_handle versionByName(std::string_view name) const;
+    [[nodiscard]] kind_handle kindByName(std::string_view name) const;
+    [[nodiscard]] host_handle hostByName(std::string_view name) const;
+
+    /// @returns whether the account may use the version; the version's own state is not looked at.
+    [[nodiscard]] bool isGranted(account_handle account, version_handle version) const;
+};
+
+using fleet_ptr = std::shared_ptr<const fleet>;
+
+/// A replica as the host list and the load reports show it.
+struct upstream_info {
+    std::string name;
+    std::string address; ///< IP address
+    std::uint16_t port = 0;
+    std::string failureDomain;
+    std::string service;
+    std::vector<std::string> versions; ///< names of the versions it has loaded
+    host_state state = host_state::live;
+    std::uint32_t slots = 8; ///< requests it runs at once
+};
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/freshness.cpp
@@ -0,0 +1,2 @@
+// Freshness of the configuration; see freshness_p.h.
+#include "freshness_p.h"
--- /dev/null
+++ b/src/ledger.cpp
@@ -0,0 +1,2 @@
+// Request ledger; see ledger_p.h.
+#include "ledger_p.h"
--- /dev/null
+++ b/src/ledger_p.h
@@ -0,0 +1,85 @@
+// Request ledger: claims of non-idempotent requests, bills, and session pins, kept as segments of immutable batch
+// objects in the object API. The store's create-if-absent is the only source of safety.
+#pragma once
+
+#include "object_store_p.h"
+#include "router_core_p.h"
+
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+namespace foxtaildyke
+{
+
+enum class record_type : std::uint8_t { claim, bill, pin, count };
+
+template <>
+struct enum_names<record_type> {
+    static constexpr std::array kNames{"claim", "bill", "pin"};
+};
+
+/// One entry of a segment. For each type the first record of a key in log order counts.
+struct ledger_record {
+    record_type type = record_type::claim;
+    std::string account;
+    std::string id; ///< request id, or session id of a pin
+    std::string writer; ///< host and a number unique in it; tells a record that was sent twice from a second one
+    std::int64_t unixSeconds = 0; ///< for the retention period
+    std::string model;
+    std::string version;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t completionTokens = 0;
+    std::uint64_t costMicroUnits = 0;
+    std::string answer; ///< JSON of at most kStoredAnswerBytes
+    std::vector<std::string> pins; ///< version names
+
+    static constexpr std::size_t kStoredAnswerBytes = 2048;
+};
+
+/// @returns the segment of a key.
+[[nodiscard]] std::uint32_t segmentOf(std::string_view account, std::string_view id, std::uint32_t segments);
+
+[[nodiscard]] std::string encodeRecords(std::string_view batchId, const std::vector<ledger_record> &records);
+struct decoded_batch {
+    std::string batchId;
+    std::vector<ledger_record> records;
+};
+[[nodiscard]] result<decoded_batch> decodeRecords(std::string_view json);
+
+/// Answer to an append: what the log says about the record's key.
+struct append_reply {
+    ledger_status status = ledger_status::unavailable;
+    std::string answer;
+    std::vector<std::string> pins;
+};
+using append_done = std::function<void(append_reply)>;
+
+/// One segment: its index, the log position, and the records waiting for the next batch.
+/// @remarks Single task; the store's callbacks come on the same task. Invariants: m_index holds exactly the live
+/// entries of the batches before m_nextIndex; at most one write is in flight.
+class ledger_segment
+{
+public:
+    ledger_segment(object_store &store, std::uint32_t number, std::string writer, std::chrono::seconds retention);
+    ~ledger_segment();
+
+    /// Appends a record, or answers from the index where its key already has one of this type.
+    void append(ledger_record record, append_done done);
+
+    /// Drives batches and retries.
+    /// @param unixSeconds wall clock, to drop entries older than the retention period.
+    void tick(instant now, std::int64_t unixSeconds);
+
+    /// @returns whether the log was read to its end at least once.
+    [[nodiscard]] bool isLoaded() const;
+
+    /// @returns entries in the index, and estimated bytes.
+    [[nodiscard]] std::size_t entries() const;
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> m_impl; ///< shared with callbacks in flight
+};
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,1 @@
+// Metrics of a process in the Prometheus text format.
--- /dev/null
+++ b/src/object_store_http.cpp
@@ -0,0 +1,1 @@
+// Adapter of the object API over HTTP.
--- /dev/null
+++ b/src/object_store_p.h
@@ -0,0 +1,45 @@
+// Port to the platform's object API: versions, conditional updates, listing. Adapters: object_store_http.cpp over HTTP,
+// fakes in the tests.
+#pragma once
+
+#include "foxtaildyke/foxtaildyke.h"
+
+#include <functional>
+#include <vector>
+
+namespace foxtaildyke
+{
+
+/// Version of a stored object; 0 stands for "does not exist".
+using object_version = std::uint64_t;
+
+struct stored_object {
+    std::string body;
+    object_version version = 0;
+};
+
+/// Asynchronous access to the object API. Every callback runs exactly once, on the caller's task.
+/// @remarks Errors: conflict (the condition did not hold; nothing was written), not_found, unavailable (the store
+/// refused; nothing was written), timed_out and io_failure (a write may or may not have taken effect).
+class object_store
+{
+public:
+    using read_done = std::function<void(result<stored_object>)>;
+    using write_done = std::function<void(result<object_version>)>;
+    using remove_done = std::function<void(result<void>)>;
+    using list_done = std::function<void(result<std::vector<std::string>>)>;
+
+    virtual ~object_store() = default;
+
+    virtual void read(const std::string &key, read_done done) = 0;
+
+    /// Writes an object where its version is still `expected`; 0 creates it.
+    virtual void write(const std::string &key, std::string body, object_version expected, write_done done) = 0;
+
+    virtual void remove(const std::string &key, object_version expected, remove_done done) = 0;
+
+    /// Lists keys with a prefix, sorted, after `after`, at most `limit`.
+    virtual void list(const std::string &prefix, const std::string &after, std::size_t limit, list_done done) = 0;
+};
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/peer_client.cpp
@@ -0,0 +1,1 @@
+// gRPC clients of the peer protocol.
--- /dev/null
+++ b/src/peer_service.cpp
@@ -0,0 +1,1 @@
+// gRPC server of the peer protocol.
--- /dev/null
+++ b/src/platform_client.cpp
@@ -0,0 +1,1 @@
+// Client of the host list and the rating service.
--- /dev/null
+++ b/src/relay.cpp
@@ -0,0 +1,1 @@
+// Relay tree: position and exchange state of one host.
--- /dev/null
+++ b/src/router_core.cpp
@@ -0,0 +1,2 @@
+// Decision core of the router; see router_core_p.h.
+#include "router_core_p.h"
--- /dev/null
+++ b/src/upstream_client.cpp
@@ -0,0 +1,1 @@
+// Client of the upstream protocol on evhttp.
--- /dev/null
+++ b/tests/tests_main.cpp
@@ -0,0 +1,3 @@
+// Entry point of the unit tests.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
