Score bad versions from shared counts against the measured baseline

The score now takes each local result and each growth of the other hosts' counts once, and compares with the baseline's failure rate over about its last 500 answers. setTotals() takes the time and this host's part of the totals; hasExposureLeft() takes the time and falls back to the fair part of the budget when the relay is lost.

--- a/src/evidence_p.h
+++ b/src/evidence_p.h
@@ -1,5 +1,5 @@
 // Detection of bad versions: a cumulative sequential test on failed ratings and errors of a version against its
-// baseline, and the exposure budget of a version that is being rolled out.
+// baseline's measured failure rate, and the exposure budget of a version that is being rolled out.
 #pragma once
 
 #include "fleet_p.h"
@@ -19,9 +19,13 @@
     std::uint64_t settled = 0; ///< attempts that were rated, failed, or will never be rated
 };
 
+/// @remarks Each result counts once: local results when they are noted, those of other hosts when the totals grow.
 class evidence_table
 {
 public:
+    /// @param hostName decides which hosts get the remainder of an exposure budget; empty: none of it.
+    explicit evidence_table(std::string hostName = {});
+
     /// Counts an attempt that goes out.
     void noteDispatch(std::string_view version);
 
@@ -30,24 +34,56 @@
     void noteResult(std::string_view version, std::optional<bool> passed);
 
     /// Replaces the counts of the other hosts by the totals of the relay.
-    void setTotals(const std::vector<version_evidence> &totals);
+    /// @param totals sums since the version's first answer; a sum that shrinks (relay restarted) is a new start.
+    /// @param ownPart what `totals` holds of this host's deltas; empty where it holds only other hosts' results.
+    void setTotals(const std::vector<version_evidence> &totals, instant now,
+                   const std::vector<version_evidence> &ownPart = {});
 
     /// @returns local counts since the last call, to be shared.
     [[nodiscard]] std::vector<version_evidence> takeDeltas();
 
     /// @returns whether the test rejects the version against its baseline. Once true it stays true.
-    [[nodiscard]] bool isRejected(const fleet &config, version_handle version) const;
+    /// @remarks Scores what has arrived since the last call as one batch, so call it after each result.
+    [[nodiscard]] bool isRejected(const fleet &config, version_handle version);
+
+    /// @returns whether the version may take one more unrated answer: limited while it is rolled out, and while the
+    /// test suspects it.
+    [[nodiscard]] bool hasExposureLeft(const fleet &config, version_handle version, instant now) const;
+
+    /// @returns failure rate of a version over about the last kRateWindow answers, drawn towards the prior.
+    [[nodiscard]] double failureRate(std::string_view version) const;
 
-    /// @returns whether a version in a roll-out may take one more unrated answer.
-    [[nodiscard]] bool hasExposureLeft(const fleet &config, version_handle version) const;
+    /// @returns log likelihood ratio of the version being bad, as of the last isRejected().
+    [[nodiscard]] double score(std::string_view version) const;
+
+    /// At a baseline failure rate of 0.05: 2.0 to 2.7 false halts in 1000 roll-outs of 2000 answers (12: 2.7 to 4.8)
+    /// and 15 answers on average until a version that fails half of the time is rejected.
+    static constexpr double kRejectScore = 12.5;
+    /// Two failures in a row at a failure rate of 0.05; one alone is no reason for suspicion.
+    static constexpr double kSuspectScore = kRejectScore / 4;
+    static constexpr double kRateWindow = 500; ///< answers
 
 private:
+    struct batch {
+        std::uint64_t passed = 0;
+        std::uint64_t failed = 0;
+    };
     struct counts {
-        version_evidence local; ///< of this host, not yet in the totals
-        version_evidence pending; ///< not yet shared
-        version_evidence others; ///< totals of the relay
+        version_evidence local; ///< of this host, since its start
+        version_evidence pending; ///< part of `local` not yet shared
+        version_evidence others; ///< of the other hosts
+        batch unscored; ///< arrived since the last isRejected()
+        double recentPassed = 0; ///< aged by kRateWindow
+        double recentFailed = 0;
         double score = 0; ///< CUSUM, never below 0
+        bool rejected = false;
     };
+    static void add(counts &entry, const batch &results);
+    [[nodiscard]] const counts *find(std::string_view version) const;
+    [[nodiscard]] std::uint64_t budgetPart(const fleet &config, version_handle version) const;
+
+    std::string m_host;
+    std::optional<instant> m_totalsAt; ///< last totals of the relay
     std::map<std::string, counts, std::less<>> m_counts; ///< by version name
 };
 
--- /dev/null
+++ b/tests/test_evidence.cpp
@@ -0,0 +1,179 @@
+// Evidence against bad versions: late detection exposes callers, a false halt stops a good roll-out, and a result that
+// counts twice makes both wrong.
+#include "evidence_p.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace foxtaildyke;
+
+namespace
+{
+
+constexpr version_handle kOld{0};
+constexpr version_handle kNew{1};
+
+fleet rolloutFleet(std::size_t hosts)
+{
+    fleet config;
+    config.models.push_back({.name = "swift", .service = "pool"});
+    config.versions.push_back({.name = "swift-1", .model = model_handle{0}});
+    config.versions.push_back({.name = "swift-2",
+                               .model = model_handle{0},
+                               .state = version_state::rolling_out,
+                               .exposureBudget = 8,
+                               .baseline = kOld});
+    for (std::size_t i = 0; i < hosts; ++i)
+        config.hosts.push_back({.name = "h" + std::to_string(i)});
+    return config;
+}
+
+struct coin {
+    std::mt19937_64 random;
+    bool passes(double failureRate) { return std::uniform_real_distribution<double>()(random) >= failureRate; }
+};
+
+/// Feeds rated answers until the version is rejected. @returns how many it took, at most `limit`.
+int answersUntilRejected(evidence_table &table, const fleet &config, coin &source, double failureRate, int limit)
+{
+    for (int i = 0; i < limit; ++i) {
+        table.noteResult("swift-2", source.passes(failureRate));
+        if (table.isRejected(config, kNew))
+            return i + 1;
+    }
+    return limit;
+}
+
+evidence_table withBaseline(coin &source, double failureRate)
+{
+    evidence_table table;
+    for (int i = 0; i < 1000; ++i)
+        table.noteResult("swift-1", source.passes(failureRate));
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("evidence rejects a bad version within 20 answers on average, early and late")
+{
+    // Guards against a score that good answers of the past can hold down.
+    const auto config = rolloutFleet(9);
+    for (const int goodBefore : {0, 1000}) {
+        coin source{std::mt19937_64{11}};
+        int sum = 0;
+        for (int run = 0; run < 200; ++run) {
+            auto table = withBaseline(source, 0.05);
+            for (int i = 0; i < goodBefore; ++i)
+                table.noteResult("swift-2", source.passes(0.05));
+            CHECK_FALSE(table.isRejected(config, kNew));
+            sum += answersUntilRejected(table, config, source, 0.5, 400);
+        }
+        CHECK(sum <= 200 * 20);
+    }
+}
+
+TEST_CASE("evidence halts at most 3 in 1000 roll-outs of a good version")
+{
+    // A roll-out is 2000 rated answers at the baseline's failure rate.
+    const auto config = rolloutFleet(9);
+    coin source{std::mt19937_64{12}};
+    int halts = 0;
+    for (int run = 0; run < 1000; ++run) {
+        auto table = withBaseline(source, 0.05);
+        halts += answersUntilRejected(table, config, source, 0.05, 2001) <= 2000 ? 1 : 0;
+    }
+    CHECK(halts <= 3);
+}
+
+TEST_CASE("evidence compares with the measured rate of the baseline")
+{
+    // With a constant rate a version as weak as its baseline would be halted.
+    const auto config = rolloutFleet(1);
+    coin source{std::mt19937_64{13}};
+    auto table = withBaseline(source, 0.25);
+    CHECK(answersUntilRejected(table, config, source, 0.25, 300) == 300);
+    CHECK(table.failureRate("swift-1") == doctest::Approx(0.25).epsilon(0.2));
+}
+
+TEST_CASE("evidence of several hosts counts each result once")
+{
+    // The relay's totals hold this host's own deltas as well; counted twice they would halve the evidence needed.
+    const auto config = rolloutFleet(2);
+    evidence_table one("h0");
+    evidence_table all("h0");
+    one.noteResult("swift-2", false);
+    const auto own = one.takeDeltas();
+    REQUIRE(own.size() == 1);
+    CHECK(one.takeDeltas().empty());
+    const std::vector<version_evidence> totals{{"swift-2", 2, 3, 5, 5}};
+    one.setTotals(totals, instant{1}, own);
+    one.setTotals(totals, instant{2}, own);
+    CHECK_FALSE(one.isRejected(config, kNew));
+    for (const bool passed : {false, false, false, true, true})
+        all.noteResult("swift-2", passed);
+    CHECK_FALSE(all.isRejected(config, kNew));
+    CHECK(one.score("swift-2") == doctest::Approx(all.score("swift-2")));
+}
+
+TEST_CASE("evidence keeps a rejection, and takes a restarted relay's smaller totals as a new start")
+{
+    const auto config = rolloutFleet(2);
+    evidence_table table("h0");
+    table.setTotals({{"swift-2", 0, 12, 12, 12}}, instant{1});
+    CHECK(table.isRejected(config, kNew));
+    table.setTotals({{"swift-2", 500, 0, 500, 500}}, instant{2});
+    CHECK(table.isRejected(config, kNew));
+    evidence_table other("h0");
+    other.setTotals({{"swift-2", 90, 3, 93, 93}}, instant{1});
+    CHECK_FALSE(other.isRejected(config, kNew));
+    other.setTotals({{"swift-2", 0, 1, 1, 1}}, instant{2});
+    other.setTotals({{"swift-2", 0, 2, 2, 2}}, instant{3});
+    CHECK_FALSE(other.isRejected(config, kNew));
+}
+
+TEST_CASE("the exposure budget of all hosts is kept without the relay")
+{
+    // Cut-off hosts that each used the whole budget would expose callers to it once per host.
+    const auto config = rolloutFleet(9);
+    std::uint32_t exposed = 0;
+    for (const auto &host : config.hosts) {
+        evidence_table table(host.name);
+        while (table.hasExposureLeft(config, kNew, instant{0}) && exposed < 100) {
+            table.noteDispatch("swift-2");
+            ++exposed;
+        }
+    }
+    CHECK(exposed == 8);
+}
+
+TEST_CASE("a host borrows exposure that the others leave unused, until the relay is lost")
+{
+    const auto config = rolloutFleet(4);
+    evidence_table table("h0");
+    const auto take = [&](instant now) {
+        int taken = 0;
+        for (; table.hasExposureLeft(config, kNew, now) && taken < 100; ++taken)
+            table.noteDispatch("swift-2");
+        return taken;
+    };
+    CHECK(take(instant{0}) == 2);
+    table.setTotals({{"swift-2", 0, 0, 2, 0}}, instant{1000});
+    CHECK(take(instant{1000}) == 2);
+    table.noteResult("swift-2", std::nullopt);
+    CHECK(take(instant{60'000'000}) == 0);
+}
+
+TEST_CASE("a suspected version is limited to its exposure budget before it is rejected")
+{
+    // Without this an active version that turns bad goes on at its full rate until the test is sure.
+    auto config = rolloutFleet(1);
+    config.versions[1].state = version_state::active;
+    evidence_table table("h0");
+    for (int i = 0; i < 20; ++i)
+        table.noteDispatch("swift-2");
+    CHECK(table.hasExposureLeft(config, kNew, instant{0}));
+    for (int i = 0; i < 3; ++i)
+        table.noteResult("swift-2", false);
+    CHECK_FALSE(table.isRejected(config, kNew));
+    CHECK_FALSE(table.hasExposureLeft(config, kNew, instant{0}));
+}
