Balance by own and reported load, affinity, circuits and a subset

Counted the reported load over the own attempts it contains, closed a circuit to a burst, and scanned the whole host list for each pick. Now: power of two choices over own attempts plus the others' part of an ageing report, prefix affinity bounded by the pool's mean load, one trial request per half-open circuit, an interactive reserve over the pool, and pools of at most 64 replicas built when the host list changes.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -1,6 +1,9 @@
 // Choice of a replica; see balancer_p.h.
 #include "balancer_p.h"
 
+#include <cmath>
+#include <xxhash.h>
+
 namespace foxtaildyke
 {
 
@@ -8,17 +11,27 @@
 {
 
 constexpr std::uint32_t kFailuresToOpen = 3; ///< failures in a row that open the circuit
-constexpr std::chrono::seconds kOpenTime{5};
+constexpr std::chrono::seconds kOpenTime{5}; ///< before the first trial; doubles with each failed trial
+constexpr std::uint32_t kOpenDoublingsMost = 3;
+constexpr double kReportLifetimeSeconds = 2; ///< age at which a report of other hosts' load counts 1/e
+constexpr double kDistancePenalty = 0.05; ///< of a full replica, for another failure domain
+constexpr double kAffinityBonus = 0.3; ///< of a full replica, for the one that likely holds the prompt's prefix
+constexpr double kAffinityLoadBound =
+    1.25; ///< times the pool's mean load: more and a popular prefix would be a hot spot
+constexpr std::size_t kSubsetFar =
+    16; ///< of a subset, kept for other failure domains, so that the loss of one is survived
 
-bool serves(const upstream_info &info, std::string_view service, std::string_view version)
+std::uint64_t combine(std::uint64_t a, std::uint64_t b)
 {
-    return info.service == service && std::ranges::find(info.versions, version) != info.versions.end();
+    const std::array<std::uint64_t, 2> words{a, b};
+    return XXH64(words.data(), sizeof words, 0);
 }
 
 } // namespace
 
 balancer::balancer(std::string failureDomain, std::uint64_t seed)
     : m_failureDomain(std::move(failureDomain))
+    , m_seed(seed)
     , m_random(seed)
 {
 }
@@ -30,11 +43,52 @@
     for (const auto &info : upstreams) {
         const auto known = m_replicas.find(info.name);
         replica entry = known == m_replicas.end() ? replica{} : known->second;
+        const auto slots = known == m_replicas.end() || entry.reportedAt < instant{} ? info.slots : entry.info.slots;
         entry.info = info;
-        next.emplace(info.name, std::move(entry));
-        m_order.push_back(info.name);
+        entry.info.slots = slots;
+        entry.nameHash = XXH64(info.name.data(), info.name.size(), 0);
+        if (next.emplace(info.name, std::move(entry)).second)
+            m_order.push_back(info.name);
     }
     m_replicas = std::move(next);
+    buildPools();
+}
+
+void balancer::buildPools()
+{
+    m_pools.clear();
+    for (const auto &name : m_order) {
+        auto &entry = m_replicas.at(name);
+        if (entry.info.state != host_state::live)
+            continue;
+        for (const auto &version : entry.info.versions)
+            m_pools[{entry.info.service, version}].push_back(&entry);
+    }
+    for (auto &[key, members] : m_pools)
+        limitPool(members);
+}
+
+void balancer::limitPool(pool &members) const
+{
+    if (members.size() <= kSubsetSize)
+        return;
+    // Rendezvous order: a change of the host list changes only the places of the replicas that came or went.
+    std::ranges::sort(members, {}, [&](const replica *entry) { return combine(m_seed, entry->nameHash); });
+    const auto isNear = [&](const replica *entry) {
+        return entry->info.failureDomain == m_failureDomain;
+    };
+    const auto far = std::stable_partition(members.begin(), members.end(), isNear);
+    const auto nearCount = static_cast<std::size_t>(far - members.begin());
+    const auto farCount = members.size() - nearCount;
+    const auto nearUsed = std::min(nearCount, kSubsetSize - std::min(kSubsetFar, farCount));
+    members.erase(members.begin() + static_cast<std::ptrdiff_t>(nearUsed), far);
+    members.resize(std::min(members.size(), kSubsetSize));
+}
+
+const balancer::pool *balancer::findPool(std::string_view service, std::string_view version) const
+{
+    const auto found = m_pools.find(pool_key{service, version});
+    return found == m_pools.end() ? nullptr : &found->second;
 }
 
 void balancer::report(std::string_view upstream, std::uint32_t running, std::uint32_t queued, std::uint32_t slots,
@@ -51,37 +105,82 @@
         entry.info.slots = slots;
 }
 
-double balancer::score(const replica &candidate, const pick_request &, instant) const
+double balancer::loadOf(const replica &candidate, instant now)
 {
-    const auto load = std::max<double>(candidate.inFlight, candidate.reportedLoad);
-    const auto distance = candidate.info.failureDomain == m_failureDomain ? 0.0 : 0.05;
-    return load / std::max(1U, candidate.info.slots) + distance;
+    // Own attempts are known exactly; only the other hosts' part comes from the report.
+    if (candidate.reportedAt < instant{} || candidate.reportedLoad <= candidate.inFlightAtReport)
+        return candidate.inFlight;
+    const auto age = std::max(0.0, std::chrono::duration<double>(now - candidate.reportedAt).count());
+    const auto others = static_cast<double>(candidate.reportedLoad - candidate.inFlightAtReport);
+    return candidate.inFlight + others * std::exp(-age / kReportLifetimeSeconds);
 }
 
-const upstream_info *balancer::pick(const pick_request &request, const tuning &, instant now)
+bool balancer::isOpen(const replica &candidate, instant now)
 {
-    std::vector<replica *> open;
-    for (const auto &name : m_order) {
-        auto &entry = m_replicas.at(name);
-        const bool usable = entry.info.state == host_state::live && now >= entry.openUntil
-            && entry.inFlight < entry.info.slots && entry.info.name != request.exclude
-            && serves(entry.info, request.service, request.version);
-        if (usable)
-            open.push_back(&entry);
+    return now < candidate.openUntil || (candidate.isHalfOpen && candidate.inFlight > 0);
+}
+
+double balancer::score(const replica &candidate, instant now) const
+{
+    const auto distance = candidate.info.failureDomain == m_failureDomain ? 0.0 : kDistancePenalty;
+    return loadOf(candidate, now) / std::max(1U, candidate.info.slots) + distance;
+}
+
+balancer::replica *balancer::choose(const pool &open, std::uint64_t prefixHash, double meanLoad, instant now)
+{
+    const auto last = open.size() - 1;
+    const auto first = std::uniform_int_distribution<std::size_t>(0, last)(m_random);
+    const auto offset = last == 0 ? 0 : std::uniform_int_distribution<std::size_t>(1, last)(m_random);
+    auto *one = open[first];
+    auto *two = open[(first + offset) % open.size()];
+    auto *best = score(*two, now) < score(*one, now) ? two : one;
+    if (prefixHash == 0)
+        return best;
+    auto *holder =
+        *std::ranges::max_element(open, {}, [&](const replica *entry) { return combine(prefixHash, entry->nameHash); });
+    const auto bound = std::max(1.0, kAffinityLoadBound * meanLoad);
+    const bool mayTake = loadOf(*holder, now) < bound && score(*holder, now) - kAffinityBonus <= score(*best, now);
+    return mayTake ? holder : best;
+}
+
+const upstream_info *balancer::pick(const pick_request &request, const tuning &tune, instant now)
+{
+    const auto *members = findPool(request.service, request.version);
+    if (members == nullptr)
+        return nullptr;
+    pool open;
+    double slots = 0;
+    double load = 0;
+    for (auto *entry : *members) {
+        if (isOpen(*entry, now))
+            continue;
+        const auto used = loadOf(*entry, now);
+        slots += entry->info.slots;
+        load += std::min<double>(used, entry->info.slots);
+        // A faded report leaves a small rest that must not close the last slot.
+        if (used + 0.5 < entry->info.slots && entry->info.name != request.exclude)
+            open.push_back(entry);
     }
-    if (open.empty())
+    // The reserve is counted over the pool: of a replica with few slots a part would be all or nothing.
+    const auto reserve = request.priority == request_class::interactive
+        ? 0.0
+        : std::min(slots - 1, std::ceil(slots * tune.interactiveReservePercent / 100));
+    if (open.empty() || slots - load < reserve + 0.5)
         return nullptr;
-    const auto best =
-        std::ranges::min_element(open, {}, [&](const replica *entry) { return score(*entry, request, now); });
-    return &(*best)->info;
+    return &choose(open, request.prefixHash, load / static_cast<double>(members->size()), now)->info;
 }
 
 bool balancer::isServed(std::string_view service, std::string_view version, instant now) const
 {
-    return std::ranges::any_of(m_replicas, [&](const auto &item) {
-        const auto &entry = item.second;
-        return entry.info.state == host_state::live && now >= entry.openUntil && serves(entry.info, service, version);
-    });
+    const auto *members = findPool(service, version);
+    return members != nullptr
+        && std::ranges::any_of(*members, [&](const replica *entry) { return now >= entry->openUntil; });
+}
+
+std::size_t balancer::poolSize(std::string_view service, std::string_view version) const
+{
+    const auto *members = findPool(service, version);
+    return members != nullptr ? members->size() : 0;
 }
 
 void balancer::noteStart(std::string_view upstream)
@@ -99,12 +198,28 @@
     auto &entry = found->second;
     if (entry.inFlight > 0)
         --entry.inFlight;
-    if (!failure) {
+    // A rejection is the request's fault, and shows that the replica answers.
+    if (!failure || *failure == attempt_failure::rejected) {
         entry.failuresInRow = 0;
+        entry.isHalfOpen = false;
         return;
     }
-    if (++entry.failuresInRow >= kFailuresToOpen)
-        entry.openUntil = now + kOpenTime;
+    if (*failure == attempt_failure::overloaded) {
+        // A refusal tells the load better than the last report.
+        entry.reportedLoad = entry.inFlight + entry.info.slots;
+        entry.inFlightAtReport = entry.inFlight;
+        entry.reportedAt = std::max(entry.reportedAt, now);
+        return;
+    }
+    // Attempts that began before the circuit opened say nothing new.
+    if (now < entry.openUntil)
+        return;
+    if (++entry.failuresInRow < kFailuresToOpen && !entry.isHalfOpen)
+        return;
+    const auto doublings =
+        std::min(kOpenDoublingsMost, entry.failuresInRow - std::min(entry.failuresInRow, kFailuresToOpen));
+    entry.openUntil = now + kOpenTime * (1U << doublings);
+    entry.isHalfOpen = true;
 }
 
 } // namespace foxtaildyke
--- a/src/balancer_p.h
+++ b/src/balancer_p.h
@@ -4,6 +4,7 @@
 
 #include "fleet_p.h"
 
+#include <map>
 #include <random>
 #include <unordered_map>
 #include <vector>
@@ -15,7 +16,7 @@
 struct pick_request {
     std::string_view service;
     std::string_view version;
-    std::uint64_t prefixHash = 0; ///< hash of the prompt's first part; equal prefixes prefer equal replicas
+    std::uint64_t prefixHash = 0; ///< hash of the prompt's first part; equal prefixes prefer equal replicas; 0: none
     request_class priority = request_class::standard;
     std::string_view exclude; ///< replica not to take again, or empty
 };
@@ -23,6 +24,7 @@
 class balancer
 {
 public:
+    /// @param seed of the random choices; different hosts also take different subsets of large pools by it.
     balancer(std::string failureDomain, std::uint64_t seed);
 
     /// Replaces the host list. Counters of replicas that stay are kept.
@@ -32,32 +34,50 @@
     void report(std::string_view upstream, std::uint32_t running, std::uint32_t queued, std::uint32_t slots,
                 instant measuredAt);
 
-    /// @returns a replica with a free slot for this class, or nothing.
+    /// @returns a replica with a free slot for this class, or nothing. The pointer holds until setUpstreams().
     [[nodiscard]] const upstream_info *pick(const pick_request &request, const tuning &tune, instant now);
 
     /// @returns whether any live replica serves the version, free or not.
     [[nodiscard]] bool isServed(std::string_view service, std::string_view version, instant now) const;
 
+    /// @returns replicas of a version among which this host chooses.
+    [[nodiscard]] std::size_t poolSize(std::string_view service, std::string_view version) const;
+
     void noteStart(std::string_view upstream);
     /// @param failure nothing: the attempt gave a whole answer.
     void noteEnd(std::string_view upstream, std::optional<attempt_failure> failure, instant now);
 
+    static constexpr std::size_t kSubsetSize = 64; ///< replicas of a version that one host uses
+
 private:
     struct replica {
         upstream_info info;
+        std::uint64_t nameHash = 0;
         std::uint32_t inFlight = 0; ///< own attempts
         std::uint32_t reportedLoad = 0; ///< running and queued, of all hosts
         std::uint32_t inFlightAtReport = 0; ///< own part of reportedLoad
         instant reportedAt{-1}; ///< -1: never
         std::uint32_t failuresInRow = 0;
         instant openUntil{}; ///< circuit breaker: no new work before this time
+        bool isHalfOpen = false; ///< the circuit was opened, and no whole answer came since
     };
-    [[nodiscard]] double score(const replica &candidate, const pick_request &request, instant now) const;
+    using pool = std::vector<replica *>;
+    using pool_key = std::pair<std::string, std::string>; ///< service and version
+
+    void buildPools();
+    void limitPool(pool &members) const;
+    [[nodiscard]] const pool *findPool(std::string_view service, std::string_view version) const;
+    [[nodiscard]] static double loadOf(const replica &candidate, instant now);
+    [[nodiscard]] static bool isOpen(const replica &candidate, instant now);
+    [[nodiscard]] double score(const replica &candidate, instant now) const;
+    [[nodiscard]] replica *choose(const pool &open, std::uint64_t prefixHash, double meanLoad, instant now);
 
     std::string m_failureDomain;
+    std::uint64_t m_seed;
     std::mt19937_64 m_random;
     std::unordered_map<std::string, replica> m_replicas; ///< by name
     std::vector<std::string> m_order; ///< names in the order of the host list, so that choices are repeatable
+    std::map<pool_key, pool, std::less<>> m_pools; ///< live replicas; point into m_replicas
 };
 
 } // namespace foxtaildyke
--- /dev/null
+++ b/tests/test_balancer.cpp
@@ -0,0 +1,186 @@
+// Balancer: hot spots, work on leaving or broken replicas, and lookups behind drafts.
+#include "balancer_p.h"
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace foxtaildyke;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::vector<upstream_info> replicas(std::size_t count, std::uint32_t slots = 8)
+{
+    std::vector<upstream_info> list;
+    for (std::size_t i = 0; i < count; ++i)
+        list.push_back({.name = "r" + std::to_string(i),
+                        .failureDomain = i % 2 == 0 ? "a" : "b",
+                        .service = "pool",
+                        .versions = {"v1"},
+                        .slots = slots});
+    return list;
+}
+
+std::string pickName(balancer &choice, const pick_request &request, instant now = 0s, const tuning &tune = {})
+{
+    const auto *picked = choice.pick(request, tune, now);
+    return picked == nullptr ? std::string{} : picked->name;
+}
+
+constexpr pick_request kAny{.service = "pool", .version = "v1"};
+
+} // namespace
+
+TEST_CASE("balancer spreads work by load")
+{
+    // Guards against herding on one replica, and against queueing at a full one.
+    balancer choice("a", 1);
+    choice.setUpstreams(replicas(9));
+    std::map<std::string, int> started;
+    for (int i = 0; i < 45; ++i) {
+        const auto name = pickName(choice, kAny);
+        REQUIRE_FALSE(name.empty());
+        choice.noteStart(name);
+        ++started[name];
+    }
+    CHECK(started.size() == 9);
+    CHECK(std::ranges::all_of(started, [](const auto &item) { return item.second <= 7; }));
+}
+
+TEST_CASE("balancer does not count own requests twice, and forgets old reports")
+{
+    // A replica that only this host uses would look twice as full as it is.
+    balancer choice("a", 1);
+    choice.setUpstreams(replicas(1, 4));
+    for (int i = 0; i < 3; ++i)
+        choice.noteStart("r0");
+    choice.report("r0", 3, 0, 4, 1s);
+    CHECK(pickName(choice, {.service = "pool", .version = "v1", .priority = request_class::interactive}, 1s) == "r0");
+    choice.report("r0", 9, 0, 4, 2s);
+    const pick_request lookup{.service = "pool", .version = "v1", .priority = request_class::interactive};
+    CHECK(pickName(choice, lookup, 2s).empty());
+    CHECK(pickName(choice, lookup, 20s) == "r0");
+    choice.report("r0", 9, 0, 4, 1s);
+    CHECK(pickName(choice, lookup, 20s) == "r0");
+}
+
+TEST_CASE("balancer keeps a prompt prefix on one replica until that is loaded")
+{
+    // Without affinity each replica computes the same long prefix; without the bound a popular one overloads a replica.
+    balancer choice("a", 1);
+    choice.setUpstreams(replicas(9));
+    const pick_request withPrefix{.service = "pool", .version = "v1", .prefixHash = 77};
+    std::set<std::string> names;
+    for (int i = 0; i < 50; ++i)
+        names.insert(pickName(choice, withPrefix));
+    CHECK(names.size() == 1);
+    const auto holder = *names.begin();
+    for (int i = 0; i < 3; ++i)
+        choice.noteStart(holder);
+    CHECK(pickName(choice, withPrefix) != holder);
+}
+
+TEST_CASE("balancer prefers its own failure domain at equal load")
+{
+    balancer choice("a", 3);
+    choice.setUpstreams(replicas(10));
+    int near = 0;
+    for (int i = 0; i < 100; ++i) {
+        const auto name = pickName(choice, kAny);
+        near += (name.back() - '0') % 2 == 0 ? 1 : 0;
+    }
+    CHECK(near > 65);
+}
+
+TEST_CASE("balancer gives leaving replicas no work")
+{
+    balancer choice("a", 1);
+    auto list = replicas(2);
+    list[0].state = host_state::leaving;
+    choice.setUpstreams(list);
+    for (int i = 0; i < 20; ++i)
+        CHECK(pickName(choice, kAny) == "r1");
+    list[1].state = host_state::leaving;
+    choice.setUpstreams(list);
+    CHECK(pickName(choice, kAny).empty());
+    CHECK_FALSE(choice.isServed("pool", "v1", 0s));
+}
+
+TEST_CASE("balancer opens the circuit of a failing replica and tries it with one request")
+{
+    // A dead replica looks idle; without a single trial it would draw a burst each time the circuit closes.
+    balancer choice("a", 1);
+    choice.setUpstreams(replicas(1));
+    const auto fail = [&](instant now) {
+        choice.noteStart("r0");
+        choice.noteEnd("r0", attempt_failure::connection_lost, now);
+    };
+    for (int i = 0; i < 3; ++i)
+        fail(1s);
+    CHECK(pickName(choice, kAny, 2s).empty());
+    CHECK(pickName(choice, kAny, 7s) == "r0");
+    choice.noteStart("r0");
+    CHECK(pickName(choice, kAny, 7s).empty());
+    choice.noteEnd("r0", attempt_failure::timed_out, 8s);
+    CHECK(pickName(choice, kAny, 14s).empty());
+    CHECK(pickName(choice, kAny, 19s) == "r0");
+    choice.noteStart("r0");
+    choice.noteEnd("r0", std::nullopt, 20s);
+    choice.noteStart("r0");
+    CHECK(pickName(choice, kAny, 20s) == "r0");
+}
+
+TEST_CASE("balancer does not open a circuit on rejected requests, and avoids a replica that refused")
+{
+    balancer choice("a", 1);
+    choice.setUpstreams(replicas(1));
+    for (int i = 0; i < 5; ++i) {
+        choice.noteStart("r0");
+        choice.noteEnd("r0", attempt_failure::rejected, 1s);
+    }
+    CHECK(pickName(choice, kAny, 1s) == "r0");
+    choice.noteStart("r0");
+    choice.noteEnd("r0", attempt_failure::overloaded, 1s);
+    CHECK(pickName(choice, kAny, 1s).empty());
+    CHECK(choice.isServed("pool", "v1", 1s));
+}
+
+TEST_CASE("balancer reserves slots for interactive requests")
+{
+    // Drafts that take each slot would hold lookups for the length of a draft.
+    balancer choice("a", 1);
+    choice.setUpstreams(replicas(2, 5));
+    int drafts = 0;
+    for (; drafts < 100; ++drafts) {
+        const auto name = pickName(choice, {.service = "pool", .version = "v1", .priority = request_class::batch});
+        if (name.empty())
+            break;
+        choice.noteStart(name);
+    }
+    CHECK(drafts == 8);
+    CHECK_FALSE(pickName(choice, {.service = "pool", .version = "v1", .priority = request_class::interactive}).empty());
+}
+
+TEST_CASE("balancer uses a stable subset of a large pool")
+{
+    // Connections from each host to each replica do not scale; a subset that reshuffles loses caches and connections.
+    balancer choice("a", 5);
+    auto list = replicas(400);
+    choice.setUpstreams(list);
+    CHECK(choice.poolSize("pool", "v1") == balancer::kSubsetSize);
+    const auto collect = [&] {
+        std::set<std::string> names;
+        for (int i = 0; i < 4000; ++i)
+            names.insert(pickName(choice, kAny));
+        return names;
+    };
+    const auto before = collect();
+    list.erase(list.begin() + 10);
+    choice.setUpstreams(list);
+    const auto after = collect();
+    std::vector<std::string> common;
+    std::ranges::set_intersection(before, after, std::back_inserter(common));
+    CHECK(common.size() >= balancer::kSubsetSize - 1);
+    CHECK(std::ranges::any_of(before, [](const std::string &name) { return (name.back() - '0') % 2 == 1; }));
+}
