Estimate queue starts, spread Retry-After, hold the retry budget

The queue sorted itself for each look, a cancelled request moved the virtual time past waiting ones, and each host granted the whole account limit until told its share. Now: start-time fair queueing in an ordered set, start estimates from the queue and the measured service time of the pool, even shares until demand is known, and Retry-After values that promise one token to one caller.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -1,31 +1,71 @@
 // Admission; see admission_p.h.
 #include "admission_p.h"
 
+#include <utility>
+
 namespace foxtaildyke
 {
 
 namespace
 {
 
-constexpr double kRetryUnitsMost = 10; ///< retries that a burst may take at once
+constexpr double kEvenPart = 0.1; ///< of a limit that hosts get without demand
+constexpr double kMostWaitSeconds = 60; ///< longest Retry-After
+constexpr std::chrono::milliseconds kBusyRetry{500}; ///< Retry-After at the concurrency limit
+constexpr double kServiceWeight = 0.1; ///< of the newest service time in the moving mean
+constexpr double kClassWeight = 0.02; ///< of the newest start in the moving class shares
+constexpr double kLeastClassRate = 0.05; ///< of a pool's rate assumed for a class that others crowd out
+constexpr double kUnspentAttemptsMost = 100; ///< ten retries in a burst at a budget of 10 in 100
+constexpr double kUnspentAttemptsFirst = 10; ///< a host that has just started may retry once at 10 in 100
 
 } // namespace
 
+double limitShare(double own, double total, std::size_t hosts)
+{
+    const auto even = 1.0 / static_cast<double>(std::max<std::size_t>(1, hosts));
+    if (total <= 0)
+        return even;
+    return kEvenPart * even + (1 - kEvenPart) * std::clamp(own / total, 0.0, 1.0);
+}
+
+admission::admission(std::uint64_t seed)
+    : m_unspentAttempts(kUnspentAttemptsFirst)
+    , m_random(seed)
+{
+}
+
+std::chrono::milliseconds admission::spread(std::chrono::milliseconds estimate)
+{
+    const auto most = std::max<std::int64_t>(estimate.count() / 2, 10);
+    return estimate + std::chrono::milliseconds{std::uniform_int_distribution<std::int64_t>(0, most)(m_random)};
+}
+
+std::chrono::milliseconds admission::promise(account_state &state, double waitSeconds, double rate, instant now)
+{
+    // Each refused caller is told the time of the next free token that no earlier one was told.
+    const auto free = now + std::chrono::microseconds{static_cast<std::int64_t>(waitSeconds * 1e6)};
+    const auto next = state.promisedAt + std::chrono::microseconds{static_cast<std::int64_t>(1e6 / rate)};
+    const auto most = now + std::chrono::microseconds{static_cast<std::int64_t>(kMostWaitSeconds * 1e6)};
+    state.promisedAt = std::min(std::max(free, next), most);
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(state.promisedAt - now);
+    return wait + std::chrono::milliseconds{std::uniform_int_distribution<std::int64_t>(1, 100)(m_random)};
+}
+
 admission_verdict admission::admit(const fleet &config, account_handle account, instant now)
 {
     const auto &limits = config[account];
     auto &state = m_accounts[limits.name];
-    const auto rate = limits.requestsPerSecond * state.share;
-    const auto burst = std::max(1.0, limits.burst * state.share);
+    ++state.arrivals;
+    const auto share = state.share < 0 ? limitShare(0, 0, config.hosts.size()) : state.share;
+    const auto rate = std::max(limits.requestsPerSecond * share, 1 / kMostWaitSeconds);
+    const auto burst = std::max(1.0, limits.burst * share);
     const auto elapsed = std::chrono::duration<double>(now - state.refilledAt).count();
     state.tokens = state.tokens < 0 ? burst : std::min(burst, state.tokens + elapsed * rate);
     state.refilledAt = now;
-    if (state.inFlight >= std::max(1.0, limits.concurrency * state.share))
-        return {reason_code::rate_limited, std::chrono::milliseconds{500}};
-    if (state.tokens < 1) {
-        const auto wait = rate > 0 ? (1 - state.tokens) / rate : 60.0;
-        return {reason_code::rate_limited, std::chrono::milliseconds{static_cast<std::int64_t>(wait * 1000) + 1}};
-    }
+    if (state.inFlight >= std::max(1.0, limits.concurrency * share))
+        return {reason_code::rate_limited, spread(kBusyRetry)};
+    if (state.tokens < 1)
+        return {reason_code::rate_limited, promise(state, (1 - state.tokens) / rate, rate, now)};
     state.tokens -= 1;
     ++state.inFlight;
     return {};
@@ -43,44 +83,117 @@
     m_accounts[std::string(account)].share = std::clamp(share, 0.0, 1.0);
 }
 
-void admission::enqueue(request_token request, std::string_view account, std::uint32_t weight, request_class priority)
+std::vector<account_arrivals> admission::takeArrivals()
 {
-    auto &state = m_accounts[std::string(account)];
-    state.virtualTime = std::max(state.virtualTime, m_virtualNow) + 1.0 / std::max(1U, weight);
-    m_queue.push_back({request, std::string(account), priority, state.virtualTime});
+    std::vector<account_arrivals> arrivals;
+    for (auto &[name, state] : m_accounts) {
+        if (state.arrivals > 0)
+            arrivals.push_back({name, std::exchange(state.arrivals, 0)});
+    }
+    return arrivals;
+}
+
+double admission::startTag(std::string_view account, request_class priority) const
+{
+    const auto index = static_cast<std::size_t>(priority);
+    const auto found = m_accounts.find(account);
+    const auto last = found == m_accounts.end() ? 0.0 : found->second.finishTag[index];
+    // The maximum takes an idle account to the present, so that it has no credit for the time it was idle.
+    return std::max(last, m_virtualNow[index]);
+}
+
+void admission::enqueue(request_token request, std::string_view account, std::uint32_t weight, request_class priority,
+                        std::string_view pool)
+{
+    const auto tag = startTag(account, priority);
+    auto &finish = m_accounts[std::string(account)].finishTag[static_cast<std::size_t>(priority)];
+    finish = tag + 1.0 / std::max(1U, weight);
+    const queue_key key{priority, tag, m_sequence++, request};
+    m_order.insert(key);
+    m_queued.insert_or_assign(static_cast<std::uint64_t>(request), queued{key, std::string(pool)});
 }
 
 bool admission::remove(request_token request)
 {
-    const auto found = std::ranges::find(m_queue, request, &queued::request);
-    if (found == m_queue.end())
+    const auto found = m_queued.find(static_cast<std::uint64_t>(request));
+    if (found == m_queued.end())
         return false;
-    m_virtualNow = std::max(m_virtualNow, found->finishTag);
-    m_queue.erase(found);
+    const auto key = found->second.key;
+    m_queued.erase(found);
+    m_order.erase(key);
+    // A cancelled request from the back must not move the virtual time past those that still wait.
+    const auto head = m_order.lower_bound(queue_key{key.priority, 0, 0, {}});
+    const bool classWaits = head != m_order.end() && head->priority == key.priority;
+    auto &now = m_virtualNow[static_cast<std::size_t>(key.priority)];
+    now = std::max(now, classWaits ? std::min(key.startTag, head->startTag) : key.startTag);
     return true;
 }
 
-std::vector<request_token> admission::order() const
+std::vector<request_token> admission::order(std::size_t limit) const
 {
-    std::vector<const queued *> sorted;
-    std::ranges::transform(m_queue, std::back_inserter(sorted), [](const queued &entry) { return &entry; });
-    std::ranges::stable_sort(sorted, {},
-                             [](const queued *entry) { return std::pair(entry->priority, entry->finishTag); });
     std::vector<request_token> requests;
-    std::ranges::transform(sorted, std::back_inserter(requests), &queued::request);
+    requests.reserve(std::min(limit, m_order.size()));
+    for (const auto &key : m_order) {
+        if (requests.size() >= limit)
+            break;
+        requests.push_back(key.request);
+    }
     return requests;
 }
 
+void admission::noteStart(std::string_view pool, request_class priority)
+{
+    auto &state = m_pools[std::string(pool)];
+    ++state.inFlight;
+    for (std::size_t index = 0; index < kClasses; ++index) {
+        const double isThis = index == static_cast<std::size_t>(priority) ? 1 : 0;
+        state.classShare[index] += kClassWeight * (isThis - state.classShare[index]);
+    }
+}
+
+void admission::noteEnd(std::string_view pool, std::chrono::milliseconds serviceTime)
+{
+    auto &state = m_pools[std::string(pool)];
+    if (state.inFlight > 0)
+        --state.inFlight;
+    const auto newest = static_cast<double>(std::max<std::int64_t>(1, serviceTime.count()));
+    state.serviceMs = state.serviceMs > 0 ? state.serviceMs + kServiceWeight * (newest - state.serviceMs) : newest;
+}
+
+std::chrono::milliseconds admission::startEstimate(std::string_view account, request_class priority,
+                                                   std::string_view pool) const
+{
+    const auto found = m_pools.find(pool);
+    if (found == m_pools.end() || found->second.serviceMs <= 0)
+        return {};
+    const queue_key self{priority, startTag(account, priority), m_sequence, request_token{}};
+    const auto ahead = std::count_if(m_order.begin(), m_order.lower_bound(self), [&](const queue_key &key) {
+        return m_queued.at(static_cast<std::uint64_t>(key.request)).pool == pool;
+    });
+    if (ahead == 0)
+        return {};
+    // While requests wait, the attempts in flight are this host's part of the pool, however many hosts share it.
+    const auto &state = found->second;
+    double higher = 0;
+    for (std::size_t index = 0; index < static_cast<std::size_t>(priority); ++index)
+        higher += state.classShare[index];
+    const auto slots = std::max(1U, state.inFlight) * std::max(kLeastClassRate, 1 - higher);
+    return std::chrono::milliseconds{static_cast<std::int64_t>(static_cast<double>(ahead) * state.serviceMs / slots)};
+}
+
 void admission::noteFirstAttempt()
 {
-    m_retryUnits = std::min(kRetryUnitsMost, m_retryUnits + 0.1);
+    m_unspentAttempts = std::min(kUnspentAttemptsMost, m_unspentAttempts + 1);
 }
 
-bool admission::takeRetry(const tuning &)
+bool admission::takeRetry(const tuning &tune)
 {
-    if (m_retryUnits < 1)
+    if (tune.retryBudgetPercent == 0)
+        return false;
+    const auto price = 100.0 / tune.retryBudgetPercent;
+    if (m_unspentAttempts < price)
         return false;
-    m_retryUnits -= 1;
+    m_unspentAttempts -= price;
     return true;
 }
 
