Choose cascade starts by weighted loss with ageing estimates

The first version ignored the weights of cost, latency and exposure, never tried a version again once it had lost, and let old answers hide a change. Estimates now age by use and by kind, 5 in 100 decisions use sampled chances (seeded), and deltas can be shared between hosts.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -2,14 +2,89 @@
 #include "policy_p.h"
 
 #include <cmath>
+#include <utility>
 
 namespace foxtaildyke
 {
 
+namespace
+{
+
+constexpr double kOwnWindow = 200; ///< answers of a version after which an older one counts 1/e
+constexpr double kKindWindow = 2000; ///< answers of a kind after which an unused version's estimate is 1/e as firm
+constexpr double kExplorationShare = 0.05; ///< decisions on sampled instead of mean chances
+
+/// Pulls an estimate towards the prior Beta(1, 1).
+void age(beta_estimate &estimate, double keep)
+{
+    estimate.successes = 1 + (estimate.successes - 1) * keep;
+    estimate.failures = 1 + (estimate.failures - 1) * keep;
+}
+
+/// Expected course of a cascade from one of its models on.
+struct chain {
+    double cost = 0; ///< micro-units
+    double latencyMs = 0;
+    double worstLatencyMs = 0; ///< each attempt is made
+    double missChance = 1; ///< no model meets the target
+};
+
+chain prepend(const cascade_candidate &candidate, double meets, const chain &rest)
+{
+    const auto latency = static_cast<double>(candidate.expectedLatency.count());
+    return {candidate.expectedCostMicroUnits + (1 - meets) * rest.cost, latency + (1 - meets) * rest.latencyMs,
+            latency + rest.worstLatencyMs, (1 - meets) * rest.missChance};
+}
+
+/// Weighted loss relative to the strongest model alone, so that the weights need no units.
+double lossOf(const chain &option, const chain &strongest, const objective_weights &weights)
+{
+    return weights.cost * option.cost / std::max(1e-9, strongest.cost)
+        + weights.latency * option.latencyMs / std::max(1.0, strongest.latencyMs)
+        + weights.exposure * option.missChance;
+}
+
+} // namespace
+
+cascade_policy::cascade_policy(std::uint64_t seed)
+    : m_random(seed)
+{
+}
+
+void cascade_policy::update(const estimate_counts &counts)
+{
+    const auto answers = static_cast<double>(counts.met + counts.missed);
+    // Without this a version that lost its place once would never be tried again, however it changes.
+    for (auto &[key, entry] : m_estimates) {
+        if (key.first == counts.kind && key.second != counts.version)
+            age(entry, std::exp(-answers / kKindWindow));
+    }
+    auto &entry = m_estimates[{counts.kind, counts.version}];
+    age(entry, std::exp(-answers / kOwnWindow));
+    entry.successes += static_cast<double>(counts.met);
+    entry.failures += static_cast<double>(counts.missed);
+}
+
 void cascade_policy::learn(std::string_view kind, std::string_view version, bool metTarget)
 {
-    auto &entry = m_estimates[{std::string(kind), std::string(version)}];
-    (metTarget ? entry.successes : entry.failures) += 1;
+    const estimate_counts one{std::string(kind), std::string(version), metTarget ? 1U : 0U, metTarget ? 0U : 1U};
+    update(one);
+    auto &pending = m_pending[{one.kind, one.version}];
+    pending.met += one.met;
+    pending.missed += one.missed;
+}
+
+void cascade_policy::learnFromOthers(const std::vector<estimate_counts> &counts)
+{
+    std::ranges::for_each(counts, [this](const estimate_counts &entry) { update(entry); });
+}
+
+std::vector<estimate_counts> cascade_policy::takeDeltas()
+{
+    std::vector<estimate_counts> deltas;
+    for (const auto &[key, entry] : std::exchange(m_pending, {}))
+        deltas.push_back({key.first, key.second, entry.met, entry.missed});
+    return deltas;
 }
 
 beta_estimate cascade_policy::estimate(std::string_view kind, std::string_view version) const
@@ -18,27 +93,39 @@
     return found == m_estimates.end() ? beta_estimate{} : found->second;
 }
 
+double cascade_policy::sample(const beta_estimate &chance)
+{
+    const auto met = std::gamma_distribution<double>(chance.successes)(m_random);
+    const auto missed = std::gamma_distribution<double>(chance.failures)(m_random);
+    return met + missed > 0 ? met / (met + missed) : chance.mean();
+}
+
 cascade_decision cascade_policy::choose(const fleet &config, kind_handle kind,
                                         std::span<const cascade_candidate> candidates,
-                                        std::chrono::milliseconds remaining, bool ratingAvailable) const
+                                        std::chrono::milliseconds remaining, bool ratingAvailable)
 {
     const auto last = candidates.size() - 1;
     if (!ratingAvailable)
         return {last, "rating unavailable"};
+    if (!config[kind].rated)
+        return {last, "kind is not rated"};
     const auto &name = config[kind].name;
-    // Expected cost of starting at i: its own cost, plus that of the rest of the chain when it misses the target.
-    double chainCost = candidates[last].expectedCostMicroUnits;
-    auto chainLatency = candidates[last].expectedLatency;
+    const bool explores = std::uniform_real_distribution<double>()(m_random) < kExplorationShare;
+    const auto chanceOf = [&](std::size_t index) {
+        const auto chance = estimate(name, config[candidates[index].version].name);
+        return explores ? sample(chance) : chance.mean();
+    };
+    const auto strongest = prepend(candidates[last], chanceOf(last), {});
+    auto option = strongest;
     cascade_decision best{last, "strongest is cheapest"};
-    double bestCost = chainCost;
+    auto bestLoss = lossOf(strongest, strongest, config.tune.weights);
     for (std::size_t i = last; i-- > 0;) {
-        const auto meets = estimate(name, config[candidates[i].version].name).mean();
-        chainCost = candidates[i].expectedCostMicroUnits + (1 - meets) * chainCost;
-        chainLatency += candidates[i].expectedLatency;
-        if (chainLatency > remaining || chainCost >= bestCost)
+        option = prepend(candidates[i], chanceOf(i), option);
+        const auto loss = lossOf(option, strongest, config.tune.weights);
+        if (option.worstLatencyMs > static_cast<double>(remaining.count()) || loss >= bestLoss)
             continue;
-        bestCost = chainCost;
-        best = {i, "least expected cost"};
+        bestLoss = loss;
+        best = {i, explores ? "exploration" : "least expected loss"};
     }
     return best;
 }
--- a/src/policy_p.h
+++ b/src/policy_p.h
@@ -1,10 +1,11 @@
 // Model choice of a cascade: estimates the chance of each version to meet a kind's quality target and picks the start
-// model with the least expected cost that meets the target within the deadline.
+// model with the least expected loss (cost, latency, missed target) within the deadline.
 #pragma once
 
 #include "fleet_p.h"
 
 #include <map>
+#include <random>
 #include <span>
 #include <vector>
 
@@ -18,6 +19,14 @@
     [[nodiscard]] double mean() const { return successes / (successes + failures); }
 };
 
+/// Rated answers of one kind and version, of one host or summed over hosts.
+struct estimate_counts {
+    std::string kind;
+    std::string version;
+    std::uint64_t met = 0;
+    std::uint64_t missed = 0;
+};
+
 /// What the policy decides on: the versions a request may use, in the order of the cascade.
 struct cascade_candidate {
     version_handle version;
@@ -34,22 +43,38 @@
 class cascade_policy
 {
 public:
+    /// @param seed of the exploration; equal seeds and calls give equal decisions.
+    explicit cascade_policy(std::uint64_t seed = 1);
+
     /// Takes one rated answer into account.
     void learn(std::string_view kind, std::string_view version, bool metTarget);
 
+    /// Takes answers that other hosts had rated into account; they are not in the deltas of this host.
+    /// @param counts new answers only, not sums.
+    void learnFromOthers(const std::vector<estimate_counts> &counts);
+
+    /// @returns local counts since the last call, to be shared.
+    [[nodiscard]] std::vector<estimate_counts> takeDeltas();
+
     /// @returns the estimate for a kind and version; the prior where nothing was learnt.
     [[nodiscard]] beta_estimate estimate(std::string_view kind, std::string_view version) const;
 
-    /// Chooses where the cascade starts.
+    /// Chooses where the cascade starts, also for the rest of a cascade after an answer below the target.
     /// @param candidates at least one, cheapest model first.
     /// @param remaining time until the request's deadline.
     /// @param ratingAvailable false while the rating service does not answer: then the strongest candidate is taken.
     [[nodiscard]] cascade_decision choose(const fleet &config, kind_handle kind,
                                           std::span<const cascade_candidate> candidates,
-                                          std::chrono::milliseconds remaining, bool ratingAvailable) const;
+                                          std::chrono::milliseconds remaining, bool ratingAvailable);
 
 private:
-    std::map<std::pair<std::string, std::string>, beta_estimate, std::less<>> m_estimates; ///< by kind and version name
+    using estimate_key = std::pair<std::string, std::string>; ///< kind and version name
+    void update(const estimate_counts &counts);
+    [[nodiscard]] double sample(const beta_estimate &chance);
+
+    std::mt19937_64 m_random;
+    std::map<estimate_key, beta_estimate, std::less<>> m_estimates;
+    std::map<estimate_key, estimate_counts, std::less<>> m_pending; ///< not yet shared
 };
 
 } // namespace foxtaildyke
