Decide on a request the same each time it is looked at

A queued request is planned again on each event; drawing anew each time made it explore the more the longer it waited, and choose() could not be const. The draw now comes from the caller, and 0 means none.

--- a/src/evidence.cpp
+++ b/src/evidence.cpp
@@ -122,7 +122,7 @@
     return entry != nullptr ? entry->score : 0;
 }
 
-bool evidence_table::isRejected(const fleet &config, version_handle version)
+bool evidence_table::isRejected(const fleet &config, version_handle version) const
 {
     const auto found = m_counts.find(config[version].name);
     if (found == m_counts.end())
--- a/src/evidence_p.h
+++ b/src/evidence_p.h
@@ -44,7 +44,7 @@
 
     /// @returns whether the test rejects the version against its baseline. Once true it stays true.
     /// @remarks Scores what has arrived since the last call as one batch, so call it after each result.
-    [[nodiscard]] bool isRejected(const fleet &config, version_handle version);
+    [[nodiscard]] bool isRejected(const fleet &config, version_handle version) const;
 
     /// @returns whether the version may take one more unrated answer: limited while it is rolled out, and while the
     /// test suspects it.
@@ -84,7 +84,7 @@
 
     std::string m_host;
     std::optional<instant> m_totalsAt; ///< last totals of the relay
-    std::map<std::string, counts, std::less<>> m_counts; ///< by version name
+    mutable std::map<std::string, counts, std::less<>> m_counts; ///< by version name; isRejected() scores what is new
 };
 
 } // namespace foxtaildyke
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -2,7 +2,9 @@
 #include "policy_p.h"
 
 #include <cmath>
+#include <random>
 #include <utility>
+#include <xxhash.h>
 
 namespace foxtaildyke
 {
@@ -21,6 +23,21 @@
     estimate.failures = 1 + (estimate.failures - 1) * keep;
 }
 
+double sample(const beta_estimate &chance, std::minstd_rand &random)
+{
+    const auto met = std::gamma_distribution<double>(chance.successes)(random);
+    const auto missed = std::gamma_distribution<double>(chance.failures)(random);
+    return met + missed > 0 ? met / (met + missed) : chance.mean();
+}
+
+/// @returns whether the request with these random bits is one that explores.
+bool isExploring(std::uint64_t draw)
+{
+    constexpr std::uint64_t kSteps = 10000;
+    // Hashed, because tokens that count up would explore in runs.
+    return draw != 0 && XXH64(&draw, sizeof draw, 0) % kSteps < static_cast<std::uint64_t>(kExplorationShare * kSteps);
+}
+
 /// Expected course of a cascade from one of its models on.
 struct chain {
     double cost = 0; ///< micro-units
@@ -46,11 +63,6 @@
 
 } // namespace
 
-cascade_policy::cascade_policy(std::uint64_t seed)
-    : m_random(seed)
-{
-}
-
 void cascade_policy::update(const estimate_counts &counts)
 {
     const auto answers = static_cast<double>(counts.met + counts.missed);
@@ -93,16 +105,10 @@
     return found == m_estimates.end() ? beta_estimate{} : found->second;
 }
 
-double cascade_policy::sample(const beta_estimate &chance)
-{
-    const auto met = std::gamma_distribution<double>(chance.successes)(m_random);
-    const auto missed = std::gamma_distribution<double>(chance.failures)(m_random);
-    return met + missed > 0 ? met / (met + missed) : chance.mean();
-}
-
 cascade_decision cascade_policy::choose(const fleet &config, kind_handle kind,
                                         std::span<const cascade_candidate> candidates,
-                                        std::chrono::milliseconds remaining, bool ratingAvailable)
+                                        std::chrono::milliseconds remaining, bool ratingAvailable,
+                                        std::uint64_t draw) const
 {
     const auto last = candidates.size() - 1;
     if (!ratingAvailable)
@@ -110,10 +116,11 @@
     if (!config[kind].rated)
         return {last, "kind is not rated"};
     const auto &name = config[kind].name;
-    const bool explores = std::uniform_real_distribution<double>()(m_random) < kExplorationShare;
+    const bool explores = isExploring(draw);
+    std::minstd_rand random(static_cast<std::uint32_t>(draw ^ (draw >> 32)));
     const auto chanceOf = [&](std::size_t index) {
         const auto chance = estimate(name, config[candidates[index].version].name);
-        return explores ? sample(chance) : chance.mean();
+        return explores ? sample(chance, random) : chance.mean();
     };
     const auto strongest = prepend(candidates[last], chanceOf(last), {});
     auto option = strongest;
--- a/src/policy_p.h
+++ b/src/policy_p.h
@@ -5,7 +5,6 @@
 #include "fleet_p.h"
 
 #include <map>
-#include <random>
 #include <span>
 #include <vector>
 
@@ -43,9 +42,6 @@
 class cascade_policy
 {
 public:
-    /// @param seed of the exploration; equal seeds and calls give equal decisions.
-    explicit cascade_policy(std::uint64_t seed = 1);
-
     /// Takes one rated answer into account.
     void learn(std::string_view kind, std::string_view version, bool metTarget);
 
@@ -63,16 +59,16 @@
     /// @param candidates at least one, cheapest model first.
     /// @param remaining time until the request's deadline.
     /// @param ratingAvailable false while the rating service does not answer: then the strongest candidate is taken.
+    /// @param draw random bits of the request, the same each time it is decided on; a waiting request would otherwise
+    /// explore more often the longer it waits. 0: no exploration.
     [[nodiscard]] cascade_decision choose(const fleet &config, kind_handle kind,
                                           std::span<const cascade_candidate> candidates,
-                                          std::chrono::milliseconds remaining, bool ratingAvailable);
+                                          std::chrono::milliseconds remaining, bool ratingAvailable,
+                                          std::uint64_t draw = 0) const;
 
 private:
     using estimate_key = std::pair<std::string, std::string>; ///< kind and version name
     void update(const estimate_counts &counts);
-    [[nodiscard]] double sample(const beta_estimate &chance);
-
-    std::mt19937_64 m_random;
     std::map<estimate_key, beta_estimate, std::less<>> m_estimates;
     std::map<estimate_key, estimate_counts, std::less<>> m_pending; ///< not yet shared
 };
