Parse, check, merge and compare settings from one key table

Cause: the router, the control process and the tools need the published configuration as typed values, and each error must name its field.

Change: settings_table_p.h lists every section and key with unit, range, requirement, overlay rule and the field it fills. settings_ini.cpp reads and writes INI text through inih and refuses what inih accepts silently (duplicate keys, sections without keys, lines and names that it cuts). settings.cpp builds the fleet and checks overlays by comparing the two typed fleets. Edits keep withdrawn versions withdrawn and drop overlay states that would block a withdrawal. Example settings of both deployments, nine hosts each.

--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -10,4 +10,8 @@
     src/relay.cpp
     src/router_core.cpp
     src/session.cpp
-    src/settings.cpp)
+    src/settings.cpp
+    src/settings_edits.cpp
+    src/settings_ini.cpp
+    src/settings_json.cpp
+    src/settings_table.cpp)
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,2 +1,208 @@
-// Settings parser, key table and overlay merge; see settings_p.h.
-#include "settings_p.h"
+// Builds and checks the typed view of the configuration: base, overlay of a failure domain, references; see
+// settings_p.h.
+#include "settings_table_p.h"
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+using BOOST_OUTCOME_V2_NAMESPACE::success;
+
+template <typename entry>
+std::string sectionOf(const entry &item)
+{
+    return std::string(section_table<entry>::kSection) + ' ' + item.name;
+}
+
+std::string sectionOf(const tuning &)
+{
+    return std::string(section_table<tuning>::kSection);
+}
+
+template <typename entry>
+void createEntries(const ini_document &document, std::vector<entry> &entries)
+{
+    for (const auto &[section, keys] : document) {
+        const auto [type, name] = splitSection(section);
+        if (type == section_table<entry>::kSection)
+            entries.emplace_back().name = name;
+    }
+}
+
+template <typename entry>
+result<void> fillEntry(const ini_document &document, entry &item, const fleet &owner)
+{
+    const auto section = sectionOf(item);
+    const auto found = document.find(section);
+    for (const auto &row : section_table<entry>::kRows) {
+        const auto field = section + '/' + std::string(row.key);
+        const auto missing = found == document.end() || !found->second.contains(std::string(row.key));
+        if (missing && row.required)
+            return error{error_code::missing_key, field};
+        if (missing)
+            continue;
+        const auto assigned = assignKey(row, item, found->second.at(std::string(row.key)), owner);
+        if (assigned.has_error())
+            return error{assigned.error().code, field};
+    }
+    return success();
+}
+
+template <typename entry>
+result<void> fillEntries(const ini_document &document, std::vector<entry> &entries, const fleet &owner)
+{
+    for (auto &item : entries) {
+        if (auto filled = fillEntry(document, item, owner); filled.has_error())
+            return filled;
+    }
+    return success();
+}
+
+/// Number of baselines before a version; more than there are versions where the chain is a cycle.
+std::size_t ageRank(const fleet &built, const version_config &version)
+{
+    std::size_t rank = 0;
+    for (auto next = version.baseline; next.isValid() && rank <= built.versions.size(); ++rank)
+        next = built[next].baseline;
+    return rank;
+}
+
+/// Lists the versions of each model, oldest first. The text keeps no order, so age follows from the baselines.
+result<void> linkVersions(fleet &built)
+{
+    for (const auto &version : built.versions) {
+        const auto foreign = version.baseline.isValid() && built[version.baseline].model != version.model;
+        if (foreign || ageRank(built, version) > built.versions.size())
+            return error{error_code::unknown_reference, sectionOf(version) + "/baseline"};
+        // A grant names versions or models; one name for both would be ambiguous.
+        if (built.modelByName(version.name).isValid())
+            return error{error_code::value_out_of_range, sectionOf(version)};
+        built.models[version.model.index].versions.push_back(built.versionByName(version.name));
+    }
+    for (auto &model : built.models)
+        std::ranges::stable_sort(model.versions, {}, [&](version_handle v) { return ageRank(built, built[v]); });
+    return success();
+}
+
+result<void> checkRelations(const fleet &built)
+{
+    for (const auto &kind : built.kinds) {
+        // A request that must not run twice can't be escalated to another model.
+        if (!kind.idempotent && kind.cascade.size() != 1)
+            return error{error_code::value_out_of_range, sectionOf(kind) + "/cascade"};
+    }
+    for (const auto &account : built.accounts) {
+        if (std::ranges::count(built.accounts, account.apiKey, &account_config::apiKey) > 1)
+            return error{error_code::value_out_of_range, sectionOf(account) + "/api_key"};
+    }
+    // A child that lost its parent needs up to two periods to find the next one.
+    if (built.tune.freshnessLease < 2 * built.tune.exchangePeriod)
+        return error{error_code::value_out_of_range, "tuning/freshness_lease_ms"};
+    return success();
+}
+
+result<fleet> buildDocument(const ini_document &document, generation_number generation)
+{
+    fleet built;
+    built.generation = generation;
+    createEntries(document, built.accounts);
+    createEntries(document, built.models);
+    createEntries(document, built.versions);
+    createEntries(document, built.kinds);
+    createEntries(document, built.hosts);
+    BOOST_OUTCOME_TRYV(fillEntries(document, built.models, built));
+    BOOST_OUTCOME_TRYV(fillEntries(document, built.versions, built));
+    BOOST_OUTCOME_TRYV(linkVersions(built));
+    BOOST_OUTCOME_TRYV(fillEntries(document, built.accounts, built));
+    BOOST_OUTCOME_TRYV(fillEntries(document, built.kinds, built));
+    BOOST_OUTCOME_TRYV(fillEntries(document, built.hosts, built));
+    BOOST_OUTCOME_TRYV(fillEntry(document, built.tune, built));
+    BOOST_OUTCOME_TRYV(checkRelations(built));
+    const auto place = [](const host_config &host) {
+        return std::tie(host.region, host.failureDomain, host.name);
+    };
+    std::ranges::sort(built.hosts, {}, place);
+    return built;
+}
+
+template <typename entry>
+result<void> compareEntry(const entry &base, const entry &overlaid)
+{
+    for (const auto &row : section_table<entry>::kRows) {
+        if (!isNarrowing(row, base, overlaid))
+            return error{error_code::overlay_contradicts_base, sectionOf(base) + '/' + std::string(row.key)};
+    }
+    return success();
+}
+
+template <typename entry>
+result<void> compareEntries(const std::vector<entry> &base, const std::vector<entry> &overlaid)
+{
+    for (std::size_t i = 0; i < base.size(); ++i) {
+        BOOST_OUTCOME_TRYV(compareEntry(base[i], overlaid[i]));
+    }
+    return success();
+}
+
+/// Checks that an overlaid fleet permits nothing that the base does not.
+result<void> compareFleets(const fleet &base, const fleet &overlaid)
+{
+    BOOST_OUTCOME_TRYV(compareEntries(base.accounts, overlaid.accounts));
+    BOOST_OUTCOME_TRYV(compareEntries(base.models, overlaid.models));
+    BOOST_OUTCOME_TRYV(compareEntries(base.versions, overlaid.versions));
+    BOOST_OUTCOME_TRYV(compareEntries(base.kinds, overlaid.kinds));
+    BOOST_OUTCOME_TRYV(compareEntries(base.hosts, overlaid.hosts));
+    return compareEntry(base.tune, overlaid.tune);
+}
+
+result<fleet> applyOverlay(const ini_document &baseDocument, const fleet &base, const ini_document &overlay)
+{
+    BOOST_OUTCOME_TRYV(checkNames(overlay));
+    auto merged = baseDocument;
+    for (const auto &[section, keys] : overlay) {
+        const auto found = merged.find(section);
+        const auto isTuning = section == section_table<tuning>::kSection;
+        if (found == merged.end() && !isTuning)
+            return error{error_code::overlay_contradicts_base, section};
+        for (const auto &[key, value] : keys)
+            merged[section][key] = value;
+    }
+    BOOST_OUTCOME_TRY(overlaid, buildDocument(merged, base.generation));
+    BOOST_OUTCOME_TRYV(compareFleets(base, overlaid));
+    return std::move(overlaid);
+}
+
+error inOverlay(const std::string &failureDomain, const error &failure)
+{
+    return {failure.code, failureDomain + ": " + failure.field};
+}
+
+} // namespace
+
+result<fleet> buildFleet(const config_layers &layers, generation_number generation, std::string_view failureDomain)
+{
+    BOOST_OUTCOME_TRYV(checkNames(layers.base));
+    BOOST_OUTCOME_TRY(base, buildDocument(layers.base, generation));
+    const auto overlay = layers.overlays.find(std::string(failureDomain));
+    if (overlay == layers.overlays.end())
+        return std::move(base);
+    auto overlaid = applyOverlay(layers.base, base, overlay->second);
+    if (overlaid.has_error())
+        return inOverlay(overlay->first, overlaid.error());
+    return overlaid;
+}
+
+result<void> checkLayers(const config_layers &layers)
+{
+    BOOST_OUTCOME_TRYV(buildFleet(layers, 0, ""));
+    for (const auto &[failureDomain, overlay] : layers.overlays) {
+        if (!isEntryName(failureDomain))
+            return error{error_code::unknown_section, failureDomain};
+        BOOST_OUTCOME_TRYV(buildFleet(layers, 0, failureDomain));
+    }
+    return success();
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/tests/test_settings.cpp
@@ -0,0 +1,406 @@
+// Settings: every typed error of the parser and the checks, and round trips of text, edits and JSON. A wrong document
+// that passes would be published to all hosts.
+#include "settings_p.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <rapidcheck.h>
+#include <sstream>
+
+using namespace foxtaildyke;
+
+namespace
+{
+
+constexpr std::string_view kBase = R"([account ada]
+api_key = ada-key-1
+requests_per_second = 10
+burst = 20
+concurrency = 4
+grants = small-1 large
+[account bo]
+api_key = bo-key-22
+requests_per_second = 5
+grants = small-1
+[model small]
+service = pool
+[model large]
+service = pool
+[version small-1]
+model = small
+[version small-2]
+model = small
+state = rolling_out
+share_permille = 100
+baseline = small-1
+[version small-0]
+model = small
+state = withdrawn
+[version large-1]
+model = large
+[kind ask]
+class = standard
+cascade = small large
+deadline_ms = 1000
+[kind once]
+idempotent = false
+cascade = large
+[host h1]
+region = r
+failure_domain = east
+address = 127.0.0.1
+peer_port = 7000
+[tuning]
+session_key = 0123456789abcdef
+)";
+
+config_layers layersOf(std::string_view overlay = "")
+{
+    config_layers layers;
+    layers.base = parseIni(kBase).value();
+    if (!overlay.empty())
+        layers.overlays["east"] = parseIni(overlay).value();
+    return layers;
+}
+
+/// Checks the base with one key set or, without a value, removed.
+result<void> checkWith(const std::string &section, const std::string &key, std::optional<std::string> value)
+{
+    auto layers = layersOf();
+    if (value)
+        layers.base[section][key] = *value;
+    else
+        layers.base[section].erase(key);
+    return checkLayers(layers);
+}
+
+void checkError(const result<void> &checked, error_code code, const std::string &field)
+{
+    REQUIRE(checked.has_error());
+    CHECK(nameOf(checked.error().code) == nameOf(code));
+    CHECK(checked.error().field == field);
+}
+
+std::string readExample(const std::string &deployment, const std::string &name)
+{
+    std::ifstream file(std::string(FOXTAILDYKE_SOURCE_DIR) + "/examples/" + deployment + "/" + name + ".ini");
+    REQUIRE(file.good());
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+TEST_CASE("the typed view holds values, references and defaults of the text")
+{
+    const auto built = buildFleet(layersOf(), 7, "east");
+    REQUIRE(built.has_value());
+    const auto &fleet = built.value();
+    CHECK(fleet.generation == 7);
+    const auto ada = fleet.accountByName("ada");
+    CHECK(fleet[ada].burst == 20);
+    CHECK(fleet.isGranted(ada, fleet.versionByName("large-1")));
+    CHECK(fleet.isGranted(ada, fleet.versionByName("small-1")));
+    CHECK_FALSE(fleet.isGranted(ada, fleet.versionByName("small-2")));
+    CHECK(fleet[fleet.versionByName("small-2")].baseline == fleet.versionByName("small-1"));
+    CHECK(fleet[fleet.kindByName("ask")].deadline == std::chrono::milliseconds(1000));
+    CHECK(fleet[fleet.kindByName("once")].maxTokens == 1024);
+    CHECK(fleet.tune.exchangePeriod == std::chrono::milliseconds(500));
+}
+
+TEST_CASE("versions of a model are listed oldest first, by their baselines")
+{
+    const auto fleet = buildFleet(layersOf(), 1, "").value();
+    const auto &versions = fleet[fleet.modelByName("small")].versions;
+    REQUIRE(versions.size() == 3);
+    CHECK(fleet[versions.back()].name == "small-2");
+}
+
+TEST_CASE("text that is not INI gives the line")
+{
+    const auto lineOf = [](std::string_view text) {
+        const auto parsed = parseIni(text);
+        REQUIRE(parsed.has_error());
+        CHECK(parsed.error().code == error_code::invalid_syntax);
+        return parsed.error().field;
+    };
+    CHECK(lineOf("[tuning]\nno equals sign\n") == "line 2");
+    CHECK(lineOf("key = before any section\n") == "line 1");
+    CHECK(lineOf("[tuning\nweight_cost = 1\n") == "line 1");
+    // A second value for a key would silently replace or extend the first.
+    CHECK(lineOf("[tuning]\nweight_cost = 1\nweight_cost = 2\n") == "line 3");
+    // inih drops a section without keys and cuts long lines and names without an error.
+    CHECK(lineOf("[account ada]\n[tuning]\nweight_cost = 1\n") == "line 1");
+    CHECK(lineOf("[tuning]\nsession_key = " + std::string(300, 'x') + "\n") == "line 2");
+    CHECK(lineOf("[account " + std::string(60, 'x') + "]\nburst = 1\n") == "line 1");
+    CHECK(lineOf("[tuning]\nsession_key = a #comment\n") == "line 2");
+    CHECK(lineOf("[tuning]\nsession_key = caf\xc3\xa9\n") == "line 2");
+}
+
+TEST_CASE("comments, blank lines and continued lines are read")
+{
+    const auto parsed = parseIni("; comment\n\n[account ada]\ngrants = a ; comment\n  b\n\tc\nburst = 1\n");
+    REQUIRE(parsed.has_value());
+    CHECK(parsed.value().at("account ada").at("grants") == "a b c");
+    CHECK(parsed.value().at("account ada").at("burst") == "1");
+}
+
+TEST_CASE("the base is accepted")
+{
+    CHECK(checkLayers(layersOf()).has_value());
+}
+
+TEST_CASE("unknown sections and keys are refused")
+{
+    checkError(checkWith("router main", "x", "1"), error_code::unknown_section, "router main");
+    checkError(checkWith("tuning extra", "weight_cost", "1"), error_code::unknown_section, "tuning extra");
+    checkError(checkWith("account", "burst", "1"), error_code::unknown_section, "account");
+    checkError(checkWith("account a b", "burst", "1"), error_code::unknown_section, "account a b");
+    checkError(checkWith("account ada", "bursts", "1"), error_code::unknown_key, "account ada/bursts");
+}
+
+TEST_CASE("a missing required key is refused")
+{
+    checkError(checkWith("account ada", "api_key", std::nullopt), error_code::missing_key, "account ada/api_key");
+    checkError(checkWith("kind ask", "cascade", std::nullopt), error_code::missing_key, "kind ask/cascade");
+    checkError(checkWith("tuning", "session_key", std::nullopt), error_code::missing_key, "tuning/session_key");
+}
+
+TEST_CASE("values out of range are refused for each type of field")
+{
+    const auto outOfRange = [](const std::string &section, const std::string &key, const std::string &value) {
+        CAPTURE(value);
+        checkError(checkWith(section, key, value), error_code::value_out_of_range, section + "/" + key);
+    };
+    outOfRange("account ada", "requests_per_second", "0");
+    outOfRange("account ada", "requests_per_second", "nan");
+    outOfRange("account ada", "requests_per_second", "1e300");
+    outOfRange("account ada", "requests_per_second", "ten");
+    outOfRange("account ada", "burst", "-1");
+    outOfRange("account ada", "burst", "4294967296");
+    outOfRange("account ada", "burst", "3 4");
+    outOfRange("account ada", "burst", "");
+    outOfRange("account ada", "api_key", "short");
+    outOfRange("version small-2", "share_permille", "1001");
+    outOfRange("version small-2", "state", "retired");
+    outOfRange("kind ask", "idempotent", "yes");
+    outOfRange("kind ask", "class", "urgent");
+    outOfRange("kind ask", "deadline_ms", "0");
+    outOfRange("kind ask", "cascade", "small small");
+    outOfRange("kind ask", "cascade", "");
+    outOfRange("host h1", "address", "localhost");
+    outOfRange("host h1", "peer_port", "65536");
+    outOfRange("tuning", "freshness_lease_ms", "900");
+    // Two accounts with one key could not be told apart.
+    outOfRange("account ada", "api_key", "bo-key-22");
+    // A request that must run at most once is never escalated.
+    outOfRange("kind once", "cascade", "small large");
+}
+
+TEST_CASE("unknown references are refused")
+{
+    const auto unknown = [](const std::string &section, const std::string &key, const std::string &value) {
+        checkError(checkWith(section, key, value), error_code::unknown_reference, section + "/" + key);
+    };
+    unknown("account ada", "grants", "small-1 none");
+    unknown("version small-1", "model", "none");
+    unknown("version small-2", "baseline", "none");
+    unknown("version small-2", "baseline", "large-1");
+    unknown("version small-2", "baseline", "small-2");
+    unknown("kind ask", "cascade", "small none");
+}
+
+TEST_CASE("an overlay may narrow the base")
+{
+    const auto layers = layersOf("[account ada]\nrequests_per_second = 5\ngrants = large\n[version small-2]\n"
+                                 "state = halted\n[kind ask]\ncascade = large\n[tuning]\nweight_cost = 9\n");
+    const auto built = buildFleet(layers, 1, "east");
+    REQUIRE(built.has_value());
+    CHECK(built.value().accounts[0].requestsPerSecond == doctest::Approx(5));
+    CHECK(built.value()[built.value().versionByName("small-2")].state == version_state::halted);
+    CHECK(buildFleet(layers, 1, "west").value().accounts[0].requestsPerSecond == doctest::Approx(10));
+}
+
+TEST_CASE("an overlay that grants, reinstates or raises is refused")
+{
+    const auto contradicts = [](const std::string &overlay, const std::string &field) {
+        CAPTURE(overlay);
+        checkError(checkLayers(layersOf(overlay)), error_code::overlay_contradicts_base, "east: " + field);
+    };
+    contradicts("[account bo]\ngrants = small-1 large-1\n", "account bo/grants");
+    contradicts("[version small-0]\nstate = active\n", "version small-0/state");
+    contradicts("[version small-2]\nstate = active\n", "version small-2/state");
+    contradicts("[version small-2]\nshare_permille = 101\n", "version small-2/share_permille");
+    contradicts("[account ada]\nrequests_per_second = 11\n", "account ada/requests_per_second");
+    contradicts("[account ada]\nburst = 21\n", "account ada/burst");
+    contradicts("[account ada]\napi_key = another-key\n", "account ada/api_key");
+    contradicts("[kind ask]\ncascade = large small\n", "kind ask/cascade");
+    contradicts("[kind once]\nidempotent = true\n", "kind once/idempotent");
+    contradicts("[kind ask]\ndeadline_ms = 1001\n", "kind ask/deadline_ms");
+    contradicts("[tuning]\nretry_budget_percent = 11\n", "tuning/retry_budget_percent");
+    contradicts("[tuning]\nfreshness_lease_ms = 8000\n", "tuning/freshness_lease_ms");
+    contradicts("[account eve]\napi_key = eve-key-1\nrequests_per_second = 1\n", "account eve");
+    contradicts("[host h2]\nregion = r\n", "host h2");
+    checkError(checkLayers(layersOf("[account ada]\nbursts = 1\n")), error_code::unknown_key,
+               "east: account ada/bursts");
+}
+
+TEST_CASE("a withdrawn version is never reinstated by edits")
+{
+    const auto refused = [](const config_edit &edit) {
+        const auto applied = applyEdits(layersOf("[version small-1]\nstate = withdrawn\n"), {edit});
+        REQUIRE(applied.has_error());
+        CHECK(applied.error().code == error_code::version_reinstated);
+    };
+    refused({"", "version small-0", "state", "active"});
+    refused({"", "version small-0", "state", "halted"});
+    refused({"", "version small-0", "state", std::nullopt});
+    refused({"", "version small-0", "", std::nullopt});
+    refused({"east", "version small-1", "state", std::nullopt});
+    refused({"east", "version small-1", "", std::nullopt});
+}
+
+TEST_CASE("an overlay never blocks a withdrawal")
+{
+    const auto layers = layersOf("[version small-2]\nstate = rolling_out\nshare_permille = 10\n");
+    const auto applied = applyEdits(layers, {{"", "version small-2", "state", "withdrawn"}});
+    REQUIRE(applied.has_value());
+    CHECK(checkLayers(applied.value()).has_value());
+    const auto fleet = buildFleet(applied.value(), 1, "east").value();
+    CHECK(fleet[fleet.versionByName("small-2")].state == version_state::withdrawn);
+}
+
+TEST_CASE("edits that can't be written as text are refused")
+{
+    for (const std::string value : {"a\nb", " a", "a  b", "; a", "#a", "\x01"}) {
+        const auto applied = applyEdits(layersOf(), {{"", "tuning", "session_key", value}});
+        REQUIRE(applied.has_error());
+        CHECK(applied.error().code == error_code::invalid_syntax);
+        CHECK(applied.error().field == "tuning/session_key");
+    }
+}
+
+namespace
+{
+
+/// Runs a property with the same seed each time, so that a failure can be repeated.
+template <typename property>
+bool holds(property &&checked)
+{
+    setenv("RC_PARAMS", "seed=20261203 max_success=200", 0);
+    return rc::check(std::forward<property>(checked));
+}
+
+std::string arbitraryWord()
+{
+    const auto letter = rc::gen::element('a', 'b', 'z', '0', '-', '=', ':', '[', ']', '"', '\\');
+    return *rc::gen::nonEmpty(rc::gen::container<std::string>(letter));
+}
+
+/// Documents with values of zero to forty words, so that long values are wrapped.
+ini_document arbitraryDocument()
+{
+    ini_document document;
+    const auto sections = *rc::gen::inRange(0, 5);
+    for (int s = 0; s < sections; ++s) {
+        auto &keys = document["account a" + std::to_string(*rc::gen::inRange(0, 9))];
+        const auto count = *rc::gen::inRange(1, 5);
+        for (int k = 0; k < count; ++k) {
+            std::string value;
+            const auto words = *rc::gen::inRange(0, 40);
+            for (int w = 0; w < words; ++w)
+                value += (value.empty() ? "" : " ") + arbitraryWord().substr(0, 100);
+            keys["key" + std::to_string(*rc::gen::inRange(0, 9))] = value;
+        }
+    }
+    return document;
+}
+
+config_layers arbitraryLayers()
+{
+    config_layers layers;
+    layers.base = arbitraryDocument();
+    for (const std::string name : {"east", "west"}) {
+        auto overlay = arbitraryDocument();
+        if (!overlay.empty())
+            layers.overlays[name] = std::move(overlay);
+    }
+    return layers;
+}
+
+} // namespace
+
+TEST_CASE("property: parsing a formatted document gives the same document")
+{
+    CHECK(holds([] {
+        const auto document = arbitraryDocument();
+        const auto parsed = parseIni(formatIni(document));
+        RC_ASSERT(parsed.has_value());
+        RC_ASSERT(parsed.value() == document);
+    }));
+}
+
+TEST_CASE("property: applying a difference gives the other layers")
+{
+    CHECK(holds([] {
+        const auto from = arbitraryLayers();
+        const auto to = arbitraryLayers();
+        const auto applied = applyEdits(from, diffLayers(from, to));
+        RC_ASSERT(applied.has_value());
+        RC_ASSERT(applied.value().base == to.base);
+        RC_ASSERT(applied.value().overlays == to.overlays);
+        RC_ASSERT(diffLayers(to, to).empty());
+    }));
+}
+
+TEST_CASE("property: JSON of a configuration keeps every field")
+{
+    CHECK(holds([] {
+        config_document document;
+        document.generation = *rc::gen::arbitrary<std::uint32_t>();
+        document.layers = arbitraryLayers();
+        document.history.push_back({5, "id", "author", 1700000000123, diffLayers({}, document.layers)});
+        const auto decoded = decodeConfig(encodeConfig(document));
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(decoded.value().generation == document.generation);
+        RC_ASSERT(decoded.value().layers.base == document.layers.base);
+        RC_ASSERT(decoded.value().layers.overlays == document.layers.overlays);
+        RC_ASSERT(decoded.value().history.at(0).unixMs == 1700000000123);
+        RC_ASSERT(encodeEdits(decoded.value().history.at(0).edits) == encodeEdits(document.history.at(0).edits));
+    }));
+}
+
+TEST_CASE("damaged JSON gives protocol_violation")
+{
+    for (const std::string_view text : {"", "[]", "{}", R"({"generation":1,"base":5,"overlays":{},"history":[]})",
+                                        R"({"generation":1,"base":"[x","overlays":{},"history":[]})",
+                                        R"({"generation":1,"base":"","overlays":[],"history":[]})"}) {
+        const auto decoded = decodeConfig(text);
+        REQUIRE(decoded.has_error());
+        CHECK(decoded.error().code == error_code::protocol_violation);
+    }
+    CHECK(decodeEdits(R"([{"layer":""}])").has_error());
+    CHECK(decodeEdits("{}").has_error());
+}
+
+TEST_CASE("the example deployments are valid")
+{
+    const std::map<std::string, std::vector<std::string>> deployments{
+        {"lin-shou", {"zhongshan-hall", "datong-hall", "wanhua-hall"}},
+        {"solleciti-padani", {"sala-cremona", "sala-mantova", "sala-piacenza", "sala-lodi"}}};
+    for (const auto &[deployment, failureDomains] : deployments) {
+        config_layers layers;
+        layers.base = parseIni(readExample(deployment, "base")).value();
+        for (const auto &name : failureDomains)
+            layers.overlays[name] = parseIni(readExample(deployment, name)).value();
+        const auto checked = checkLayers(layers);
+        CHECK_MESSAGE(checked.has_value(), (checked.has_error() ? checked.error().field : ""));
+        const auto fleet = buildFleet(layers, 1, failureDomains.front()).value();
+        CHECK(fleet.hosts.size() == 9);
+        CHECK(fleet.accounts.size() == 10);
+        CHECK(fleet.kinds.size() == 5);
+    }
+}
