--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -4,3 +4,8 @@
 add_executable(foxtaildyke-tests tests/tests_main.cpp ${unit_tests})
 target_link_libraries(foxtaildyke-tests PRIVATE foxtaildyke-adapters rapidcheck)
 target_compile_definitions(foxtaildyke-tests PRIVATE FOXTAILDYKE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+
+file(GLOB failure_tests CONFIGURE_DEPENDS tests/failure_*.cpp)
+add_executable(foxtaildyke-failure-tests tests/tests_main.cpp ${failure_tests})
+target_link_libraries(foxtaildyke-failure-tests PRIVATE foxtaildyke-core Threads::Threads)
+target_compile_definitions(foxtaildyke-failure-tests PRIVATE FOXTAILDYKE_BINARY_DIR="${CMAKE_BINARY_DIR}")
--- /dev/null
+++ b/tests/failure_deployment.h
@@ -0,0 +1,109 @@
+// A small deployment of real processes on 127.0.0.1 for failure tests: a platform stand-in, upstream stand-ins and
+// entry hosts, each of which reaches the platform and its peers through links that can be cut.
+#pragma once
+
+#include "failure_support.h"
+#include "settings_p.h"
+
+#include <filesystem>
+#include <nlohmann/json.hpp>
+
+namespace foxtaildyke::testing
+{
+
+struct upstream_options {
+    std::string name;
+    std::string service = "models";
+    std::string versions; ///< separated by commas
+    std::vector<std::string> arguments; ///< further options of the stand-in
+};
+
+/// An upstream stand-in and its port.
+struct upstream_process {
+    std::string name;
+    std::uint16_t port = 0;
+    std::unique_ptr<child_process> process;
+};
+
+/// The router of one entry host and its links.
+struct router_process {
+    std::string name;
+    std::string failureDomain;
+    std::uint16_t port = 0;
+    std::uint16_t peerPort = 0;
+    std::uint16_t adminPort = 0;
+    std::unique_ptr<tcp_link> platformLink;
+    std::map<std::string, std::unique_ptr<tcp_link>> peerLinks; ///< to each other host, by name
+    std::unique_ptr<child_process> process;
+};
+
+/// A request as a caller sends it.
+struct caller_call {
+    std::string kind = "tone-check";
+    std::string prompt = "hello";
+    std::string requestId;
+    std::string sessionId;
+    std::string sessionToken;
+    bool stream = false;
+    std::string apiKey = "key-a";
+    std::uint32_t deadlineMs = 20000;
+};
+
+class deployment
+{
+public:
+    /// Starts the platform and `hosts` routers h1, h2, ... in failure domains d1, d2, ..., all registered.
+    explicit deployment(std::size_t hosts, ini_document extraSettings = {});
+    ~deployment();
+
+    /// Starts an upstream and waits until it is on the host list.
+    upstream_process &addUpstream(const upstream_options &options);
+
+    /// Starts the router of a host (again). @returns once it listens.
+    void startRouter(std::size_t index);
+
+    /// Waits until every router may dispatch.
+    bool waitUntilServing(std::size_t index);
+
+    /// Cuts a host from all other hosts, both ways.
+    void cutPeers(std::size_t index);
+    void healPeers(std::size_t index);
+
+    /// Publishes edits of the base as a new generation, directly in the object API.
+    /// @returns the new generation.
+    generation_number publish(const std::vector<config_edit> &edits);
+
+    http_response call(std::size_t router, const caller_call &request) const;
+    [[nodiscard]] http_call makeCall(std::size_t router, const caller_call &request) const;
+
+    /// Sets faults of the platform or an upstream.
+    void setFaults(std::uint16_t port, const nlohmann::json &faults) const;
+    [[nodiscard]] nlohmann::json counts(std::uint16_t port) const;
+
+    /// @returns how often the upstreams ran a request, summed.
+    [[nodiscard]] std::uint64_t runsOf(const std::string &requestId) const;
+    /// @returns how often the upstreams ran a version, summed.
+    [[nodiscard]] std::uint64_t runsOfVersion(const std::string &version) const;
+    /// @returns how many records of a type the ledger objects in the store have for a request id.
+    [[nodiscard]] std::size_t ledgerRecords(const std::string &type, const std::string &id) const;
+
+    std::uint16_t platformPort = 0;
+    std::unique_ptr<child_process> platform;
+    std::vector<std::unique_ptr<upstream_process>> upstreams;
+    std::vector<std::unique_ptr<router_process>> routers;
+
+private:
+    void writeRouterSettings(const router_process &router) const;
+    [[nodiscard]] std::string path(const std::string &name) const { return (m_directory / name).string(); }
+
+    std::filesystem::path m_directory;
+    config_document m_document;
+};
+
+/// @returns a request id made now: `<unix seconds>-<token>`.
+std::string makeRequestId(const std::string &token);
+
+/// @returns the JSON body of a response, or null where it has none.
+nlohmann::json bodyOf(const http_response &response);
+
+} // namespace foxtaildyke::testing
