Publish changes, follow acceptance, hold the controller lease, order loads

Cause: operators race, answers of the store are lost, and a control process may be paused while it holds the lease; a change must still be made once and be reported as accepted only when no host can run under an older generation.

Change: config_publisher (conditional update, change ids, conflicts by key, withdrawals merged), acceptance, controller_lease (fencing token, stops a third of the period before expiry), rolloutEdits, host_registration and controller, all pure over ports. Acceptance by acknowledgements of all registered hosts is not used while a host has been taken off the list since the accepted generation: it acknowledges nothing and may still hold a lease, so the lease period is waited for. The controller moves to the core library; it does no I/O.

--- a/cmake/adapters.cmake
+++ b/cmake/adapters.cmake
@@ -1,6 +1,5 @@
 add_library(foxtaildyke-adapters STATIC
     src/caller_api.cpp
-    src/controller.cpp
     src/event_log.cpp
     src/event_loop.cpp
     src/metrics.cpp
--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -1,13 +1,18 @@
 add_library(foxtaildyke-core STATIC
+    src/acceptance.cpp
     src/admission.cpp
     src/balancer.cpp
+    src/controller.cpp
+    src/controller_lease.cpp
     src/evidence.cpp
     src/fleet.cpp
     src/freshness.cpp
     src/ledger.cpp
     src/policy.cpp
+    src/publisher.cpp
     src/quarantine.cpp
     src/relay.cpp
+    src/rollout.cpp
     src/router_core.cpp
     src/session.cpp
     src/settings.cpp
--- /dev/null
+++ b/tests/test_controller.cpp
@@ -0,0 +1,374 @@
+// Controller: acceptance must not be reported while a host can run under an older generation, and at most one process
+// may act for the deployment although holders are paused and answers are lost.
+#include "control_fakes_p.h"
+#include "rollout_p.h"
+
+#include <doctest/doctest.h>
+
+using namespace foxtaildyke;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+config_document documentOf(const config_layers &layers, generation_number generation,
+                           std::vector<config_change> history)
+{
+    return {generation, layers, std::move(history)};
+}
+
+/// Changes up to a generation; the first makes everything, the others have no effect on hosts.
+std::vector<config_change> plainHistory(generation_number last)
+{
+    std::vector<config_change> history;
+    for (generation_number g = 1; g <= last; ++g)
+        history.push_back({g, "c" + std::to_string(g), "ada", 0, {{"", "account a", "burst", std::to_string(g)}}});
+    return history;
+}
+
+host_status statusOf(generation_number generation, std::vector<std::string> acknowledged)
+{
+    host_status status;
+    status.generation = generation;
+    status.acknowledged = std::move(acknowledged);
+    return status;
+}
+
+/// One control process and its ports.
+struct process {
+    fake_status status;
+    fake_orders orders;
+    std::vector<controller_event> events;
+    controller control;
+    bool paused = false;
+
+    process(fake_store &store, const std::string &host)
+        : control(store, status, orders, host, "1",
+                  [this](controller_event event) { events.push_back(std::move(event)); })
+    {
+    }
+
+    [[nodiscard]] std::ptrdiff_t count(const std::string &type) const
+    {
+        return std::ranges::count(events, type, &controller_event::type);
+    }
+};
+
+/// Two control processes on hosts h1 and h2 over one store, with virtual time.
+struct deployment {
+    fake_store store;
+    process first{store, "h1"};
+    process second{store, "h2"};
+    instant now{1};
+
+    explicit deployment(int hosts = 3)
+    {
+        config_publisher publisher(store);
+        publisher.publish({"first", "ada", 0, 0, diffLayers({}, controlLayers(hosts))},
+                          [](const result<published_change> &done) { REQUIRE(done.has_value()); });
+    }
+
+    void run(milliseconds duration)
+    {
+        for (const auto end = now + duration; now < end; now += milliseconds(50))
+            for (auto *one : {&first, &second})
+                if (!one->paused)
+                    one->control.tick(now, 0);
+    }
+
+    /// Both routers report the stored generation as held by these hosts.
+    void acknowledge(const std::vector<std::string> &hosts)
+    {
+        for (auto *one : {&first, &second})
+            one->status.answer = statusOf(store.config().generation, hosts);
+    }
+};
+
+upstream_info upstreamOf(const std::string &name, std::vector<std::string> versions)
+{
+    return {name, "127.0.0.1", 9000, "d", "pool", std::move(versions)};
+}
+
+std::vector<listed_entry> entriesOf(const std::vector<std::string> &names)
+{
+    std::vector<listed_entry> entries;
+    entries.reserve(names.size());
+    for (const auto &name : names)
+        entries.push_back({{name, "r", "d", "127.0.0.1", 7000}, host_state::live});
+    return entries;
+}
+
+} // namespace
+
+TEST_CASE("a generation is accepted at once when all registered hosts have acknowledged it")
+{
+    acceptance changes;
+    changes.note(documentOf(controlLayers(3), 1, plainHistory(1)));
+    changes.observe(statusOf(1, hostNames(1, 2)), instant(0));
+    CHECK(changes.accepted() == 0);
+    CHECK(changes.unacknowledged(1) == hostNames(3, 3));
+    changes.observe(statusOf(1, hostNames(1, 3)), instant(0));
+    CHECK(changes.accepted() == 1);
+}
+
+TEST_CASE("a majority makes a generation accepted a lease and its margin later, not earlier")
+{
+    acceptance changes;
+    changes.note(documentOf(controlLayers(3), 1, plainHistory(1)));
+    changes.observe(statusOf(1, hostNames(1, 1)), milliseconds(0));
+    changes.tick(milliseconds(60000));
+    CHECK(changes.accepted() == 0);
+    changes.observe(statusOf(1, hostNames(1, 2)), milliseconds(60000));
+    changes.tick(milliseconds(64399));
+    CHECK(changes.accepted() == 0);
+    changes.tick(milliseconds(64400));
+    CHECK(changes.accepted() == 1);
+}
+
+TEST_CASE("acknowledgements of an older generation don't count")
+{
+    acceptance changes;
+    changes.note(documentOf(controlLayers(3), 2, plainHistory(2)));
+    changes.observe(statusOf(1, hostNames(1, 3)), instant(0));
+    changes.tick(milliseconds(60000));
+    CHECK(changes.accepted() == 0);
+    changes.observe(statusOf(3, hostNames(1, 3)), instant(0)); // Later ones do.
+    CHECK(changes.accepted() == 2);
+}
+
+TEST_CASE("after a host was removed all others' acknowledgements are not enough: it may hold a lease")
+{
+    acceptance changes;
+    changes.note(documentOf(controlLayers(3), 1, plainHistory(1)));
+    changes.observe(statusOf(1, hostNames(1, 3)), instant(0));
+    REQUIRE(changes.accepted() == 1);
+    auto history = plainHistory(1);
+    history.push_back({2, "remove", "controller", 0, {{"", "host h3", "", std::nullopt}}});
+    history.push_back({3, "withdraw", "ada", 0, {withdrawalOf("v2")}});
+    changes.note(documentOf(controlLayers(2), 3, history));
+    changes.observe(statusOf(3, hostNames(1, 2)), milliseconds(1000));
+    CHECK(changes.accepted() == 1);
+    changes.tick(milliseconds(5399));
+    CHECK(changes.accepted() == 1);
+    changes.tick(milliseconds(5400));
+    CHECK(changes.accepted() == 3);
+}
+
+TEST_CASE("a shortened lease is not used before the longer one has run out")
+{
+    acceptance changes;
+    auto layers = controlLayers(3);
+    layers.base["tuning"]["freshness_lease_ms"] = "20000";
+    changes.note(documentOf(layers, 1, plainHistory(1)));
+    changes.observe(statusOf(1, hostNames(1, 3)), instant(0));
+    layers.base["tuning"]["freshness_lease_ms"] = "1000";
+    auto history = plainHistory(1);
+    history.push_back({2, "lease", "ada", 0, {{"", "tuning", "freshness_lease_ms", "1000"}}});
+    changes.note(documentOf(layers, 2, history));
+    changes.observe(statusOf(2, hostNames(1, 2)), milliseconds(1000));
+    changes.tick(milliseconds(22999));
+    CHECK(changes.accepted() == 1);
+    changes.tick(milliseconds(23000));
+    CHECK(changes.accepted() == 2);
+}
+
+TEST_CASE("a process that doesn't know the hosts before its first generation waits for the lease")
+{
+    acceptance changes;
+    auto history = plainHistory(80);
+    history.erase(history.begin(), history.begin() + 16);
+    changes.note(documentOf(controlLayers(3), 80, history));
+    changes.observe(statusOf(80, hostNames(1, 3)), instant(0));
+    CHECK(changes.accepted() == 0);
+    changes.tick(milliseconds(4400));
+    CHECK(changes.accepted() == 80);
+}
+
+TEST_CASE("one of two control processes takes the lease and keeps it")
+{
+    deployment test;
+    test.run(milliseconds(60000));
+    CHECK(test.first.control.isHolder() != test.second.control.isHolder());
+    CHECK(test.first.count("lease_taken") + test.second.count("lease_taken") == 1);
+    CHECK(test.first.count("lease_lost") + test.second.count("lease_lost") == 0);
+}
+
+TEST_CASE("a paused holder doesn't act when it wakes, and its successor has a higher token")
+{
+    deployment test;
+    test.run(milliseconds(20000));
+    auto &holder = test.first.control.isHolder() ? test.first : test.second;
+    auto &other = test.first.control.isHolder() ? test.second : test.first;
+    const auto pausedAt = test.now;
+    holder.paused = true;
+    while (!other.control.isHolder() && test.now < pausedAt + milliseconds(60000))
+        test.run(milliseconds(50));
+    REQUIRE(other.control.isHolder());
+    // The last renewal was at most one renewal period before the pause; a whole lease period has passed since.
+    CHECK(test.now - pausedAt >= controller_lease::kPeriod - controller_lease::kRenewEvery);
+    holder.paused = false;
+    for (int i = 0; i < 600; ++i) {
+        test.run(milliseconds(50));
+        CHECK_FALSE((holder.control.isHolder() && other.control.isHolder()));
+    }
+    CHECK(other.control.isHolder());
+    CHECK(other.events.back().reason > holder.events.front().reason);
+}
+
+TEST_CASE("the holder survives a lost answer of a renewal and stops in an outage")
+{
+    deployment test;
+    test.second.paused = true;
+    test.run(milliseconds(20000));
+    REQUIRE(test.first.control.isHolder());
+    test.store.faults = {write_fault::answer_lost};
+    test.run(milliseconds(10000));
+    CHECK(test.first.control.isHolder());
+    CHECK(test.first.count("lease_lost") == 0);
+    test.store.outage = true;
+    test.run(milliseconds(4000));
+    CHECK_FALSE(test.first.control.isHolder());
+    test.store.outage = false;
+    test.run(milliseconds(5000));
+    CHECK(test.first.control.isHolder());
+}
+
+TEST_CASE("a take-over whose answer is lost is recognised by its holder")
+{
+    deployment test;
+    test.second.paused = true;
+    test.store.faults = {write_fault::answer_lost, write_fault::answer_lost};
+    test.run(milliseconds(10000));
+    CHECK(test.first.control.isHolder());
+}
+
+TEST_CASE("a halt that the routers report is written once, by the holder")
+{
+    deployment test;
+    test.acknowledge(hostNames(1, 3));
+    for (auto *one : {&test.first, &test.second})
+        one->status.answer.value().halted = {"v2", "unknown"};
+    test.run(milliseconds(20000));
+    const auto config = test.store.config();
+    CHECK(config.generation == 2);
+    CHECK(config.layers.base.at("version v2").at("state") == "halted");
+    CHECK(config.history.back().author.starts_with("controller@"));
+}
+
+TEST_CASE("hosts are registered one at a time, each after a majority has acknowledged the one before")
+{
+    deployment test;
+    for (auto *one : {&test.first, &test.second})
+        one->control.setHosts(entriesOf(hostNames(1, 6)), {});
+    test.run(milliseconds(20000));
+    CHECK(test.store.config().generation == 1); // No host has acknowledged the first configuration.
+    test.acknowledge(hostNames(1, 2));
+    test.run(milliseconds(5000));
+    CHECK(test.store.config().generation == 2);
+    test.acknowledge(hostNames(1, 2)); // Two of four are no majority.
+    test.run(milliseconds(20000));
+    CHECK(test.store.config().generation == 2);
+    test.acknowledge(hostNames(1, 3));
+    test.run(milliseconds(5000));
+    CHECK(test.store.config().generation == 3);
+}
+
+TEST_CASE("a host is removed only after it was off the host list for a while, and never by an empty list")
+{
+    host_registration registration;
+    const auto config = buildFleet(controlLayers(3), 1, "").value();
+    CHECK(registration.next(config, {}, milliseconds(0)).empty());
+    CHECK(registration.next(config, {}, milliseconds(60000)).empty());
+    const auto two = entriesOf(hostNames(1, 2));
+    CHECK(registration.next(config, two, milliseconds(70000)).empty());
+    CHECK(registration.next(config, entriesOf(hostNames(1, 3)), milliseconds(75000)).empty());
+    CHECK(registration.next(config, two, milliseconds(80000)).empty());
+    CHECK(registration.next(config, two, milliseconds(89999)).empty());
+    const auto edits = registration.next(config, two, milliseconds(90000));
+    REQUIRE(edits.size() == 1);
+    CHECK(edits.front().section == "host h3");
+    CHECK_FALSE(edits.front().value.has_value());
+}
+
+TEST_CASE("a paused holder that lost the lease adds no second change of hosts")
+{
+    deployment test;
+    test.acknowledge(hostNames(1, 3));
+    test.second.paused = true;
+    test.run(milliseconds(10000));
+    REQUIRE(test.first.control.isHolder());
+    // The successor's change is written between the holder's read and its write.
+    test.store.beforeWrite = [&] {
+        config_publisher successor(test.store);
+        successor.publish({"other", "controller@h2", 0, 1, {{"", "host h3", "", std::nullopt}}, true},
+                          [](const result<published_change> &done) { REQUIRE(done.has_value()); });
+    };
+    test.first.control.setHosts(entriesOf(hostNames(1, 4)), {});
+    test.run(milliseconds(2000));
+    REQUIRE_FALSE(test.store.beforeWrite);
+    CHECK(test.store.config().generation == 2);
+    CHECK(test.first.count("host_registered") == 1);
+    CHECK_FALSE(test.store.config().layers.base.contains("host h4"));
+}
+
+TEST_CASE("engines of a version under roll-out get one load order each, with the fencing token")
+{
+    deployment test;
+    test.acknowledge(hostNames(1, 3));
+    config_publisher publisher(test.store);
+    publisher.publish({"fence", "ada", 0, 1, {{"", "model m", "checks_fencing", "true"}}}, [](const auto &) {});
+    const auto edits = rolloutEdits(test.store.config().layers, rollout_action::halt, "v2", 0).value();
+    publisher.publish({"halt", "ada", 0, 2, edits}, [](const auto &) {});
+    const auto start = rolloutEdits(test.store.config().layers, rollout_action::start, "v2", 0).value();
+    publisher.publish({"start", "ada", 0, 3, start}, [](const auto &) {});
+    test.second.paused = true;
+    test.first.control.setHosts({}, {upstreamOf("u1", {"v1"}), upstreamOf("u2", {"v1", "v2"})});
+    test.run(milliseconds(5000));
+    REQUIRE(test.first.orders.sent.size() == 1);
+    CHECK(test.first.orders.sent[0].target.name == "u1");
+    CHECK(test.first.orders.sent[0].version == "v2");
+    CHECK(test.first.orders.sent[0].token > 0);
+    CHECK(test.first.count("load_confirmed") == 1);
+    // An engine that has seen a higher token ends this process's term.
+    test.first.orders.refusesToken = true;
+    test.run(milliseconds(8000));
+    CHECK(test.first.count("order_fenced") >= 1);
+    CHECK(test.first.count("lease_lost") >= 1);
+}
+
+TEST_CASE("engines that ignore the token get orders only a lease period after the lease was taken")
+{
+    deployment test;
+    test.acknowledge(hostNames(1, 3));
+    config_publisher publisher(test.store);
+    publisher.publish({"roll", "ada", 0, 1, {{"", "version v2", "state", "rolling_out"}}}, [](const auto &) {});
+    test.second.paused = true;
+    test.first.control.setHosts({}, {upstreamOf("u1", {"v1"})});
+    test.run(milliseconds(6000));
+    REQUIRE(test.first.control.isHolder());
+    CHECK(test.first.orders.sent.empty());
+    test.run(milliseconds(3000));
+    CHECK(test.first.orders.sent.size() == 1);
+}
+
+TEST_CASE("roll-out actions are refused in states that don't allow them")
+{
+    auto layers = controlLayers(1);
+    const auto codeOf = [&](rollout_action action, const std::string &version) {
+        const auto edits = rolloutEdits(layers, action, version, 0);
+        return edits.has_error() ? nameOf(edits.error().code) : "ok";
+    };
+    CHECK(codeOf(rollout_action::step, "v2") == "conflict");
+    CHECK(codeOf(rollout_action::start, "v2") == "conflict"); // It is active: that would take sessions away from it.
+    CHECK(codeOf(rollout_action::start, "v9") == "not_found");
+    layers.base["version v2"]["state"] = "withdrawn";
+    CHECK(codeOf(rollout_action::start, "v2") == "version_reinstated");
+    CHECK(codeOf(rollout_action::halt, "v2") == "version_reinstated");
+    layers.base["version v2"]["state"] = "rolling_out";
+    layers.base["version v2"]["share_permille"] = "50";
+    const auto step = rolloutEdits(layers, rollout_action::step, "v2", 0).value();
+    CHECK(applyEdits(layers, step).value().base["version v2"]["share_permille"] == "100");
+    const auto finish = rolloutEdits(layers, rollout_action::finish, "v2", 0).value();
+    CHECK(applyEdits(layers, finish).value().base["version v2"]["state"] == "active");
+}
