Add the decision core's state machine

Cause: the router binary needs a core that carries a request from admission to its final answer.

Change: router_core is split by stage (intake, dispatch, attempts, answers) over one private state header. Every dispatch passes plan(), which checks lease, quarantine, grant, version state and pin. New fields: ledger_reply::step and attempt in ask_rating and rating_reply, without which a late or doubled reply of one stage could pass for that of the next; evidence_update::ownPart for evidence_table::setTotals.

--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -9,6 +9,10 @@
     src/quarantine.cpp
     src/relay.cpp
     src/router_core.cpp
+    src/router_core_answers.cpp
+    src/router_core_attempts.cpp
+    src/router_core_dispatch.cpp
+    src/router_core_intake.cpp
     src/session.cpp
     src/settings.cpp
     src/settings_edits.cpp
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -1,2 +1,200 @@
-// Decision core of the router; see router_core_p.h.
-#include "router_core_p.h"
+// Decision core of the router: inputs, timers and the time line; see router_core_p.h.
+#include "router_core_state_p.h"
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kQueuePollMs{50}; ///< queued requests are tried again at least this often
+
+} // namespace
+
+router_core::router_core(std::string hostName, std::string failureDomain, std::uint64_t seed)
+    : m_impl(std::make_unique<implementation>(std::move(hostName), std::move(failureDomain), seed))
+{
+}
+
+router_core::~router_core() = default;
+
+void router_core::handle(const core_input &input, instant now)
+{
+    auto &core = *m_impl;
+    core.m_now = std::max(core.m_now, now);
+    core.noteLease();
+    std::visit([&](const auto &value) { core.on(value); }, input);
+    if (!std::exchange(core.m_evidenceChanged, false))
+        return;
+    for (auto &delta : core.m_evidence.takeDeltas())
+        core.m_actions.emplace_back(share_evidence{std::move(delta)});
+}
+
+std::vector<core_action> router_core::takeActions()
+{
+    return std::exchange(m_impl->m_actions, {});
+}
+
+std::optional<instant> router_core::nextTimer() const
+{
+    const auto &core = *m_impl;
+    std::optional<instant> next;
+    const auto consider = [&](instant time) {
+        next = next ? std::min(*next, time) : time;
+    };
+    if (!core.m_deadlines.empty())
+        consider(core.m_deadlines.begin()->first);
+    if (!core.m_admission.order().empty())
+        consider(core.m_pumpedAt + kQueuePollMs);
+    for (const auto &[attempt, entry] : core.m_attempts)
+        consider(entry.stopAt);
+    for (const auto &[attempt, entry] : core.m_ratings)
+        consider(entry.givenUpAt);
+    return next;
+}
+
+std::size_t router_core::openRequests() const
+{
+    return m_impl->m_requests.size();
+}
+
+router_core::implementation::implementation(std::string hostName, std::string failureDomain, std::uint64_t seed)
+    : m_hostName(std::move(hostName))
+    , m_random(seed)
+    , m_admission(seed)
+    , m_balancer(std::move(failureDomain), seed)
+    , m_evidence(m_hostName)
+{
+}
+
+void router_core::implementation::on(const config_changed &input)
+{
+    const bool isNewer = input.config && (!m_config || input.config->generation > m_config->generation);
+    if (!isNewer)
+        return;
+    m_config = input.config;
+    record("configured", "newer generation");
+    std::vector<request_token> open;
+    for (const auto &[token, request] : m_requests)
+        open.push_back(token);
+    std::ranges::sort(open);
+    for (const auto token : open) {
+        if (auto *request = find(token))
+            stopWithdrawn(*request);
+    }
+    pump();
+}
+
+void router_core::implementation::on(const lease_changed &input)
+{
+    m_lease = input;
+    noteLease();
+    pump();
+}
+
+void router_core::implementation::on(const upstreams_changed &input)
+{
+    m_upstreams = input.upstreams;
+    m_balancer.setUpstreams(input.upstreams);
+    pump();
+}
+
+void router_core::implementation::on(const load_report &input)
+{
+    m_balancer.report(input.upstream, input.running, input.queued, input.slots, input.measuredAt);
+    pump();
+}
+
+void router_core::implementation::on(const evidence_update &input)
+{
+    m_evidence.setTotals(input.totals, m_now, input.ownPart);
+    for (const auto &version : input.haltedVersions) {
+        if (m_halted.insert(version).second)
+            record("halted", "reported by another host: " + version);
+    }
+    for (const auto &total : input.totals)
+        checkEvidence(total.version);
+    pump();
+}
+
+void router_core::implementation::on(const quarantine_update &input)
+{
+    if (!m_config)
+        return;
+    for (const auto fingerprint : input.fingerprints)
+        m_quarantine.block(fingerprint, m_config->tune, m_now);
+    pump();
+}
+
+void router_core::implementation::on(const limit_shares &input)
+{
+    for (const auto &[account, share] : input.shareByAccount)
+        m_admission.setShare(account, share);
+}
+
+void router_core::implementation::on(const timer_tick &)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_now) {
+        const auto token = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        if (auto *request = find(token))
+            onDeadline(*request);
+    }
+    std::vector<request_token> stuck;
+    for (const auto &[attempt, entry] : m_attempts) {
+        if (entry.stopAt <= m_now)
+            stuck.push_back(entry.request);
+    }
+    std::ranges::sort(stuck);
+    for (const auto token : stuck) {
+        auto &request = *m_requests.at(token);
+        cancelAttempt(request, "no event of the attempt before its time limit");
+        fail(request, reason_code::deadline_exceeded);
+    }
+    expireRatings();
+    pump();
+}
+
+void router_core::implementation::on(const drain_request &)
+{
+    if (std::exchange(m_draining, true))
+        return;
+    record("draining", "planned stop; " + std::to_string(m_requests.size()) + " requests are open");
+}
+
+void router_core::implementation::noteLease()
+{
+    if (hasLease())
+        m_noLeaseSince.reset();
+    else if (!m_noLeaseSince)
+        m_noLeaseSince = m_now;
+}
+
+open_request *router_core::implementation::find(request_token request)
+{
+    const auto found = m_requests.find(request);
+    return found == m_requests.end() ? nullptr : found->second.get();
+}
+
+void router_core::implementation::record(std::string type, const open_request &request, std::string reason)
+{
+    record_event event{.type = std::move(type),
+                       .request = request.input.request,
+                       .requestId = request.requestId,
+                       .sessionId = request.input.sessionId,
+                       .account = request.account,
+                       .version = request.answer.version,
+                       .generation = m_config ? m_config->generation : 0,
+                       .reason = std::move(reason)};
+    if (request.attempt)
+        event.upstream = m_attempts.at(*request.attempt).upstream;
+    m_actions.emplace_back(std::move(event));
+}
+
+void router_core::implementation::record(std::string type, std::string reason)
+{
+    m_actions.emplace_back(record_event{
+        .type = std::move(type), .generation = m_config ? m_config->generation : 0, .reason = std::move(reason)});
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/router_core_attempts.cpp
@@ -0,0 +1,246 @@
+// Decision core, third stage: events of attempts, and whether a failed one may be repeated.
+#include "router_core_state_p.h"
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr std::uint32_t kRetriesAfterRun = 1; ///< the retry on another upstream
+constexpr std::uint32_t kRetriesNotRun = 2; ///< where no upstream has run anything
+constexpr double kSmoothing = 0.2; ///< weight of the newest value in a smoothed one
+
+bool mayRun(attempt_failure failure)
+{
+    return failure != attempt_failure::not_sent && failure != attempt_failure::overloaded;
+}
+
+reason_code reasonOf(attempt_failure failure)
+{
+    static constexpr std::array kReasons{reason_code::no_upstream,       reason_code::over_capacity,
+                                         reason_code::upstream_failed,   reason_code::answer_truncated,
+                                         reason_code::deadline_exceeded, reason_code::upstream_failed};
+    static_assert(kReasons.size() == static_cast<std::size_t>(attempt_failure::count));
+    return kReasons[static_cast<std::size_t>(failure)];
+}
+
+void smooth(std::map<std::string, double, std::less<>> &values, const std::string &key, double value)
+{
+    const auto [entry, isNew] = values.try_emplace(key, value);
+    if (!isNew)
+        entry->second += kSmoothing * (value - entry->second);
+}
+
+} // namespace
+
+open_request *router_core::implementation::requestOf(attempt_token attempt, std::string_view event)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found != m_attempts.end())
+        return m_requests.at(found->second.request).get();
+    record("dropped",
+           "late or foreign " + std::string(event) + " of attempt "
+               + std::to_string(static_cast<std::uint64_t>(attempt)));
+    return nullptr;
+}
+
+void router_core::implementation::on(const attempt_chunk &input)
+{
+    auto *request = requestOf(input.attempt, "chunk");
+    if (!request)
+        return;
+    auto &attempt = m_attempts.at(input.attempt);
+    attempt.sawChunk = true;
+    request->answer.text += input.text;
+    if (!request->input.stream || attempt.rateFirst || request->answered || request->callerGone)
+        return;
+    request->deliveredBytes = request->answer.text.size();
+    m_actions.emplace_back(send_chunk{request->input.request, input.text});
+}
+
+void router_core::implementation::on(const attempt_done &input)
+{
+    auto *request = requestOf(input.attempt, "end");
+    if (!request)
+        return;
+    const auto attempt = m_attempts.at(input.attempt);
+    request->answer.promptTokens = input.promptTokens;
+    request->answer.completionTokens = input.completionTokens;
+    request->costMicroUnits += costOf(request->answer);
+    noteDuration(attempt, input.completionTokens);
+    endAttempt(*request, std::nullopt);
+    askRating(*request);
+    if (attempt.rateFirst && !request->answered) {
+        request->phase = request_phase::rating;
+        record("rating", *request, "a stronger model is left, so the answer is rated before delivery");
+    } else {
+        startBill(*request, "whole answer");
+    }
+    pump();
+}
+
+void router_core::implementation::on(const attempt_failed &input)
+{
+    auto *request = requestOf(input.attempt, "failure");
+    if (!request)
+        return;
+    const auto attempt = m_attempts.at(input.attempt);
+    // An upstream that has sent text has run the request, whatever the adapter says.
+    const auto failure = attempt.sawChunk && !mayRun(input.failure) ? attempt_failure::connection_lost : input.failure;
+    record("attempt_failed", *request, std::string(nameOf(failure)));
+    endAttempt(*request, failure);
+    settleFailure(*request, attempt.version, failure);
+    request->avoidUpstream = attempt.upstream;
+    auto reason = reasonOf(failure);
+    if (failure == attempt_failure::connection_lost
+        && m_quarantine.noteCrash(request->fingerprint, m_config->tune, m_now)) {
+        record("quarantined", *request, "connections lost on two upstreams");
+        m_actions.emplace_back(share_quarantine{request->fingerprint});
+        reason = reason_code::quarantined;
+    }
+    retryOrFail(*request, reason, mayRun(failure));
+    pump();
+}
+
+void router_core::implementation::on(const caller_gone &input)
+{
+    auto *request = find(input.request);
+    if (!request || request->answered || request->callerGone)
+        return;
+    request->callerGone = true;
+    record("caller_gone", *request, "in phase " + std::string(nameOf(request->phase)));
+    if (request->phase == request_phase::billing)
+        return;
+    if (request->phase == request_phase::running && !request->idempotent)
+        return; // Runs on to its bill, so that a resend gets the stored answer.
+    if (request->phase == request_phase::claiming)
+        return finish(*request, {.outcome = outcome_kind::may_have_run, .reason = reason_code::caller_gone});
+    if (request->attempt)
+        cancelAttempt(*request, "caller gone");
+    fail(*request, reason_code::caller_gone);
+    pump();
+}
+
+void router_core::implementation::endAttempt(open_request &request, std::optional<attempt_failure> failure)
+{
+    const auto found = m_attempts.find(*request.attempt);
+    const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - found->second.startedAt);
+    m_balancer.noteEnd(found->second.upstream, failure, m_now);
+    m_admission.noteEnd(found->second.service, duration);
+    const auto running = m_running.find(request.fingerprint);
+    if (--running->second == 0)
+        m_running.erase(running);
+    m_attempts.erase(found);
+    request.lastAttempt = *request.attempt;
+    request.attempt.reset();
+    request.mayHaveRun = request.mayHaveRun || !failure || mayRun(*failure);
+}
+
+void router_core::implementation::cancelAttempt(open_request &request, std::string reason)
+{
+    record("cancelled", request, std::move(reason));
+    m_actions.emplace_back(cancel_attempt{*request.attempt});
+    const bool isLate = m_now >= request.deadline;
+    endAttempt(request, isLate ? std::optional(attempt_failure::timed_out) : std::nullopt);
+    settleFailure(request, request.answer.version, isLate ? attempt_failure::timed_out : attempt_failure::not_sent);
+}
+
+void router_core::implementation::settleFailure(const open_request &request, const std::string &version,
+                                                attempt_failure failure)
+{
+    // A caller's own short deadline says nothing about the version.
+    const bool ownDeadline = failure == attempt_failure::timed_out && request.input.deadline.has_value();
+    noteResult(version, mayRun(failure) && !ownDeadline ? std::optional(false) : std::nullopt);
+}
+
+void router_core::implementation::noteResult(const std::string &version, std::optional<bool> passed)
+{
+    m_evidence.noteResult(version, passed);
+    m_evidenceChanged = true;
+    checkEvidence(version);
+}
+
+void router_core::implementation::checkEvidence(const std::string &version)
+{
+    if (!m_config)
+        return;
+    const auto handle = m_config->versionByName(version);
+    if (!handle.isValid() || !m_evidence.isRejected(*m_config, handle) || !m_halted.insert(version).second)
+        return;
+    record("halted", "evidence rejects version " + version);
+    m_actions.emplace_back(share_halt{version});
+}
+
+void router_core::implementation::noteDuration(const open_attempt &attempt, std::uint32_t completionTokens)
+{
+    smooth(m_attemptMs, attempt.version, std::chrono::duration<double, std::milli>(m_now - attempt.startedAt).count());
+    smooth(m_completionTokens, attempt.version, completionTokens);
+}
+
+bool router_core::implementation::hasOtherUpstream(const open_request &request, version_handle version) const
+{
+    const auto &entry = (*m_config)[version];
+    const auto &service = (*m_config)[entry.model].service;
+    return std::ranges::any_of(m_upstreams, [&](const upstream_info &upstream) {
+        return upstream.name != request.avoidUpstream && upstream.state == host_state::live
+            && upstream.service == service
+            && std::ranges::find(upstream.versions, entry.name) != upstream.versions.end();
+    });
+}
+
+std::string_view router_core::implementation::whyNoRetry(const open_request &request, bool ran)
+{
+    if (!request.idempotent && request.mayHaveRun)
+        return "not idempotent and may have run";
+    if (request.deliveredBytes > 0)
+        return "part of the answer is delivered";
+    if (request.retries >= (ran ? kRetriesAfterRun : kRetriesNotRun))
+        return "retried before";
+    if (m_now >= request.deadline)
+        return "deadline reached";
+    const auto chosen = plan(request);
+    if (chosen.reason != reason_code::none)
+        return nameOf(chosen.reason);
+    if (!hasOtherUpstream(request, chosen.version))
+        return "no other upstream";
+    if (!m_admission.takeRetry(m_config->tune))
+        return "retry budget used up";
+    return {};
+}
+
+void router_core::implementation::retryOrFail(open_request &request, reason_code reason, bool ran)
+{
+    if (request.answered)
+        return drop(request);
+    const auto obstacle = whyNoRetry(request, ran);
+    if (!obstacle.empty()) {
+        record("not_retried", request, std::string(obstacle));
+        return fail(request, reason);
+    }
+    ++request.retries;
+    request.answer = {};
+    enqueue(request, "retry after " + std::string(nameOf(reason)));
+}
+
+void router_core::implementation::stopWithdrawn(open_request &request)
+{
+    const auto isWithdrawn = [&](const std::string &name) {
+        const auto version = m_config->versionByName(name);
+        return version.isValid() && (*m_config)[version].state == version_state::withdrawn;
+    };
+    if (request.held && isWithdrawn(request.held->version))
+        request.held.reset();
+    // What a non-idempotent attempt did can't be undone or repeated; its caller has to learn of it.
+    if (!request.idempotent || !isWithdrawn(request.answer.version))
+        return;
+    if (request.phase != request_phase::running && request.phase != request_phase::rating)
+        return;
+    if (request.attempt)
+        cancelAttempt(request, "version withdrawn");
+    request.avoidUpstream.clear();
+    retryOrFail(request, request.pinned ? reason_code::session_version_withdrawn : reason_code::version_withdrawn,
+                true);
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/router_core_dispatch.cpp
@@ -0,0 +1,285 @@
+// Decision core, second stage: chooses the version and the upstream of an attempt. Every dispatch, whether first
+// attempt, retry or escalation, passes plan() and so the checks of lease, grant, version state, pin and quarantine.
+#include "router_core_state_p.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr std::size_t kPrefixBytes = 1024; ///< part of a prompt that decides prefix-cache affinity
+constexpr double kBytesPerToken = 4; ///< rough length of a token, to estimate costs before they are known
+/// A non-idempotent attempt runs on this long after its caller's deadline, so that a resend finds the stored answer.
+constexpr std::chrono::seconds kRunOnTime{10};
+/// The adapter reports an attempt's time limit itself; the core acts only where that report is lost.
+constexpr std::chrono::milliseconds kReportGraceMs{500};
+
+constexpr std::chrono::milliseconds kShortRetryMs{1000}; ///< Retry-After where the cause should pass within seconds
+constexpr std::chrono::milliseconds kLongRetryMs{5000}; ///< Retry-After where capacity has to come back first
+
+} // namespace
+
+std::chrono::milliseconds retryAfterOf(reason_code reason)
+{
+    switch (reason) {
+    case reason_code::no_fresh_configuration:
+    case reason_code::store_unavailable:
+    case reason_code::deadline_unreachable:
+    case reason_code::draining:
+        return kShortRetryMs;
+    case reason_code::over_capacity:
+    case reason_code::no_upstream:
+        return kLongRetryMs;
+    default:
+        return {};
+    }
+}
+
+bool router_core::implementation::hasLease() const
+{
+    return m_config && m_lease.generation == m_config->generation && m_now < m_lease.expiresAt;
+}
+
+bool router_core::implementation::isOpenToNewSessions(version_handle version) const
+{
+    const auto &entry = (*m_config)[version];
+    if (m_halted.contains(entry.name) || m_evidence.isRejected(*m_config, version))
+        return false;
+    if (!m_evidence.hasExposureLeft(*m_config, version, m_now))
+        return false;
+    if (entry.state != version_state::rolling_out)
+        return entry.state == version_state::active;
+    return m_ratingAvailable && m_balancer.isServed((*m_config)[entry.model].service, entry.name, m_now);
+}
+
+dispatch_plan router_core::implementation::candidates(const open_request &request,
+                                                      std::vector<version_handle> &found) const
+{
+    const auto &config = *m_config;
+    const auto account = config.accountByName(request.account);
+    const auto kind = config.kindByName(request.input.kind);
+    if (!account.isValid() || !kind.isValid())
+        return {.reason = reason_code::not_allowed};
+    const auto isOpen = [&](version_handle version) {
+        return isOpenToNewSessions(version);
+    };
+    const auto &sessionKey = request.input.sessionId.empty() ? request.requestId : request.input.sessionId;
+    bool granted = false;
+    bool mayOpen = false;
+    bool above = request.aboveModel.empty();
+    for (const auto model : config[kind].cascade) {
+        const auto &entry = config[model];
+        for (const auto candidate : entry.versions) {
+            const auto state = config[candidate].state;
+            const bool isGranted = config.isGranted(account, candidate);
+            granted = granted || isGranted;
+            mayOpen = mayOpen
+                || (isGranted && !m_halted.contains(config[candidate].name)
+                    && (state == version_state::active || state == version_state::rolling_out));
+        }
+        version_handle version;
+        if (request.pinned) {
+            const auto pin = std::ranges::find_if(request.pins, [&](const std::string &name) {
+                const auto pinnedVersion = config.versionByName(name);
+                return pinnedVersion.isValid() && config[pinnedVersion].model == model;
+            });
+            version = pin == request.pins.end() ? version_handle{} : config.versionByName(*pin);
+            if (version.isValid() && config[version].state == version_state::withdrawn)
+                return {.reason = reason_code::session_version_withdrawn};
+            if (version.isValid() && !config.isGranted(account, version))
+                return {.reason = reason_code::not_allowed};
+        } else {
+            version = chooseVersion(config, model, account, sessionKey, isOpen);
+        }
+        if (above && version.isValid())
+            found.push_back(version);
+        above = above || entry.name == request.aboveModel;
+    }
+    if (!found.empty())
+        return {};
+    // Versions whose exposure budget is used up are open again once answers are rated.
+    if (mayOpen && !request.pinned)
+        return {.reason = reason_code::over_capacity};
+    return {.reason = granted ? reason_code::version_withdrawn : reason_code::not_allowed};
+}
+
+cascade_candidate router_core::implementation::estimateOf(const open_request &request, version_handle version) const
+{
+    const auto &entry = (*m_config)[version];
+    const auto &model = (*m_config)[entry.model];
+    const auto length = m_completionTokens.find(entry.name);
+    const auto limit = (*m_config)[m_config->kindByName(request.input.kind)].maxTokens;
+    const auto completion = length == m_completionTokens.end() ? limit / 2.0 : length->second;
+    const auto prompt = static_cast<double>(request.input.prompt.size()) / kBytesPerToken;
+    const auto duration = m_attemptMs.find(entry.name);
+    return {.version = version,
+            .expectedCostMicroUnits =
+                (prompt * model.promptMicroUnitsPer1k + completion * model.completionMicroUnitsPer1k) / 1000,
+            .expectedLatency = std::chrono::milliseconds{
+                duration == m_attemptMs.end() ? 0 : static_cast<std::int64_t>(duration->second)}};
+}
+
+dispatch_plan router_core::implementation::plan(const open_request &request) const
+{
+    if (!hasLease())
+        return {.reason = reason_code::no_fresh_configuration};
+    if (m_quarantine.isBlocked(request.fingerprint, m_now))
+        return {.reason = reason_code::quarantined};
+    std::vector<version_handle> open;
+    if (auto refusal = candidates(request, open); refusal.reason != reason_code::none)
+        return refusal;
+    std::vector<cascade_candidate> served;
+    for (const auto version : open) {
+        const auto &entry = (*m_config)[version];
+        if (m_balancer.isServed((*m_config)[entry.model].service, entry.name, m_now))
+            served.push_back(estimateOf(request, version));
+    }
+    if (served.empty())
+        return {.reason = reason_code::no_upstream};
+    const auto kind = m_config->kindByName(request.input.kind);
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - m_now);
+    // A non-idempotent request can't escalate, so that its only attempt goes to the strongest model.
+    const bool mayEscalate = request.idempotent && (*m_config)[kind].rated;
+    const auto decision =
+        m_policy.choose(*m_config, kind, served, remaining, mayEscalate && m_ratingAvailable, request.draw);
+    return {.version = served[decision.start].version,
+            .rateFirst = mayEscalate && m_ratingAvailable && decision.start + 1 < served.size(),
+            .why = mayEscalate || served.size() == 1 ? decision.reason : "strongest; it can't escalate"};
+}
+
+void router_core::implementation::enqueue(open_request &request, std::string reason)
+{
+    request.phase = request_phase::queued;
+    const auto account = m_config->accountByName(request.account);
+    const auto weight = account.isValid() ? (*m_config)[account].weight : 1;
+    m_admission.enqueue(request.input.request, request.account, weight, request.priority, request.pool);
+    record("queued", request, std::move(reason));
+}
+
+void router_core::implementation::pump()
+{
+    m_pumpedAt = m_now;
+    for (const auto token : m_admission.order()) {
+        auto *request = find(token);
+        if (request && request->phase == request_phase::queued)
+            tryStart(*request);
+    }
+}
+
+void router_core::implementation::tryStart(open_request &request)
+{
+    const auto chosen = plan(request);
+    if (chosen.reason == reason_code::no_fresh_configuration) {
+        // A lease that lapsed while the process was paused comes back with the next exchange.
+        if (m_noLeaseSince && m_now < *m_noLeaseSince + 2 * m_config->tune.exchangePeriod)
+            return;
+        return giveUpQueued(request, chosen.reason);
+    }
+    if (chosen.reason == reason_code::over_capacity && !request.held)
+        return;
+    if (chosen.reason != reason_code::none)
+        return giveUpQueued(request, chosen.reason);
+    const auto crashes = m_quarantine.crashes(request.fingerprint, m_now);
+    const auto running = m_running.find(request.fingerprint);
+    if (crashes > 0 && running != m_running.end() && crashes + running->second >= quarantine::kCrashLimit)
+        return; // Copies of a request that has crashed an upstream run one at a time, so that the limit holds.
+    const auto &version = (*m_config)[chosen.version];
+    const auto prefix = std::string_view(request.input.prompt).substr(0, kPrefixBytes);
+    const pick_request wanted{.service = (*m_config)[version.model].service,
+                              .version = version.name,
+                              .prefixHash = XXH64(prefix.data(), prefix.size(), 0),
+                              .priority = request.priority,
+                              .exclude = request.avoidUpstream};
+    const auto *upstream = m_balancer.pick(wanted, m_config->tune, m_now);
+    if (!upstream) {
+        if (!request.avoidUpstream.empty() && !hasOtherUpstream(request, chosen.version))
+            giveUpQueued(request, reason_code::no_upstream);
+        return;
+    }
+    if (!request.input.sessionId.empty() && !request.pinned)
+        return startPin(request);
+    if (!request.idempotent && !request.claimed)
+        return startClaim(request);
+    dispatch(request, chosen, *upstream);
+}
+
+void router_core::implementation::giveUpQueued(open_request &request, reason_code reason)
+{
+    m_admission.remove(request.input.request);
+    fail(request, reason);
+}
+
+void router_core::implementation::startPin(open_request &request)
+{
+    const auto &config = *m_config;
+    const auto account = config.accountByName(request.account);
+    write_pin pin{.request = request.input.request, .account = request.account, .sessionId = request.input.sessionId};
+    // All models of the account are pinned, because a later request of the session may be of another kind.
+    for (std::size_t i = 0; i < config.models.size(); ++i) {
+        const auto version =
+            chooseVersion(config, model_handle{static_cast<std::uint16_t>(i)}, account, request.input.sessionId,
+                          [&](version_handle candidate) { return isOpenToNewSessions(candidate); });
+        if (version.isValid())
+            pin.versions.push_back(config[version].name);
+    }
+    request.pins = pin.versions;
+    request.phase = request_phase::pinning;
+    record("pinning", request, "first request of the session on this host and no token");
+    m_actions.emplace_back(std::move(pin));
+}
+
+void router_core::implementation::startClaim(open_request &request)
+{
+    request.phase = request_phase::claiming;
+    record("claiming", request, "not idempotent");
+    m_actions.emplace_back(write_claim{request.input.request, request.account, request.requestId});
+}
+
+void router_core::implementation::dispatch(open_request &request, const dispatch_plan &chosen,
+                                           const upstream_info &upstream)
+{
+    const auto &version = (*m_config)[chosen.version];
+    const auto &kind = (*m_config)[m_config->kindByName(request.input.kind)];
+    const attempt_token token{++m_lastAttempt};
+    const auto runOn = request.idempotent ? instant{} : instant{kRunOnTime};
+    const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline + runOn - m_now);
+    const auto limit = request.input.maxTokens == 0 ? kind.maxTokens : request.input.maxTokens;
+    m_admission.remove(request.input.request);
+    if (request.attempts++ == 0)
+        m_admission.noteFirstAttempt();
+    m_balancer.noteStart(upstream.name);
+    m_admission.noteStart(upstream.service, request.priority);
+    m_evidence.noteDispatch(version.name);
+    m_evidenceChanged = true;
+    ++m_running[request.fingerprint];
+    m_attempts[token] = {.request = request.input.request,
+                         .upstream = upstream.name,
+                         .service = upstream.service,
+                         .version = version.name,
+                         .startedAt = m_now,
+                         .stopAt = m_now + timeout + kReportGraceMs,
+                         .rateFirst = chosen.rateFirst};
+    request.attempt = token;
+    request.phase = request_phase::running;
+    request.answer = {.model = (*m_config)[version.model].name, .version = version.name};
+    record("dispatched", request, std::string(chosen.why));
+    m_actions.emplace_back(start_attempt{.attempt = token,
+                                         .request = request.input.request,
+                                         .upstream = upstream.name,
+                                         .address = upstream.address,
+                                         .port = upstream.port,
+                                         .model = request.answer.model,
+                                         .version = version.name,
+                                         .prompt = request.input.prompt,
+                                         .requestId = request.requestId,
+                                         .maxTokens = std::min(limit, kind.maxTokens),
+                                         .priority = request.priority,
+                                         .generation = m_config->generation,
+                                         .timeout = timeout});
+}
+
+} // namespace foxtaildyke
--- a/src/router_core_p.h
+++ b/src/router_core_p.h
@@ -62,14 +62,19 @@
     unknown, ///< claim: it may or may not have been written
     count
 };
+/// Which action a ledger_reply answers. Without it a pin's late or doubled reply could pass for a claim's.
+enum class ledger_step : std::uint8_t { claim, bill, pin, count };
+
 struct ledger_reply {
     request_token request{};
+    ledger_step step = ledger_step::claim;
     ledger_status status = ledger_status::unavailable;
     std::string answer; ///< stored answer as JSON
     std::vector<std::string> pins; ///< version names
 };
 struct rating_reply {
     request_token request{};
+    attempt_token attempt{}; ///< as in ask_rating
     std::optional<std::uint32_t> scorePermille; ///< nothing: the rating service did not answer
 };
 struct config_changed {
@@ -93,6 +98,7 @@
 struct evidence_update {
     std::vector<version_evidence> totals;
     std::vector<std::string> haltedVersions;
+    std::vector<version_evidence> ownPart; ///< what `totals` holds of this host's deltas
 };
 struct quarantine_update {
     std::vector<std::uint64_t> fingerprints;
@@ -171,10 +177,12 @@
     request_token request{};
     std::string account;
     std::string sessionId;
-    std::vector<std::string> versions; ///< proposed version names, one for each model of the kind's cascade
+    std::vector<std::string> versions; ///< proposed version names, one for each model that is open to the account
 };
+/// The request may already have its final answer; the reply is then used as evidence only.
 struct ask_rating {
     request_token request{};
+    attempt_token attempt{}; ///< whose answer is rated; a cascade rates several answers of one request
     std::string kind;
     std::string text;
 };
@@ -224,7 +232,7 @@
     /// @returns when timer_tick is due next, or nothing.
     [[nodiscard]] std::optional<instant> nextTimer() const;
 
-    /// @returns requests that have no final answer yet.
+    /// @returns requests that have no final answer yet, and those whose attempt still runs on to its bill.
     [[nodiscard]] std::size_t openRequests() const;
 
 private:
--- /dev/null
+++ b/tests/core_simulation_p.h
@@ -0,0 +1,110 @@
+// Virtual-time driver of the decision core for tests: a queue of inputs, scripted fakes at the ports (upstreams,
+// ledger, rating service), and a transcript of all inputs, actions and events.
+#pragma once
+
+#include "router_core_p.h"
+
+#include <functional>
+#include <set>
+#include <sstream>
+
+namespace foxtaildyke::test
+{
+
+using std::chrono::milliseconds;
+
+/// What a fake upstream does with one attempt.
+struct attempt_script {
+    std::vector<std::string> chunks{"answer"};
+    std::optional<attempt_failure> failure; ///< reported after the chunks instead of the end
+    milliseconds first{40}; ///< until the first chunk, or until the failure where there is none
+    milliseconds gap{10}; ///< between chunks
+    bool silent = false; ///< the end or failure is never reported
+    bool ignoresCancel = false; ///< its events still arrive after a cancel
+};
+
+/// Fake ledger: the first record of a type counts for each key, as in the real one.
+struct fake_ledger {
+    struct entry {
+        bool claimed = false;
+        bool billed = false;
+        std::string answer;
+        std::vector<std::string> pins;
+    };
+    std::map<std::pair<std::string, std::string>, entry> entries; ///< by account and request or session id
+    bool down = false;
+    int billsAccepted = 0;
+
+    ledger_reply claim(const write_claim &action);
+    ledger_reply bill(const write_bill &action);
+    ledger_reply pin(const write_pin &action);
+};
+
+class core_simulation
+{
+public:
+    core_simulation(fleet config, const std::vector<upstream_info> &upstreams, std::uint64_t seed = 1);
+
+    /// Scripts of the ports. The defaults succeed.
+    std::function<attempt_script(const start_attempt &)> upstream;
+    std::function<std::optional<std::uint32_t>(std::string_view version)> rating;
+    std::function<void(const core_action &)> observe; ///< sees each action before the fakes do
+    std::function<int(const core_input &)> copies; ///< how often a reply arrives: 0 is lost, 2 is doubled
+    milliseconds ledgerDelay{2};
+    fake_ledger ledger;
+
+    /// Puts an input into the queue.
+    void at(milliseconds time, core_input input);
+    /// Runs a step of the script, for example a change of a fake.
+    void call(milliseconds time, std::string title, std::function<void()> step);
+    /// Publishes a changed configuration with the next generation, and the lease for it.
+    void configure(milliseconds time, std::function<void(fleet &)> change);
+    /// Submits a request at a time. @returns its token.
+    request_token ask(milliseconds time, std::string kind, const std::function<void(caller_request &)> &change = {});
+
+    /// Handles everything up to a time, timers included.
+    void run(milliseconds until);
+
+    [[nodiscard]] std::string transcript() const { return m_transcript.str(); }
+    [[nodiscard]] instant now() const { return m_now; }
+    [[nodiscard]] std::size_t openRequests() const { return m_core.openRequests(); }
+    [[nodiscard]] const fleet &config() const { return m_config; }
+    [[nodiscard]] const std::vector<finish_request> &answers(request_token request) { return m_answers[request]; }
+
+    static constexpr std::int64_t kUnixStart = 1790000000; ///< wall clock at virtual time 0
+
+private:
+    struct step {
+        std::string title; ///< of a script step
+        std::function<void()> call;
+        core_input input;
+    };
+    void push(instant time, step next) { m_queue.emplace(time, std::move(next)); }
+    void feed(const core_input &input, bool isTimer);
+    void perform(const core_action &action);
+    void perform(const start_attempt &action);
+    void reply(milliseconds delay, const core_input &input);
+    void line(std::string_view mark, const std::string &text);
+
+    fleet m_config;
+    router_core m_core;
+    instant m_now{};
+    std::multimap<instant, step> m_queue; ///< equal times keep the order of insertion
+    std::set<attempt_token> m_cancelled;
+    std::map<attempt_token, std::string> m_versions;
+    std::map<request_token, std::vector<finish_request>> m_answers;
+    std::uint64_t m_lastRequest = 0;
+    std::ostringstream m_transcript;
+};
+
+/// Configurations of the two deployments in section 1.3 of docs/design.md, and their host lists.
+[[nodiscard]] fleet linShou();
+[[nodiscard]] fleet sollecitiPadani();
+[[nodiscard]] std::vector<upstream_info> linShouUpstreams();
+[[nodiscard]] std::vector<upstream_info> sollecitiPadaniUpstreams();
+
+/// One line of the transcript for an input or action; empty for those that are not shown.
+[[nodiscard]] std::string describe(const core_input &input);
+[[nodiscard]] std::string describe(const core_action &action);
+
+} // namespace foxtaildyke::test
