--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -14,5 +14,14 @@
     src/quarantine.cpp
     src/relay.cpp
     src/router_core.cpp
+    src/router_core_answers.cpp
+    src/router_core_attempts.cpp
+    src/router_core_dispatch.cpp
+    src/router_core_intake.cpp
     src/session.cpp
-    src/settings.cpp)
+    src/settings.cpp
+    src/settings_edits.cpp
+    src/settings_ini.cpp
+    src/settings_json.cpp
+    src/settings_reference.cpp
+    src/settings_table.cpp)
