Merge event logs into one time line

Cause: operators follow a request or a generation over the logs of many processes whose clocks differ and step.

--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -24,4 +24,5 @@
     src/settings_ini.cpp
     src/settings_json.cpp
     src/settings_reference.cpp
-    src/settings_table.cpp)
+    src/settings_table.cpp
+    src/timeline.cpp)
