--- a/cmake/adapters.cmake
+++ b/cmake/adapters.cmake
@@ -1,5 +1,6 @@
 add_library(foxtaildyke-adapters STATIC
     src/caller_api.cpp
+    src/controller.cpp
     src/event_log.cpp
     src/event_loop.cpp
     src/metrics.cpp
--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -2,7 +2,6 @@
     src/acceptance.cpp
     src/admission.cpp
     src/balancer.cpp
-    src/controller.cpp
     src/controller_lease.cpp
     src/evidence.cpp
     src/fleet.cpp
