--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -2,7 +2,6 @@
     src/acceptance.cpp
     src/admission.cpp
     src/balancer.cpp
-    src/controller.cpp
     src/controller_lease.cpp
     src/evidence.cpp
     src/fleet.cpp
@@ -29,4 +28,5 @@
     src/settings_ini.cpp
     src/settings_json.cpp
     src/settings_reference.cpp
-    src/settings_table.cpp)
+    src/settings_table.cpp
+    src/timeline.cpp)
