Add event loop, HTTP adapters, callers' API, router task and stand-ins

Cause: the decision core and the settings had no sockets, so no request could be run from end to end.

Change: event loop with mailbox, timers and signals; an evhttp client with pooled connections and an evhttp server; object store, host list, rating, load-report and upstream clients; callers' API over libevhtp; event log, metrics, process settings and the common command line. router_task owns the loop and the core and takes ledger, configuration and sharing as ports; the first adapters of those use the object store alone, where a read of config/current is the freshness lease. Stand-ins for upstream and platform have faults that are switched at run time, and count calls.

--- /dev/null
+++ b/src/caller_protocol.cpp
@@ -0,0 +1,188 @@
+// Callers' protocol; see caller_protocol_p.h.
+#include "caller_protocol_p.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+using nlohmann::json;
+using nlohmann::ordered_json;
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::int64_t kDeadlineLimitMs = 24LL * 3600 * 1000;
+
+struct status_entry {
+    reason_code reason;
+    int status;
+};
+
+/// Reasons with a status of their own; the others have that of their outcome.
+constexpr std::array kReasonStatuses{
+    status_entry{reason_code::unknown_account, 401},
+    status_entry{reason_code::body_too_large, 413},
+    status_entry{reason_code::not_allowed, 403},
+    status_entry{reason_code::version_withdrawn, 403},
+    status_entry{reason_code::session_version_withdrawn, 409},
+    status_entry{reason_code::duplicate_in_progress, 409},
+    status_entry{reason_code::quarantined, 403},
+    status_entry{reason_code::request_id_expired, 409},
+    status_entry{reason_code::rate_limited, 429},
+    status_entry{reason_code::deadline_exceeded, 504},
+};
+
+constexpr std::array<int, static_cast<std::size_t>(outcome_kind::count)> kOutcomeStatuses{200, 400, 503, 409, 502};
+
+std::string dump(const ordered_json &body)
+{
+    return body.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+bool readText(const json &body, const char *field, bool isRequired, std::string &target)
+{
+    const auto found = body.find(field);
+    if (found == body.end())
+        return !isRequired;
+    if (!found->is_string())
+        return false;
+    target = found->get<std::string>();
+    return !isRequired || !target.empty();
+}
+
+bool readMaxTokens(const json &body, std::uint32_t &target)
+{
+    const auto found = body.find("max_tokens");
+    if (found == body.end())
+        return true;
+    if (!found->is_number_unsigned() || found->get<std::uint64_t>() == 0 || found->get<std::uint64_t>() > UINT32_MAX)
+        return false;
+    target = found->get<std::uint32_t>();
+    return true;
+}
+
+bool readStream(const json &body, bool &target)
+{
+    const auto found = body.find("stream");
+    if (found == body.end())
+        return true;
+    if (!found->is_boolean())
+        return false;
+    target = found->get<bool>();
+    return true;
+}
+
+/// @returns the field that is missing or malformed, or null.
+const char *readBody(const json &body, caller_request &request)
+{
+    if (!body.is_object())
+        return "body";
+    if (!readText(body, "kind", true, request.kind))
+        return "kind";
+    if (!readText(body, "prompt", true, request.prompt))
+        return "prompt";
+    if (!readMaxTokens(body, request.maxTokens))
+        return "max_tokens";
+    if (!readStream(body, request.stream))
+        return "stream";
+    return nullptr;
+}
+
+bool readDeadline(const std::string &text, std::optional<std::chrono::milliseconds> &target)
+{
+    if (text.empty())
+        return true;
+    std::int64_t value = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (read.ec != std::errc{} || read.ptr != text.data() + text.size() || value <= 0 || value > kDeadlineLimitMs)
+        return false;
+    target = std::chrono::milliseconds(value);
+    return true;
+}
+
+ordered_json answerObject(const finish_request &answer)
+{
+    ordered_json body{{"outcome", nameOf(answer.outcome)}};
+    if (answer.reason != reason_code::none)
+        body["reason"] = nameOf(answer.reason);
+    if (!answer.field.empty())
+        body["field"] = answer.field;
+    if (!answer.requestId.empty())
+        body["request_id"] = answer.requestId;
+    if (answer.retryAfter.count() > 0)
+        body["retry_after_ms"] = answer.retryAfter.count();
+    if (answer.outcome != outcome_kind::complete)
+        return body;
+    body["model"] = answer.model;
+    body["version"] = answer.version;
+    body["prompt_tokens"] = answer.promptTokens;
+    body["completion_tokens"] = answer.completionTokens;
+    body["cost_micro_units"] = answer.costMicroUnits;
+    if (!answer.sessionToken.empty())
+        body["session_token"] = answer.sessionToken;
+    return body;
+}
+
+} // namespace
+
+std::variant<caller_request, caller_refusal> decodeCallerRequest(const caller_headers &headers, std::string_view body)
+{
+    if (!headers.authorization.starts_with(kBearer) || headers.authorization.size() == kBearer.size())
+        return caller_refusal{reason_code::unknown_account, "Authorization"};
+    if (body.size() > kCallerBodyLimitBytes)
+        return caller_refusal{reason_code::body_too_large, "body"};
+    caller_request request;
+    request.apiKey = headers.authorization.substr(kBearer.size());
+    request.requestId = headers.requestId;
+    request.sessionId = headers.sessionId;
+    request.sessionToken = headers.sessionToken;
+    if (!readDeadline(headers.deadlineMs, request.deadline))
+        return caller_refusal{reason_code::malformed_body, "Foxtaildyke-Deadline-Ms"};
+    if (const char *field = readBody(json::parse(body, nullptr, false), request))
+        return caller_refusal{reason_code::malformed_body, field};
+    return request;
+}
+
+int httpStatusOf(outcome_kind outcome, reason_code reason)
+{
+    const auto found = std::ranges::find(kReasonStatuses, reason, &status_entry::reason);
+    if (found == kReasonStatuses.end() || outcome == outcome_kind::complete || outcome == outcome_kind::may_have_run)
+        return kOutcomeStatuses[static_cast<std::size_t>(outcome)];
+    return found->status;
+}
+
+std::string encodeAnswer(const finish_request &answer, std::string_view text, bool withText)
+{
+    auto body = answerObject(answer);
+    if (answer.outcome == outcome_kind::complete && withText)
+        body["text"] = text;
+    if (!answer.storedAnswer.empty()) {
+        const auto stored = ordered_json::parse(answer.storedAnswer, nullptr, false);
+        if (stored.is_object())
+            body.update(stored);
+        body["repeated"] = true;
+    }
+    return dump(body);
+}
+
+std::string encodeTextEvent(std::string_view text)
+{
+    return "data: " + dump({{"text", text}}) + "\n\n";
+}
+
+std::string encodeOutcomeEvent(const finish_request &answer)
+{
+    return "event: outcome\ndata: " + encodeAnswer(answer, {}, false) + "\n\n";
+}
+
+std::string retryAfterOf(const finish_request &answer)
+{
+    if (answer.retryAfter.count() <= 0)
+        return {};
+    return std::to_string(std::chrono::ceil<std::chrono::seconds>(answer.retryAfter).count());
+}
+
+} // namespace foxtaildyke
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -1,1 +1,85 @@
-// Structured event log through log4cxx.
+// Event log through log4cxx; see event_log_p.h.
+#include "event_log_p.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+log4cxx::AppenderPtr makeAppender(const std::string &path)
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+    if (path == "-")
+        return std::make_shared<log4cxx::ConsoleAppender>(layout);
+    return std::make_shared<log4cxx::FileAppender>(layout, path, true);
+}
+
+struct text_field {
+    const char *key;
+    std::string record_event::*member;
+};
+
+constexpr std::array kTextFields{
+    text_field{"request_id", &record_event::requestId}, text_field{"session_id", &record_event::sessionId},
+    text_field{"account", &record_event::account},      text_field{"version", &record_event::version},
+    text_field{"upstream", &record_event::upstream},    text_field{"reason", &record_event::reason},
+};
+
+} // namespace
+
+std::string formatEvent(const record_event &event, std::string_view process, std::string_view host,
+                        std::uint64_t sequence, std::int64_t unixMicroseconds)
+{
+    nlohmann::ordered_json line{
+        {"time_us", unixMicroseconds}, {"process", process}, {"host", host}, {"seq", sequence}, {"event", event.type}};
+    for (const auto &field : kTextFields)
+        if (!(event.*field.member).empty())
+            line[field.key] = event.*field.member;
+    if (event.generation > 0)
+        line["generation"] = event.generation;
+    return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+std::int64_t unixMicroseconds()
+{
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+}
+
+event_log::event_log(std::string process, std::string host, const std::string &path)
+    : m_process(std::move(process))
+    , m_host(std::move(host))
+    , m_loggerName("events." + m_process + '.' + m_host)
+{
+    const auto logger = log4cxx::Logger::getLogger(m_loggerName);
+    logger->removeAllAppenders();
+    logger->setAdditivity(false);
+    logger->setLevel(log4cxx::Level::getInfo());
+    logger->addAppender(makeAppender(path));
+}
+
+void event_log::write(const record_event &event)
+{
+    static const auto s_info = log4cxx::Level::getInfo();
+    const std::lock_guard guard(m_order);
+    const auto line = formatEvent(event, m_process, m_host, m_next++, unixMicroseconds());
+    log4cxx::Logger::getLogger(m_loggerName)->log(s_info, line, log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+void event_log::note(std::string type, std::string reason, generation_number generation)
+{
+    record_event event;
+    event.type = std::move(type);
+    event.reason = std::move(reason);
+    event.generation = generation;
+    write(event);
+}
+
+} // namespace foxtaildyke
--- a/src/event_loop_p.h
+++ b/src/event_loop_p.h
@@ -45,7 +45,6 @@
     [[nodiscard]] event_base *base() const { return m_base; }
 
 private:
-    struct timer;
     struct signal_handler;
     void drainMailbox();
 
@@ -56,4 +55,22 @@
     std::vector<std::unique_ptr<signal_handler>> m_signals;
 };
 
+/// A timer of one task that can be restarted and stopped; destroying it stops it.
+class loop_timer
+{
+public:
+    loop_timer(event_loop &loop, std::function<void()> callback);
+    ~loop_timer();
+    loop_timer(const loop_timer &) = delete;
+    loop_timer &operator=(const loop_timer &) = delete;
+
+    /// Runs the callback once after a delay; a delay set before is replaced.
+    void start(std::chrono::microseconds delay);
+    void stop();
+
+private:
+    std::function<void()> m_callback;
+    event *m_event = nullptr;
+};
+
 } // namespace foxtaildyke
--- /dev/null
+++ b/src/http_client.cpp
@@ -0,0 +1,267 @@
+// HTTP client over evhttp; see http_client_p.h.
+#include "http_client_p.h"
+
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <numeric>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+/// Idle connections are dropped before the server drops them (evhttp servers: 50 s), so that a request is not lost on a
+/// connection that is just being closed.
+constexpr std::chrono::seconds kIdleLimit{20};
+constexpr std::size_t kIdlePerEndpoint = 64;
+
+constexpr std::array kMethods{EVHTTP_REQ_GET, EVHTTP_REQ_POST, EVHTTP_REQ_PUT, EVHTTP_REQ_DELETE};
+static_assert(kMethods.size() == static_cast<std::size_t>(http_method::count));
+
+std::string takeAll(evbuffer *buffer)
+{
+    std::string text(evbuffer_get_length(buffer), '\0');
+    evbuffer_remove(buffer, text.data(), text.size());
+    return text;
+}
+
+int secondsOf(std::chrono::milliseconds time)
+{
+    return static_cast<int>(std::chrono::ceil<std::chrono::seconds>(time).count());
+}
+
+std::string headerOf(evhttp_request *response, const char *name)
+{
+    const char *value = evhttp_find_header(evhttp_request_get_input_headers(response), name);
+    return value ? value : "";
+}
+
+} // namespace
+
+std::optional<http_endpoint> parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return std::nullopt;
+    auto address = text.substr(0, colon);
+    if (address.front() == '[' && address.back() == ']')
+        address = address.substr(1, address.size() - 2);
+    const auto digits = text.substr(colon + 1);
+    http_endpoint endpoint{std::string(address), 0};
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), endpoint.port);
+    std::array<unsigned char, sizeof(in6_addr)> binary{};
+    const bool isAddress = evutil_inet_pton(AF_INET, endpoint.address.c_str(), binary.data()) == 1
+        || evutil_inet_pton(AF_INET6, endpoint.address.c_str(), binary.data()) == 1;
+    if (!isAddress || parsed.ec != std::errc{} || parsed.ptr != digits.data() + digits.size())
+        return std::nullopt;
+    return endpoint;
+}
+
+struct http_client::call {
+    call(http_client &owner, std::uint64_t number)
+        : client(owner)
+        , id(number)
+        , timeout(owner.m_loop, [this] { client.onTimeout(*this); })
+    {
+    }
+
+    http_client &client;
+    std::uint64_t id;
+    http_request request;
+    http_handlers handlers;
+    evhttp_connection *connection = nullptr;
+    std::string body;
+    int lastStatus = 0; ///< 0 until the status line has arrived
+    bool isEnded = false; ///< its handlers don't run any more
+    loop_timer timeout;
+};
+
+http_client::http_client(event_loop &loop)
+    : m_loop(loop)
+    , m_cleanup(loop, [this] { freeDiscarded(); })
+{
+}
+
+http_client::~http_client()
+{
+    *m_alive = false;
+    for (auto &[id, open] : m_calls)
+        m_discarded.emplace_back(open->connection, std::move(open));
+    for (const auto &[endpoint, connections] : m_idle)
+        for (const auto &idle : connections)
+            m_discarded.emplace_back(idle.connection, nullptr);
+    freeDiscarded();
+}
+
+evhttp_connection *http_client::takeConnection(const http_endpoint &endpoint)
+{
+    auto &idle = m_idle[endpoint];
+    while (!idle.empty()) {
+        const auto last = idle.back();
+        idle.pop_back();
+        if (event_loop::now() - last.since < kIdleLimit)
+            return last.connection;
+        discard(last.connection, nullptr);
+    }
+    auto *stream = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    return evhttp_connection_base_bufferevent_new(m_loop.base(), nullptr, stream, endpoint.address.c_str(),
+                                                  endpoint.port);
+}
+
+void http_client::giveBack(const http_endpoint &endpoint, evhttp_connection *connection)
+{
+    auto &idle = m_idle[endpoint];
+    if (idle.size() >= kIdlePerEndpoint) {
+        discard(connection, nullptr);
+        return;
+    }
+    idle.push_back({connection, event_loop::now()});
+}
+
+void http_client::discard(evhttp_connection *connection, std::unique_ptr<call> owner)
+{
+    if (owner)
+        owner->isEnded = true;
+    m_discarded.emplace_back(connection, std::move(owner));
+    m_cleanup.start(std::chrono::microseconds{0});
+}
+
+void http_client::freeDiscarded()
+{
+    decltype(m_discarded) connections;
+    connections.swap(m_discarded);
+    for (const auto &[connection, owner] : connections)
+        evhttp_connection_free(connection);
+}
+
+http_call_id http_client::start(http_request request, http_handlers handlers)
+{
+    const auto id = m_nextCall++;
+    auto open = std::make_unique<call>(*this, id);
+    open->request = std::move(request);
+    open->handlers = std::move(handlers);
+    open->connection = takeConnection(open->request.endpoint);
+    auto &reference = *open;
+    m_calls.emplace(id, std::move(open));
+    reference.timeout.start(reference.request.timeout);
+    // evhttp reports a refused connect from inside evhttp_make_request(); sending from the mailbox keeps the promise
+    // that no handler runs before start() returns.
+    m_loop.post([this, id, alive = m_alive] {
+        if (!*alive)
+            return;
+        const auto found = m_calls.find(id);
+        if (found != m_calls.end() && !send(*found->second))
+            finish(*found->second, {http_end::not_connected, 0, false, {}, {}, {}});
+    });
+    return http_call_id{id};
+}
+
+bool http_client::send(call &open)
+{
+    const auto onDone = [](evhttp_request *response, void *argument) {
+        auto &self = *static_cast<call *>(argument);
+        self.client.onResponse(self, response);
+    };
+    const auto onChunk = [](evhttp_request *response, void *argument) {
+        auto &self = *static_cast<call *>(argument);
+        self.client.onBodyPart(self, response);
+    };
+    auto *request = evhttp_request_new(onDone, &open);
+    evhttp_request_set_chunked_cb(request, onChunk);
+    evhttp_connection_set_timeout(open.connection, secondsOf(open.request.timeout) + 1);
+    auto *headers = evhttp_request_get_output_headers(request);
+    const auto &endpoint = open.request.endpoint;
+    evhttp_add_header(headers, "Host", (endpoint.address + ':' + std::to_string(endpoint.port)).c_str());
+    for (const auto &[name, value] : open.request.headers)
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(request), open.request.body.data(), open.request.body.size());
+    const auto method = kMethods[static_cast<std::size_t>(open.request.method)];
+    const auto id = open.id;
+    const auto path = open.request.path;
+    const bool isMade = evhttp_make_request(open.connection, request, method, path.c_str()) == 0;
+    return isMade || !m_calls.contains(id);
+}
+
+void http_client::onBodyPart(call &open, evhttp_request *response)
+{
+    if (open.isEnded)
+        return;
+    open.lastStatus = evhttp_request_get_response_code(response);
+    auto data = takeAll(evhttp_request_get_input_buffer(response));
+    if (open.handlers.onData)
+        open.handlers.onData(open.lastStatus, data);
+    else
+        open.body += data;
+}
+
+void http_client::onResponse(call &open, evhttp_request *response)
+{
+    if (open.isEnded)
+        return;
+    http_reply reply;
+    if (!response) {
+        reply.status = open.lastStatus;
+        finish(open, std::move(reply));
+        return;
+    }
+    reply.status = evhttp_request_get_response_code(response);
+    if (reply.status == 0) {
+        reply.end = http_end::not_connected;
+        reply.sent = false;
+        finish(open, std::move(reply));
+        return;
+    }
+    reply.end = http_end::answered;
+    reply.body = std::move(open.body);
+    reply.body += takeAll(evhttp_request_get_input_buffer(response));
+    reply.etag = headerOf(response, "ETag");
+    reply.retryAfter = headerOf(response, "Retry-After");
+    finish(open, std::move(reply));
+}
+
+void http_client::onTimeout(call &open)
+{
+    http_reply reply;
+    reply.end = http_end::timed_out;
+    reply.status = open.lastStatus;
+    finish(open, std::move(reply));
+}
+
+void http_client::finish(call &open, http_reply reply)
+{
+    const auto found = m_calls.find(open.id);
+    auto owned = std::move(found->second);
+    m_calls.erase(found);
+    owned->timeout.stop();
+    const auto onDone = std::move(owned->handlers.onDone);
+    if (reply.end == http_end::answered)
+        giveBack(owned->request.endpoint, owned->connection);
+    else
+        discard(open.connection, std::move(owned));
+    onDone(std::move(reply));
+}
+
+std::size_t http_client::idleConnections() const
+{
+    return std::accumulate(m_idle.begin(), m_idle.end(), std::size_t{0},
+                           [](std::size_t sum, const auto &item) { return sum + item.second.size(); });
+}
+
+void http_client::cancel(http_call_id call)
+{
+    const auto found = m_calls.find(static_cast<std::uint64_t>(call));
+    if (found == m_calls.end())
+        return;
+    auto owned = std::move(found->second);
+    m_calls.erase(found);
+    owned->timeout.stop();
+    auto *connection = owned->connection;
+    discard(connection, std::move(owned));
+}
+
+} // namespace foxtaildyke
--- a/src/object_store_http.cpp
+++ b/src/object_store_http.cpp
@@ -1,1 +1,189 @@
-// Adapter of the object API over HTTP.
+// Object API over HTTP; see object_store_http_p.h.
+#include "object_store_http_p.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <event2/http.h>
+#include <nlohmann/json.hpp>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+struct status_error {
+    int status;
+    error_code code;
+};
+
+/// Statuses with a meaning of their own. Other 4xx are protocol violations; other 5xx leave the effect open.
+constexpr std::array kStatusErrors{
+    status_error{404, error_code::not_found},   status_error{409, error_code::conflict},
+    status_error{412, error_code::conflict},    status_error{413, error_code::too_large},
+    status_error{429, error_code::unavailable}, status_error{503, error_code::unavailable},
+};
+
+error_code codeOfStatus(int status)
+{
+    const auto found = std::ranges::find(kStatusErrors, status, &status_error::status);
+    if (found != kStatusErrors.end())
+        return found->code;
+    constexpr int kFirstServerError = 500;
+    return status >= kFirstServerError ? error_code::io_failure : error_code::protocol_violation;
+}
+
+/// @returns the version in an ETag, or nothing where it is malformed.
+std::optional<object_version> versionOf(std::string_view etag)
+{
+    if (etag.size() < 3 || etag.front() != '"' || etag.back() != '"')
+        return std::nullopt;
+    const auto digits = etag.substr(1, etag.size() - 2);
+    object_version version = 0;
+    const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), version);
+    if (read.ec != std::errc{} || read.ptr != digits.data() + digits.size() || version == 0)
+        return std::nullopt;
+    return version;
+}
+
+std::pair<std::string, std::string> condition(object_version expected)
+{
+    if (expected == 0)
+        return {"If-None-Match", "*"};
+    return {"If-Match", '"' + std::to_string(expected) + '"'};
+}
+
+std::string encodePart(std::string_view text)
+{
+    char *encoded = evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
+    std::string copy(encoded);
+    std::free(encoded); // NOLINT: libevent allocates it with malloc
+    return copy;
+}
+
+result<std::vector<std::string>> keysOf(const std::string &body)
+{
+    const error malformed{error_code::protocol_violation, "items"};
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object() || !json.contains("items") || !json["items"].is_array())
+        return malformed;
+    std::vector<std::string> keys;
+    for (const auto &item : json["items"]) {
+        if (!item.is_object() || !item.contains("key") || !item["key"].is_string())
+            return malformed;
+        keys.push_back(item["key"].get<std::string>());
+    }
+    return keys;
+}
+
+} // namespace
+
+std::string encodePath(std::string_view text)
+{
+    const auto slash = text.find('/');
+    if (slash == std::string_view::npos)
+        return encodePart(text);
+    return encodePart(text.substr(0, slash)) + '/' + encodePath(text.substr(slash + 1));
+}
+
+std::optional<error> platformError(const http_reply &reply, const std::string &field)
+{
+    constexpr int kFirstError = 300;
+    switch (reply.end) {
+    case http_end::answered:
+        if (reply.status < kFirstError)
+            return std::nullopt;
+        return error{codeOfStatus(reply.status), field};
+    case http_end::not_connected:
+        return error{error_code::unavailable, field};
+    case http_end::timed_out:
+        return error{error_code::timed_out, field};
+    default:
+        return error{error_code::io_failure, field};
+    }
+}
+
+object_store_http::object_store_http(http_client &client, http_endpoint platform, std::chrono::milliseconds timeout,
+                                     call_observer observer)
+    : m_client(client)
+    , m_platform(std::move(platform))
+    , m_timeout(timeout)
+    , m_observer(std::move(observer))
+{
+}
+
+http_request object_store_http::request(http_method method, std::string path) const
+{
+    http_request request;
+    request.endpoint = m_platform;
+    request.method = method;
+    request.path = std::move(path);
+    request.timeout = m_timeout;
+    return request;
+}
+
+void object_store_http::start(const char *name, http_request request, std::function<void(const http_reply &)> done)
+{
+    http_handlers handlers;
+    handlers.onDone = [name, done = std::move(done), observer = m_observer](const http_reply &reply) {
+        const auto failure = platformError(reply, {});
+        if (observer)
+            observer(name, failure ? nameOf(failure->code) : "ok");
+        done(reply);
+    };
+    m_client.start(std::move(request), std::move(handlers));
+}
+
+void object_store_http::read(const std::string &key, read_done done)
+{
+    auto call = request(http_method::get, "/objects/" + encodePath(key));
+    start("read", std::move(call), [key, done = std::move(done)](const http_reply &reply) {
+        if (auto failure = platformError(reply, key))
+            return done(*failure);
+        const auto version = versionOf(reply.etag);
+        if (!version)
+            return done(error{error_code::protocol_violation, key});
+        done(stored_object{reply.body, *version});
+    });
+}
+
+void object_store_http::write(const std::string &key, std::string body, object_version expected, write_done done)
+{
+    auto call = request(http_method::put, "/objects/" + encodePath(key));
+    call.headers.push_back(condition(expected));
+    call.body = std::move(body);
+    start("write", std::move(call), [key, done = std::move(done)](const http_reply &reply) {
+        if (auto failure = platformError(reply, key))
+            return done(*failure);
+        const auto version = versionOf(reply.etag);
+        // The write took effect, but its version is unknown: the caller has to read it back.
+        if (!version)
+            return done(error{error_code::io_failure, key});
+        done(*version);
+    });
+}
+
+void object_store_http::remove(const std::string &key, object_version expected, remove_done done)
+{
+    auto call = request(http_method::remove, "/objects/" + encodePath(key));
+    call.headers.push_back(condition(expected));
+    start("remove", std::move(call), [key, done = std::move(done)](const http_reply &reply) {
+        if (auto failure = platformError(reply, key))
+            return done(*failure);
+        done(BOOST_OUTCOME_V2_NAMESPACE::success());
+    });
+}
+
+void object_store_http::list(const std::string &prefix, const std::string &after, std::size_t limit, list_done done)
+{
+    auto call = request(http_method::get,
+                        "/objects?prefix=" + encodePart(prefix) + "&after=" + encodePart(after)
+                            + "&limit=" + std::to_string(limit));
+    start("list", std::move(call), [prefix, done = std::move(done)](const http_reply &reply) {
+        if (auto failure = platformError(reply, prefix))
+            return done(*failure);
+        done(keysOf(reply.body));
+    });
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/object_store_http_p.h
@@ -0,0 +1,42 @@
+// Adapter of the port object_store to the platform's object API over HTTP.
+#pragma once
+
+#include "http_client_p.h"
+#include "object_store_p.h"
+
+namespace foxtaildyke
+{
+
+class object_store_http : public object_store
+{
+public:
+    /// Called once for each finished call with its name and end, for metrics.
+    using call_observer = std::function<void(std::string_view name, std::string_view end)>;
+
+    static constexpr std::chrono::milliseconds kDefaultTimeout{2000};
+
+    object_store_http(http_client &client, http_endpoint platform, std::chrono::milliseconds timeout = kDefaultTimeout,
+                      call_observer observer = {});
+
+    void read(const std::string &key, read_done done) override;
+    void write(const std::string &key, std::string body, object_version expected, write_done done) override;
+    void remove(const std::string &key, object_version expected, remove_done done) override;
+    void list(const std::string &prefix, const std::string &after, std::size_t limit, list_done done) override;
+
+private:
+    [[nodiscard]] http_request request(http_method method, std::string path) const;
+    void start(const char *name, http_request request, std::function<void(const http_reply &)> done);
+
+    http_client &m_client;
+    http_endpoint m_platform;
+    std::chrono::milliseconds m_timeout;
+    call_observer m_observer;
+};
+
+/// @returns the error that a reply of the platform stands for, or nothing where the call succeeded.
+[[nodiscard]] std::optional<error> platformError(const http_reply &reply, const std::string &field);
+
+/// @returns text with all but unreserved characters and "/" percent-encoded.
+[[nodiscard]] std::string encodePath(std::string_view text);
+
+} // namespace foxtaildyke
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -1,1 +1,114 @@
-// Client of the host list and the rating service.
+// Host list, ratings and weights of the platform; see platform_client_p.h.
+#include "platform_client_p.h"
+
+#include "object_store_http_p.h"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kTimeout{2000};
+
+using nlohmann::json;
+
+listed_host decodeHost(const json &entry)
+{
+    listed_host host;
+    host.info.name = entry.at("name").get<std::string>();
+    host.info.address = entry.at("address").get<std::string>();
+    host.info.port = entry.at("port").get<std::uint16_t>();
+    host.info.failureDomain = entry.value("failure_domain", "");
+    host.info.service = entry.value("service", "");
+    host.info.versions = entry.value("versions", std::vector<std::string>{});
+    host.info.slots = entry.value("slots", host.info.slots);
+    // A state that is not known is not "live": no new work goes there.
+    host.info.state = valueOf<host_state>(entry.at("state").get<std::string>()).value_or(host_state::leaving);
+    host.role = entry.value("role", "");
+    host.model = entry.value("model", "");
+    host.region = entry.value("region", "");
+    return host;
+}
+
+std::optional<std::uint32_t> decodeScore(const http_reply &reply)
+{
+    constexpr double kPermille = 1000;
+    if (platformError(reply, {}))
+        return std::nullopt;
+    const auto body = json::parse(reply.body, nullptr, false);
+    if (!body.is_object() || !body.contains("score") || !body["score"].is_number())
+        return std::nullopt;
+    const auto score = body["score"].get<double>();
+    if (!(score >= 0 && score <= 1))
+        return std::nullopt;
+    return static_cast<std::uint32_t>(std::lround(score * kPermille));
+}
+
+std::string dump(const json &body)
+{
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+result<host_list> decodeHostList(const std::string &body)
+try {
+    const auto document = json::parse(body);
+    host_list list;
+    list.version = document.at("version").get<std::uint64_t>();
+    for (const auto &entry : document.at("hosts"))
+        list.hosts.push_back(decodeHost(entry));
+    return list;
+} catch (const json::exception &) {
+    return error{error_code::protocol_violation, "hosts"};
+}
+
+platform_client::platform_client(http_client &client, http_endpoint platform)
+    : m_client(client)
+    , m_platform(std::move(platform))
+{
+}
+
+void platform_client::start(http_method method, const char *path, std::string body,
+                            std::function<void(http_reply)> done)
+{
+    http_request request;
+    request.endpoint = m_platform;
+    request.method = method;
+    request.path = path;
+    request.body = std::move(body);
+    request.timeout = kTimeout;
+    m_client.start(std::move(request), {std::move(done), {}});
+}
+
+void platform_client::hosts(hosts_done done)
+{
+    start(http_method::get, "/hosts", {}, [done = std::move(done)](const http_reply &reply) {
+        if (auto failure = platformError(reply, "hosts"))
+            return done(*failure);
+        done(decodeHostList(reply.body));
+    });
+}
+
+void platform_client::rate(const std::string &kind, const std::string &text, rate_done done)
+{
+    auto body = dump({{"kind", kind}, {"text", text}});
+    start(http_method::post, "/rate", std::move(body),
+          [done = std::move(done)](const http_reply &reply) { done(decodeScore(reply)); });
+}
+
+void platform_client::requestWeights(const std::string &model, const std::string &version, weights_done done)
+{
+    auto body = dump({{"model", model}, {"version", version}});
+    start(http_method::post, "/weights", std::move(body), [version, done = std::move(done)](const http_reply &reply) {
+        if (auto failure = platformError(reply, version))
+            return done(*failure);
+        done(BOOST_OUTCOME_V2_NAMESPACE::success());
+    });
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/ports_p.h
@@ -0,0 +1,46 @@
+// Ports of the router task towards the ledger, the configuration and the other hosts. Adapters: store_ports.cpp (object
+// store only), and the relay and ledger adapters.
+#pragma once
+
+#include "router_core_p.h"
+
+#include <functional>
+
+namespace foxtaildyke
+{
+
+/// Takes an input for the decision core. Only on the router's task; may be called at any time, also from inside a port.
+using core_sink = std::function<void(core_input)>;
+
+/// Writes claims, pins and bills. Each is answered by exactly one ledger_reply to the sink.
+class ledger_port
+{
+public:
+    virtual ~ledger_port() = default;
+    virtual void claim(const write_claim &record) = 0;
+    virtual void pin(const write_pin &record) = 0;
+    virtual void bill(const write_bill &record) = 0;
+
+    /// @returns whether nothing is left to write; a host that drains waits for it.
+    [[nodiscard]] virtual bool isIdle() const = 0;
+};
+
+/// Delivers config_changed and lease_changed to the sink, and learns about each configuration that is in force.
+class config_port
+{
+public:
+    virtual ~config_port() = default;
+    virtual void start() = 0;
+};
+
+/// Shares what this host learnt with the other hosts, and delivers their evidence, quarantine and limit shares.
+class sharing_port
+{
+public:
+    virtual ~sharing_port() = default;
+    virtual void share(const share_evidence &evidence) = 0;
+    virtual void share(const share_halt &halt) = 0;
+    virtual void share(const share_quarantine &entry) = 0;
+};
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/tools/router_main.cpp
@@ -0,0 +1,79 @@
+// foxtaildyke-router: callers' API, upstream calls and decision core of one entry host.
+#include "router_task_p.h"
+#include "store_ports_p.h"
+
+#include <csignal>
+
+using namespace foxtaildyke;
+
+namespace
+{
+
+const program_spec kProgram{
+    "foxtaildyke-router",
+    "Routes callers' requests to model upstreams.",
+    "",
+    {},
+    "The settings file has a section [process] with host, region, failure_domain, listen, platform and optionally\n"
+    "peer_listen, admin_listen and log, and sections [seed NAME] with peer=IP:port.\n"
+    "SIGTERM stops the process after all open requests have finished."};
+
+int exitWith(exit_code code)
+{
+    return static_cast<int>(code);
+}
+
+result<process_settings> loadSettings(const command_line &line)
+{
+    if (line.configPath.empty())
+        return error{error_code::missing_key, "--config"};
+    auto sections = readIniFile(line.configPath);
+    if (sections.has_error())
+        return sections.error();
+    auto settings = checkProcessSettings(sections.value());
+    if (settings.has_value() && settings.value().listen.address.empty())
+        return error{error_code::missing_key, "process/listen"};
+    return settings;
+}
+
+router_ports makePorts(router_task &task)
+{
+    const auto note = [&task](std::string type, std::string reason, generation_number generation) {
+        task.log().note(std::move(type), std::move(reason), generation);
+    };
+    return {std::make_unique<store_config>(task.loop(), task.store(), task.settings().failureDomain, task.sink(), note),
+            std::make_unique<store_ledger>(task.store(), task.settings().host, task.sink()),
+            std::make_unique<no_sharing>()};
+}
+
+int runRouter(const process_settings &settings)
+{
+    router_task task(settings);
+    task.setPorts(makePorts(task));
+    const auto started = task.start();
+    if (started.has_error()) {
+        printError(kProgram, started.error());
+        return exitWith(exit_code::failure);
+    }
+    task.run();
+    return exitWith(exit_code::success);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto parsed = parseCommandLine(kProgram, argc, argv);
+    if (const auto *code = std::get_if<exit_code>(&parsed))
+        return exitWith(*code);
+    const auto &line = std::get<command_line>(parsed);
+    const auto settings = loadSettings(line);
+    if (settings.has_error()) {
+        printError(kProgram, settings.error());
+        return exitWith(line.configPath.empty() ? exit_code::usage : exit_code::invalid_settings);
+    }
+    if (line.checkOnly)
+        return exitWith(exit_code::success);
+    return runRouter(settings.value());
+}
--- /dev/null
+++ b/tools/standin_platform_service.cpp
@@ -0,0 +1,306 @@
+// HTTP protocol of the platform stand-in; see standin_platform_p.h.
+#include "standin_platform_p.h"
+
+#include <charconv>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::string_view kObjectPrefix = "/objects/";
+constexpr std::size_t kObjectLimitBytes = 1'000'000;
+constexpr std::int64_t kWatchLimitMs = 60'000;
+constexpr std::int64_t kListLimit = 1000;
+
+std::int64_t numberIn(const http_exchange &exchange, const std::string &name, std::int64_t fallback)
+{
+    const auto found = exchange.query.find(name);
+    if (found == exchange.query.end())
+        return fallback;
+    std::int64_t value = fallback;
+    std::from_chars(found->second.data(), found->second.data() + found->second.size(), value);
+    return value;
+}
+
+std::string etagOf(object_version version)
+{
+    return '"' + std::to_string(version) + '"';
+}
+
+/// @returns the version that a conditional call expects (0: none exists), or nothing where it has no valid condition.
+std::optional<object_version> expectedVersion(const http_exchange &exchange)
+{
+    if (exchange.header("If-None-Match") == "*")
+        return 0;
+    const auto tag = exchange.header("If-Match");
+    if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"')
+        return std::nullopt;
+    object_version version = 0;
+    const auto read = std::from_chars(tag.data() + 1, tag.data() + tag.size() - 1, version);
+    const bool isValid = read.ec == std::errc{} && read.ptr == tag.data() + tag.size() - 1 && version > 0;
+    return isValid ? std::optional(version) : std::nullopt;
+}
+
+/// Sets a member from a field of the same type; a field that is missing keeps it.
+template <typename value_type>
+void take(const json &body, const char *field, value_type &target)
+{
+    target = body.value(field, target);
+}
+
+/// @returns the score that an answer's text carries as "[score=873]", from 0 to 1; 0.5 where it carries none.
+double scoreIn(const std::string &text)
+{
+    constexpr std::string_view kMark = "[score=";
+    constexpr double kPermille = 1000;
+    constexpr double kUnknown = 0.5;
+    const auto found = text.find(kMark);
+    int score = 0;
+    if (found == std::string::npos)
+        return kUnknown;
+    std::from_chars(text.data() + found + kMark.size(), text.data() + text.size(), score);
+    return std::clamp(score / kPermille, 0.0, 1.0);
+}
+
+} // namespace
+
+struct standin_platform::route {
+    http_method method;
+    std::string_view path;
+    void (standin_platform::*serve)(const http_exchange_ptr &);
+};
+
+standin_platform::standin_platform(event_loop &loop, platform_options options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_weightTokens(static_cast<double>(options.weightsBurst))
+    , m_weightsRefilledAt(event_loop::now())
+{
+}
+
+bool standin_platform::addHosts(const std::string &json)
+{
+    const auto hosts = json::parse(json, nullptr, false);
+    return hosts.is_array()
+        && std::ranges::all_of(hosts, [&](const auto &host) { return m_hosts.apply(host, event_loop::now()); });
+}
+
+void standin_platform::serve(const http_exchange_ptr &exchange)
+{
+    static constexpr std::array kRoutes{
+        route{http_method::get, "/objects", &standin_platform::serveList},
+        route{http_method::get, "/hosts", &standin_platform::serveHosts},
+        route{http_method::post, "/hosts", &standin_platform::serveHostChange},
+        route{http_method::post, "/rate", &standin_platform::serveRating},
+        route{http_method::post, "/weights", &standin_platform::serveWeights},
+        route{http_method::post, "/faults", &standin_platform::serveFaults},
+        route{http_method::get, "/counts", &standin_platform::serveCounts},
+    };
+    if (exchange->path.starts_with(kObjectPrefix))
+        return serveObject(exchange);
+    const auto found = std::ranges::find_if(kRoutes, [&](const route &candidate) {
+        return candidate.method == exchange->method && candidate.path == exchange->path;
+    });
+    if (found == kRoutes.end())
+        return exchange->reply(404, {});
+    (this->*found->serve)(exchange);
+}
+
+void standin_platform::answer(const http_exchange_ptr &exchange, int status, std::string body, http_headers headers)
+{
+    if (m_faults.slowMs <= 0)
+        return exchange->reply(status, body, headers);
+    m_loop.after(std::chrono::milliseconds(m_faults.slowMs),
+                 [exchange, status, body = std::move(body), headers = std::move(headers)] {
+                     exchange->reply(status, body, headers);
+                 });
+}
+
+void standin_platform::answerWrite(const http_exchange_ptr &exchange, int status, http_headers headers)
+{
+    if (m_faults.loseAnswers > 0) {
+        --m_faults.loseAnswers;
+        ++m_counts["lost_answers"];
+        return exchange->drop();
+    }
+    answer(exchange, status, {}, std::move(headers));
+}
+
+void standin_platform::serveObject(const http_exchange_ptr &exchange)
+{
+    if (m_faults.outage) {
+        ++m_counts["refused"];
+        return answer(exchange, 503, {});
+    }
+    const auto key = exchange->path.substr(kObjectPrefix.size());
+    switch (exchange->method) {
+    case http_method::get:
+        return exchange->query.contains("watch") ? serveWatch(exchange, key) : serveRead(exchange, key);
+    case http_method::put:
+        return serveWrite(exchange, key);
+    case http_method::remove:
+        return serveRemove(exchange, key);
+    default:
+        return exchange->reply(405, {});
+    }
+}
+
+void standin_platform::serveRead(const http_exchange_ptr &exchange, const std::string &key)
+{
+    ++m_counts["reads"];
+    const auto object = m_objects.read(key);
+    if (!object)
+        return answer(exchange, 404, {});
+    answer(exchange, 200, object->body, {{"ETag", etagOf(object->version)}});
+}
+
+void standin_platform::serveWatch(const http_exchange_ptr &exchange, const std::string &key)
+{
+    ++m_counts["watches"];
+    const auto seen = static_cast<object_version>(numberIn(*exchange, "watch", 0));
+    const auto object = m_objects.read(key);
+    if ((object ? object->version : 0) != seen)
+        return serveRead(exchange, key);
+    const auto timeout = std::clamp<std::int64_t>(numberIn(*exchange, "timeout_ms", 0), 0, kWatchLimitMs);
+    exchange->watchClose();
+    m_watchers.push_back({key, seen, exchange});
+    m_loop.after(std::chrono::milliseconds(timeout), [this, exchange] {
+        if (std::erase_if(m_watchers, [&](const watcher &entry) { return entry.exchange == exchange; }) > 0)
+            exchange->reply(304, {});
+    });
+}
+
+void standin_platform::wakeWatchers(const std::string &key)
+{
+    const auto woken = std::stable_partition(m_watchers.begin(), m_watchers.end(),
+                                             [&](const watcher &entry) { return entry.key != key; });
+    const std::vector<watcher> ready(woken, m_watchers.end());
+    m_watchers.erase(woken, m_watchers.end());
+    for (const auto &entry : ready)
+        serveRead(entry.exchange, key);
+}
+
+void standin_platform::serveWrite(const http_exchange_ptr &exchange, const std::string &key)
+{
+    const auto expected = expectedVersion(*exchange);
+    if (!expected)
+        return exchange->reply(428, {});
+    if (exchange->body.size() > kObjectLimitBytes)
+        return exchange->reply(413, {});
+    ++m_counts["writes"];
+    const auto version = m_objects.write(key, exchange->body, *expected);
+    if (!version) {
+        ++m_counts["conflicts"];
+        return answer(exchange, 412, {});
+    }
+    answerWrite(exchange, *expected == 0 ? 201 : 200, {{"ETag", etagOf(*version)}});
+    wakeWatchers(key);
+}
+
+void standin_platform::serveRemove(const http_exchange_ptr &exchange, const std::string &key)
+{
+    const auto expected = expectedVersion(*exchange);
+    if (!expected)
+        return exchange->reply(428, {});
+    ++m_counts["deletes"];
+    if (!m_objects.read(key))
+        return answer(exchange, 404, {});
+    if (!m_objects.remove(key, *expected)) {
+        ++m_counts["conflicts"];
+        return answer(exchange, 412, {});
+    }
+    answerWrite(exchange, 200, {});
+    wakeWatchers(key);
+}
+
+void standin_platform::serveList(const http_exchange_ptr &exchange)
+{
+    if (m_faults.outage) {
+        ++m_counts["refused"];
+        return answer(exchange, 503, {});
+    }
+    ++m_counts["lists"];
+    const auto limit = std::clamp<std::int64_t>(numberIn(*exchange, "limit", kListLimit), 0, kListLimit);
+    json items = json::array();
+    for (const auto &[key, version] :
+         m_objects.list(exchange->query["prefix"], exchange->query["after"], static_cast<std::size_t>(limit)))
+        items.push_back({{"key", key}, {"version", version}});
+    answer(exchange, 200, json{{"items", std::move(items)}}.dump());
+}
+
+void standin_platform::serveHosts(const http_exchange_ptr &exchange)
+{
+    ++m_counts["host_lists"];
+    if (m_faults.hostListDown)
+        return exchange->reply(503, {});
+    const auto time = event_loop::now() - std::chrono::milliseconds(m_faults.hostListLagMs);
+    exchange->reply(200, m_hosts.listAt(time).dump(), {{"Content-Type", "application/json"}});
+}
+
+void standin_platform::serveHostChange(const http_exchange_ptr &exchange)
+{
+    const bool isApplied = m_hosts.apply(json::parse(exchange->body, nullptr, false), event_loop::now());
+    exchange->reply(isApplied ? 200 : 400, {});
+}
+
+void standin_platform::serveRating(const http_exchange_ptr &exchange)
+{
+    ++m_counts["ratings"];
+    if (m_faults.ratingDown)
+        return exchange->reply(503, {});
+    const auto body = json::parse(exchange->body, nullptr, false);
+    if (!body.is_object() || !body.contains("text") || !body["text"].is_string())
+        return exchange->reply(400, {});
+    exchange->reply(200, json{{"score", scoreIn(body["text"].get<std::string>())}}.dump());
+}
+
+bool standin_platform::takeWeight()
+{
+    const auto now = event_loop::now();
+    const auto passed = std::chrono::duration<double>(now - m_weightsRefilledAt).count();
+    m_weightsRefilledAt = now;
+    m_weightTokens = std::min(static_cast<double>(m_options.weightsBurst),
+                              m_weightTokens + passed * static_cast<double>(m_options.weightsPerSecond));
+    if (m_weightTokens < 1)
+        return false;
+    m_weightTokens -= 1;
+    return true;
+}
+
+void standin_platform::serveWeights(const http_exchange_ptr &exchange)
+{
+    ++m_counts["weights"];
+    if (takeWeight())
+        return exchange->reply(200, {});
+    ++m_counts["weights_refused"];
+    exchange->reply(429, {}, {{"Retry-After", "1"}});
+}
+
+void standin_platform::serveFaults(const http_exchange_ptr &exchange)
+try {
+    const auto body = json::parse(exchange->body);
+    take(body, "outage", m_faults.outage);
+    take(body, "slow_ms", m_faults.slowMs);
+    take(body, "lose_answers", m_faults.loseAnswers);
+    take(body, "host_list_lag_ms", m_faults.hostListLagMs);
+    take(body, "host_list_down", m_faults.hostListDown);
+    take(body, "rating_down", m_faults.ratingDown);
+    exchange->reply(200, {});
+} catch (const json::exception &failure) {
+    exchange->reply(400, failure.what());
+}
+
+void standin_platform::serveCounts(const http_exchange_ptr &exchange)
+{
+    json counts = json::object();
+    for (const char *name : {"reads", "writes", "conflicts", "deletes", "lists", "watches", "refused", "lost_answers",
+                             "host_lists", "ratings", "weights", "weights_refused"})
+        counts[name] = m_counts[name];
+    exchange->reply(200, counts.dump(), {{"Content-Type", "application/json"}});
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/tools/standin_upstream_service.cpp
@@ -0,0 +1,219 @@
+// Completions of the upstream stand-in; see standin_upstream_p.h.
+#include "standin_upstream_p.h"
+
+#include <numeric>
+#include <unistd.h>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::string_view kPoison = "poison";
+constexpr std::size_t kBytesPerToken = 4; ///< rough size of a prompt token
+const std::map<std::string, int> kPriorities{{"interactive", 0}, {"standard", 1}, {"batch", 2}};
+
+std::string eventOf(const json &body)
+{
+    return "data: " + body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
+}
+
+} // namespace
+
+struct standin_upstream::run {
+    http_exchange_ptr exchange;
+    std::string attempt;
+    std::string request;
+    std::string version;
+    std::size_t promptTokens = 0;
+    std::uint32_t tokens = 0; ///< to generate
+    std::uint32_t emitted = 0;
+    int priority = 1;
+    std::uint32_t score = 0;
+    bool isRunning = false; ///< holds a slot
+};
+
+standin_upstream::standin_upstream(event_loop &loop, upstream_options options)
+    : m_loop(loop)
+    , m_client(loop)
+    , m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+    measureLoad();
+}
+
+void standin_upstream::serve(const http_exchange_ptr &exchange)
+{
+    struct route {
+        http_method method;
+        std::string_view path;
+        void (standin_upstream::*serve)(const http_exchange_ptr &);
+    };
+    static constexpr std::array kRoutes{
+        route{http_method::post, "/v1/completions", &standin_upstream::serveCompletion},
+        route{http_method::get, "/load", &standin_upstream::serveLoad},
+        route{http_method::post, "/orders", &standin_upstream::serveOrder},
+        route{http_method::post, "/faults", &standin_upstream::serveFaults},
+        route{http_method::get, "/counts", &standin_upstream::serveCounts},
+    };
+    const auto found = std::ranges::find_if(kRoutes, [&](const route &candidate) {
+        return candidate.method == exchange->method && candidate.path == exchange->path;
+    });
+    if (found == kRoutes.end())
+        return exchange->reply(404, {});
+    (this->*found->serve)(exchange);
+}
+
+standin_upstream::run_ptr standin_upstream::readRun(const http_exchange_ptr &exchange) const
+try {
+    const auto body = json::parse(exchange->body);
+    const auto &prompt = body.at("prompt").get_ref<const std::string &>();
+    if (prompt.find(kPoison) != std::string::npos)
+        _exit(1); // the crash that a poisonous request causes: no answer, no cleanup
+    auto next = std::make_shared<run>();
+    next->exchange = exchange;
+    next->attempt = exchange->header("X-Attempt-Id");
+    next->request = body.value("request_id", "");
+    next->version = body.at("version").get<std::string>();
+    next->promptTokens = prompt.size() / kBytesPerToken + 1;
+    next->tokens = std::clamp(m_options.tokens, 1U, std::max(1U, body.value("max_tokens", m_options.tokens)));
+    const auto priority = kPriorities.find(body.value("priority", "standard"));
+    next->priority = priority == kPriorities.end() ? 1 : priority->second;
+    return next;
+} catch (const json::exception &) {
+    return nullptr;
+}
+
+void standin_upstream::serveCompletion(const http_exchange_ptr &exchange)
+{
+    if (m_faults.overload) {
+        ++m_counts["overloaded"];
+        return exchange->reply(429, {}, {{"Retry-After", "1"}});
+    }
+    const auto next = readRun(exchange);
+    if (!next)
+        return exchange->reply(400, {});
+    if (!m_options.versions.contains(next->version))
+        return exchange->reply(404, {});
+    // The pointer is weak because the run owns the exchange.
+    exchange->onClosed = [this, weak = std::weak_ptr(next)] {
+        if (const auto closed = weak.lock())
+            onCancelled(closed);
+    };
+    exchange->watchClose();
+    if (m_running < m_options.slots)
+        return start(next);
+    const auto queued = std::accumulate(m_queue.begin(), m_queue.end(), std::size_t{0},
+                                        [](std::size_t sum, const auto &item) { return sum + item.second.size(); });
+    if (queued >= m_options.queueLimit) {
+        ++m_counts["overloaded"];
+        return exchange->reply(503, {}, {{"Retry-After", "1"}});
+    }
+    m_queue[next->priority].push_back(next);
+}
+
+void standin_upstream::start(const run_ptr &next)
+{
+    next->isRunning = true;
+    m_peakRunning = std::max(m_peakRunning, ++m_running);
+    ++m_runsByRequest[next->request];
+    ++m_runsByVersion[next->version];
+    next->score = drawScore(next->version);
+    const auto delay = m_options.firstToken + std::chrono::milliseconds(m_faults.lateMs);
+    m_loop.after(delay, [this, next] {
+        next->exchange->startChunks(200, {{"Content-Type", "text/event-stream"}});
+        emitToken(next);
+    });
+}
+
+void standin_upstream::startQueued()
+{
+    for (auto &[priority, waiting] : m_queue)
+        while (!waiting.empty() && m_running < m_options.slots) {
+            const auto next = waiting.front();
+            waiting.pop_front();
+            start(next);
+        }
+}
+
+std::uint32_t standin_upstream::drawScore(const std::string &version)
+{
+    constexpr std::uint32_t kGood = 960; // good scores are 960 to 999, others 200 to 599
+    constexpr std::uint32_t kGoodWidth = 40;
+    constexpr std::uint32_t kBad = 200;
+    constexpr std::uint32_t kBadWidth = 400;
+    const auto bad = m_faults.badVersions.find(version);
+    const auto set = m_options.quality.find(version);
+    const double usual = set == m_options.quality.end() ? 1 : set->second;
+    const double chance = bad == m_faults.badVersions.end() ? usual : 1 - bad->second;
+    const bool isGood = std::uniform_real_distribution<>(0, 1)(m_random) < chance;
+    const auto draw = static_cast<std::uint32_t>(m_random());
+    return isGood ? kGood + draw % kGoodWidth : kBad + draw % kBadWidth;
+}
+
+void standin_upstream::emitForeign(const run_ptr &current)
+{
+    const auto other = current->attempt + "-other";
+    current->exchange->chunk(eventOf({{"attempt", other}, {"text", "crossed "}}));
+    if (current->emitted + 1 < current->tokens)
+        return;
+    current->exchange->chunk(
+        eventOf({{"attempt", other}, {"finish", "stop"}, {"prompt_tokens", 1}, {"completion_tokens", 1}}));
+}
+
+void standin_upstream::emitToken(const run_ptr &current)
+{
+    // A run stays in its timer after its connection was closed, until here.
+    if (!current->exchange->isOpen())
+        return;
+    if (m_faults.crossed)
+        emitForeign(current);
+    const bool isHalf = current->emitted >= current->tokens / 2;
+    if (isHalf && m_faults.dropRuns > 0) {
+        --m_faults.dropRuns;
+        current->exchange->drop();
+        return end(current);
+    }
+    if (isHalf && m_faults.truncated) {
+        current->exchange->endChunks();
+        return end(current);
+    }
+    const bool isLast = ++current->emitted >= current->tokens;
+    const auto text = isLast ? "[score=" + std::to_string(current->score) + ']' : std::string("word ");
+    current->exchange->chunk(eventOf({{"attempt", current->attempt}, {"text", text}}));
+    if (isLast)
+        return emitFinish(current);
+    m_loop.after(m_options.betweenTokens, [this, current] { emitToken(current); });
+}
+
+void standin_upstream::emitFinish(const run_ptr &current)
+{
+    current->exchange->chunk(eventOf({{"attempt", current->attempt},
+                                      {"finish", "stop"},
+                                      {"prompt_tokens", current->promptTokens},
+                                      {"completion_tokens", current->tokens}}));
+    current->exchange->chunk("data: [DONE]\n\n");
+    current->exchange->endChunks();
+    ++m_completedByVersion[current->version];
+    end(current);
+}
+
+void standin_upstream::end(const run_ptr &current)
+{
+    if (std::exchange(current->isRunning, false))
+        --m_running;
+    startQueued();
+}
+
+void standin_upstream::onCancelled(const run_ptr &current)
+{
+    ++m_counts["cancelled"];
+    auto &waiting = m_queue[current->priority];
+    std::erase(waiting, current);
+    end(current);
+}
+
+} // namespace foxtaildyke
