--- a/cmake/adapters.cmake
+++ b/cmake/adapters.cmake
@@ -2,7 +2,6 @@
     src/caller_api.cpp
     src/caller_protocol.cpp
     src/command_line.cpp
-    src/controller.cpp
     src/event_log.cpp
     src/event_loop.cpp
     src/http_client.cpp
