--- a/tests/failure_deployment.cpp
+++ b/tests/failure_deployment.cpp
@@ -29,7 +29,7 @@
 [tuning]
 freshness_lease_ms = 2000
 exchange_period_ms = 200
-session_key = failure-tests
+session_key = session-key-of-the-failure-tests
 [model swift]
 service = models
 prompt_micro_units_per_1k = 30
@@ -77,13 +77,13 @@
 rated = false
 deadline_ms = 20000
 [account account-a]
-api_key = key-a
+api_key = test-key-account-a
 requests_per_second = 1000
 burst = 1000
 concurrency = 200
 grants = swift grand desk
 [account account-b]
-api_key = key-b
+api_key = test-key-account-b
 requests_per_second = 1000
 burst = 1000
 concurrency = 200
@@ -186,8 +186,9 @@
     std::ofstream file(path(router.name + ".ini"));
     file << "[process]\nhost = " << router.name << "\nregion = r1\nfailure_domain = " << router.failureDomain
          << "\nlisten = " << endpoint(router.port) << "\npeer_listen = " << endpoint(router.peerPort)
-         << "\nadmin_listen = " << endpoint(router.adminPort) << "\nplatform = " << endpoint(router.platformLink->port())
-         << "\nlog = " << path(router.name + ".events") << "\n";
+         << "\nadmin_listen = " << endpoint(router.adminPort)
+         << "\nplatform = " << endpoint(router.platformLink->port()) << "\nlog = " << path(router.name + ".events")
+         << "\n";
     for (const auto &[name, link] : router.peerLinks)
         file << "[seed " << name << "]\npeer = " << endpoint(link->port()) << "\n";
 }
@@ -231,6 +232,8 @@
     const auto layers = applyEdits(m_document.layers, edits);
     if (!layers)
         throw std::runtime_error("edits: " + layers.error().field);
+    if (const auto checked = checkLayers(layers.value()); checked.has_error())
+        throw std::runtime_error("test settings: " + checked.error().field);
     m_document.layers = layers.value();
     ++m_document.generation;
     m_document.history.push_back(
@@ -281,18 +284,24 @@
 
 std::uint64_t deployment::runsOf(const std::string &requestId) const
 {
-    return std::accumulate(upstreams.begin(), upstreams.end(), std::uint64_t{0}, [&](std::uint64_t sum, const auto &upstream) {
-        const auto counted = counts(upstream->port);
-        return sum + (counted.contains("runs_by_request") ? counted["runs_by_request"].value(requestId, std::uint64_t{0}) : 0);
-    });
+    return std::accumulate(
+        upstreams.begin(), upstreams.end(), std::uint64_t{0}, [&](std::uint64_t sum, const auto &upstream) {
+            const auto counted = counts(upstream->port);
+            return sum
+                + (counted.contains("runs_by_request") ? counted["runs_by_request"].value(requestId, std::uint64_t{0})
+                                                       : 0);
+        });
 }
 
 std::uint64_t deployment::runsOfVersion(const std::string &version) const
 {
-    return std::accumulate(upstreams.begin(), upstreams.end(), std::uint64_t{0}, [&](std::uint64_t sum, const auto &upstream) {
-        const auto counted = counts(upstream->port);
-        return sum + (counted.contains("runs_by_version") ? counted["runs_by_version"].value(version, std::uint64_t{0}) : 0);
-    });
+    return std::accumulate(
+        upstreams.begin(), upstreams.end(), std::uint64_t{0}, [&](std::uint64_t sum, const auto &upstream) {
+            const auto counted = counts(upstream->port);
+            return sum
+                + (counted.contains("runs_by_version") ? counted["runs_by_version"].value(version, std::uint64_t{0})
+                                                       : 0);
+        });
 }
 
 std::size_t deployment::ledgerRecords(const std::string &type, const std::string &id) const
--- a/tests/failure_deployment.h
+++ b/tests/failure_deployment.h
@@ -45,7 +45,7 @@
     std::string sessionId;
     std::string sessionToken;
     bool stream = false;
-    std::string apiKey = "key-a";
+    std::string apiKey = "test-key-account-a";
     std::uint32_t deadlineMs = 20000;
 };
 
--- a/tests/failure_support.cpp
+++ b/tests/failure_support.cpp
@@ -308,7 +308,8 @@
             auto &entry = pairs[i];
             const bool nearReady = entries[1 + 2 * i].revents != 0;
             const bool farReady = entries[2 + 2 * i].revents != 0;
-            const bool isOpen = (!nearReady || forward(entry.near, entry.far)) && (!farReady || forward(entry.far, entry.near));
+            const bool isOpen =
+                (!nearReady || forward(entry.near, entry.far)) && (!farReady || forward(entry.far, entry.near));
             if (!isOpen)
                 closePair(entry);
         }
@@ -334,7 +335,8 @@
     auto address = loopback(0);
     socklen_t size = sizeof address;
     const bool isListening = ::bind(m_impl->listener, reinterpret_cast<const sockaddr *>(&address), size) == 0
-        && ::listen(m_impl->listener, SOMAXCONN) == 0 && ::getsockname(m_impl->listener, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+        && ::listen(m_impl->listener, SOMAXCONN) == 0
+        && ::getsockname(m_impl->listener, reinterpret_cast<sockaddr *>(&address), &size) == 0;
     if (!isListening)
         throw std::runtime_error("a link cannot listen on 127.0.0.1");
     m_impl->port = ntohs(address.sin_port);
