--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -70,6 +70,7 @@
     evhtp_request_t *request = nullptr;
     request_token token{};
     instant arrivedAt{};
+    std::string requestId; ///< as the caller gave it
     bool stream = false;
     bool isStarted = false; ///< the status line of a stream is sent
     bool isFinished = false; ///< the final answer is handed to evhtp
@@ -204,6 +205,7 @@
     input.request = open.token;
     input.unixSeconds = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
     open.stream = input.stream;
+    open.requestId = input.requestId;
     m_deliver(std::move(input));
 }
 
@@ -254,6 +256,8 @@
     addHeader(open.request, "Content-Type", "text/event-stream");
     addHeader(open.request, "Cache-Control", "no-store");
     addCommonHeaders(open.request, answer);
+    if (!answer && !open.requestId.empty())
+        addHeader(open.request, "Foxtaildyke-Request-Id", open.requestId);
     evhtp_send_reply_chunk_start(open.request, EVHTP_RES_OK);
 }
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/tcp.h>
 
 namespace foxtaildyke
 {
@@ -43,6 +44,14 @@
     return query;
 }
 
+/// Parts of a streamed answer are small and must not wait for the acknowledgement of the part before.
+void disableNagle(evhttp_connection *connection)
+{
+    const int isOn = 1;
+    const auto socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof(isOn));
+}
+
 std::string decoded(const char *path)
 {
     std::size_t size = 0;
@@ -58,6 +67,7 @@
     : method(methodOf(request))
     , m_request(request)
 {
+    disableNagle(evhttp_request_get_connection(request));
     const auto *uri = evhttp_request_get_evhttp_uri(request);
     path = decoded(evhttp_uri_get_path(uri));
     query = queryOf(uri);
--- /dev/null
+++ b/tests/test_platform_client.cpp
@@ -0,0 +1,116 @@
+// Platform client and load reports: a malformed or stale reply must not become an upstream, a rating or a load.
+#include "load_poller_p.h"
+#include "loopback_p.h"
+#include "platform_client_p.h"
+
+using namespace foxtaildyke;
+
+TEST_CASE("a host list is read, and a state that is not known counts as leaving")
+{
+    const auto list = decodeHostList(R"({"version":3,"hosts":[
+        {"name":"u1","role":"upstream","address":"127.0.0.1","port":7,"state":"live","failure_domain":"d",
+         "service":"s","model":"m","versions":["m-1","m-2"],"slots":4},
+        {"name":"h1","role":"entry","address":"127.0.0.1","port":8,"state":"booting"}]})");
+    REQUIRE(list.has_value());
+    CHECK(list.value().version == 3);
+    const auto &upstream = list.value().hosts[0];
+    CHECK(upstream.info.state == host_state::live);
+    CHECK(upstream.info.versions == std::vector<std::string>{"m-1", "m-2"});
+    CHECK(upstream.info.slots == 4);
+    CHECK(list.value().hosts[1].info.state == host_state::leaving);
+}
+
+TEST_CASE("a malformed host list is refused as a whole")
+{
+    for (const char *body : {"", "[]", R"({"version":1})", R"({"version":1,"hosts":[{"name":"u"}]})",
+                             R"({"version":1,"hosts":[{"name":"u","address":"a","port":70000000,"state":1}]})"}) {
+        CAPTURE(body);
+        const auto list = decodeHostList(body);
+        REQUIRE(list.has_error());
+        CHECK(list.error().code == error_code::protocol_violation);
+    }
+}
+
+TEST_CASE("a rating is a score from 0 to 1, and anything else is no rating")
+{
+    struct expectation {
+        int status;
+        const char *body;
+        std::optional<std::uint32_t> score;
+    };
+    const std::vector<expectation> expectations{
+        {200, R"({"score":0.873})", 873},        {200, R"({"score":1})", 1000}, {200, R"({"score":1.5})", std::nullopt},
+        {200, R"({"score":"x"})", std::nullopt}, {200, "", std::nullopt},       {503, R"({"score":1})", std::nullopt},
+    };
+    loopback net;
+    platform_client platform(net.client, net.endpoint);
+    for (const auto &expected : expectations) {
+        CAPTURE(expected.body);
+        net.serve = [&](const http_exchange_ptr &exchange) {
+            exchange->reply(expected.status, expected.body);
+        };
+        std::vector<std::optional<std::uint32_t>> scores;
+        platform.rate("k", "text", [&](std::optional<std::uint32_t> score) {
+            scores.push_back(score);
+            net.loop.stop();
+        });
+        REQUIRE(net.run());
+        CHECK(scores == std::vector{expected.score});
+    }
+}
+
+TEST_CASE("the age of a load report is measured by the upstream's own clock")
+{
+    const auto askedAt = instant(std::chrono::seconds(100));
+    const auto report = decodeLoad(
+        "u", R"({"running":1,"queued":2,"slots":8,"measured_at_ms":1700000000000,"now_ms":1700000000250})", askedAt);
+    REQUIRE(report.has_value());
+    CHECK(report->measuredAt == askedAt - std::chrono::milliseconds(250));
+    CHECK(report->running == 1);
+    CHECK(report->queued == 2);
+    const auto withoutClock = decodeLoad("u", R"({"running":1,"queued":2,"slots":8,"measured_at_ms":1})", askedAt);
+    CHECK(withoutClock->measuredAt == askedAt);
+    const auto backwards =
+        decodeLoad("u", R"({"running":1,"queued":2,"slots":8,"measured_at_ms":9,"now_ms":1})", askedAt);
+    CHECK(backwards->measuredAt == askedAt);
+    CHECK(!decodeLoad("u", R"({"running":-1,"queued":2,"slots":8})", askedAt));
+    CHECK(!decodeLoad("u", "", askedAt));
+}
+
+TEST_CASE("a host uses a bounded subset of each version that changes little when a replica goes")
+{
+    constexpr std::size_t kReplicas = 300;
+    constexpr std::size_t kLimit = 64;
+    std::vector<upstream_info> all;
+    for (std::size_t number = 0; number < kReplicas; ++number) {
+        upstream_info info;
+        info.name = "u" + std::to_string(number);
+        info.versions = {"v-" + std::to_string(number % 2)};
+        all.push_back(info);
+    }
+    const auto first = replicaSubset("host-1", all, kLimit);
+    CHECK(first.size() == 2 * kLimit);
+    CHECK(replicaSubset("host-2", all, kLimit).size() == 2 * kLimit);
+    const auto isFirst = [&](const upstream_info &info) {
+        return std::ranges::find(first, info.name, &upstream_info::name) != first.end();
+    };
+    CHECK(std::ranges::count_if(replicaSubset("host-2", all, kLimit), isFirst)
+          < static_cast<std::ptrdiff_t>(kReplicas / 3));
+    const auto gone = first.front().name;
+    std::erase_if(all, [&](const upstream_info &info) { return info.name == gone; });
+    const auto second = replicaSubset("host-1", all, kLimit);
+    CHECK(second.size() == 2 * kLimit);
+    CHECK(std::ranges::count_if(second, isFirst) == static_cast<std::ptrdiff_t>(2 * kLimit - 1));
+}
+
+TEST_CASE("a leaving replica stays visible but takes no place of a live one")
+{
+    std::vector<upstream_info> all(3);
+    for (std::size_t number = 0; number < all.size(); ++number) {
+        all[number].name = "u" + std::to_string(number);
+        all[number].versions = {"v"};
+    }
+    all[0].state = host_state::leaving;
+    const auto used = replicaSubset("h", all, 2);
+    CHECK(used.size() == 3);
+}
