Add the administration API without sockets

Cause: operators need typed answers for check, diff, apply, withdraw, roll-out, status, pending changes, history and a watch of acceptance, with a role each.

Change: admin_api authenticates bearer keys of [operator NAME] sections, routes requests to the controller and answers "accepted" (200) or "written, pending" (202) with the hosts that have not acknowledged. Keys of accounts and sessions are hidden in diffs and the history. Registered hosts stay as they are unless an apply names them.

Conclusion: the control binary only has to serve it over HTTP.

--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -1,5 +1,7 @@
 add_library(foxtaildyke-core STATIC
     src/acceptance.cpp
+    src/admin_api.cpp
+    src/admin_json.cpp
     src/admission.cpp
     src/balancer.cpp
     src/controller_lease.cpp
