Compare failure rates of a version within a stratum of requests

Change: rated answers carry a stratum (kind, escalated or not); each is compared with the baseline's rate in the same stratum, a version without a baseline with its own past after 100 answers, and the bad rate is at least four times the odds.

--- a/src/evidence.cpp
+++ b/src/evidence.cpp
@@ -12,11 +12,15 @@
 {
 
 constexpr double kBadFailureRate = 0.5; ///< failure rate that must be found
+constexpr double kBadOddsFactor =
+    4; ///< least rise of the odds of failure, where 0.5 is near or below the baseline's rate
 constexpr double kPriorFailureRate = 0.05;
-constexpr double kPriorWeight = 40; ///< answers; a baseline with fewer has no rate of its own yet
+constexpr double kPriorWeight = 40; ///< answers, of a baseline that has none of its own
+constexpr double kPriorFade = 200; ///< answers of its own after which the prior counts nothing
 constexpr double kLeastGoodRate =
     0.02; ///< below it a single failure would move the score by more than half the threshold
-constexpr double kMostGoodRate = 0.35; ///< above it the two hypotheses are too close to be told apart
+constexpr double kMostGoodRate = 0.9; ///< a cheap model may fail most requests of a kind by design
+constexpr double kLeastOwnPast = 100; ///< answers before a version without a baseline can be compared with its past
 constexpr int kTotalsLifetimePeriods = 6; ///< exchange periods after which the relay counts as lost
 
 std::uint64_t outstanding(const version_evidence &counts)
@@ -41,6 +45,21 @@
             grownBy(total.dispatched, part.dispatched), grownBy(total.settled, part.settled)};
 }
 
+std::string keyOf(std::string_view version, std::string_view stratum)
+{
+    std::string key(version);
+    if (!stratum.empty())
+        key.append("/").append(stratum);
+    return key;
+}
+
+/// @returns the failure rate that counts as bad against a good one.
+double badRate(double good)
+{
+    const auto odds = kBadOddsFactor * good / (1 - good);
+    return std::max(kBadFailureRate, odds / (1 + odds));
+}
+
 } // namespace
 
 evidence_table::evidence_table(std::string hostName)
@@ -58,9 +77,9 @@
     entry.recentFailed = entry.recentFailed * keep + static_cast<double>(results.failed);
 }
 
-const evidence_table::counts *evidence_table::find(std::string_view version) const
+const evidence_table::counts *evidence_table::find(std::string_view key) const
 {
-    const auto found = m_counts.find(version);
+    const auto found = m_counts.find(key);
     return found == m_counts.end() ? nullptr : &found->second;
 }
 
@@ -71,16 +90,17 @@
     ++entry.pending.dispatched;
 }
 
-void evidence_table::noteResult(std::string_view version, std::optional<bool> passed)
+void evidence_table::noteResult(std::string_view version, std::optional<bool> passed, std::string_view stratum)
 {
-    auto &entry = m_counts[std::string(version)];
-    for (auto *counts : {&entry.local, &entry.pending}) {
-        ++counts->settled;
-        if (passed)
-            ++(*passed ? counts->passed : counts->failed);
-    }
-    if (passed)
-        add(entry, *passed ? batch{1, 0} : batch{0, 1});
+    auto &attempts = m_counts[std::string(version)];
+    ++attempts.local.settled;
+    ++attempts.pending.settled;
+    if (!passed)
+        return;
+    auto &entry = m_counts[keyOf(version, stratum)];
+    for (auto *counts : {&entry.local, &entry.pending})
+        ++(*passed ? counts->passed : counts->failed);
+    add(entry, *passed ? batch{1, 0} : batch{0, 1});
 }
 
 void evidence_table::setTotals(const std::vector<version_evidence> &totals, instant now,
@@ -100,7 +120,8 @@
 {
     std::vector<version_evidence> deltas;
     for (auto &[name, entry] : m_counts) {
-        if (entry.pending.dispatched == 0 && entry.pending.settled == 0)
+        const auto &pending = entry.pending;
+        if (pending.dispatched + pending.settled + pending.passed + pending.failed == 0)
             continue;
         entry.pending.version = name;
         deltas.push_back(std::exchange(entry.pending, {}));
@@ -108,38 +129,54 @@
     return deltas;
 }
 
-double evidence_table::failureRate(std::string_view version) const
+double evidence_table::failureRate(std::string_view version, std::string_view stratum) const
 {
-    const auto *entry = find(version);
+    const auto *entry = find(keyOf(version, stratum));
     const auto failed = entry != nullptr ? entry->recentFailed : 0;
     const auto answers = entry != nullptr ? entry->recentFailed + entry->recentPassed : 0;
-    return (failed + kPriorFailureRate * kPriorWeight) / (answers + kPriorWeight);
+    // A prior that kept its weight would draw the rate of a cheap model, which fails often by design, too low.
+    const auto weight = kPriorWeight * std::max(0.0, 1 - answers / kPriorFade);
+    return (failed + kPriorFailureRate * weight) / (answers + weight);
 }
 
 double evidence_table::score(std::string_view version) const
 {
-    const auto *entry = find(version);
-    return entry != nullptr ? entry->score : 0;
+    const auto found = m_verdicts.find(version);
+    return found != m_verdicts.end() ? found->second.score : 0;
+}
+
+double evidence_table::scoreNew(counts &entry, std::string_view stratum, std::string_view compared,
+                                bool isOwnPast) const
+{
+    const auto results = std::exchange(entry.unscored, {});
+    if (isOwnPast && entry.recentPassed + entry.recentFailed < kLeastOwnPast)
+        return 0;
+    const auto own = entry.recentFailed / std::max(1.0, entry.recentPassed + entry.recentFailed);
+    const auto rate = isOwnPast ? own : failureRate(compared, stratum);
+    const auto good = std::clamp(rate, kLeastGoodRate, kMostGoodRate);
+    const auto bad = badRate(good);
+    return static_cast<double>(results.failed) * std::log(bad / good)
+        - static_cast<double>(results.passed) * std::log((1 - good) / (1 - bad));
 }
 
 bool evidence_table::isRejected(const fleet &config, version_handle version) const
 {
-    const auto found = m_counts.find(config[version].name);
-    if (found == m_counts.end())
-        return false;
-    auto &entry = found->second;
-    if (entry.rejected || (entry.unscored.passed == 0 && entry.unscored.failed == 0))
-        return entry.rejected;
-    // A version without a baseline is compared with its own past.
+    const std::string_view name = config[version].name;
+    auto &verdict = m_verdicts[std::string(name)];
+    if (verdict.rejected)
+        return true;
     const auto baseline = config[version].baseline;
-    const auto &compared = baseline.isValid() ? config[baseline].name : config[version].name;
-    const auto good = std::clamp(failureRate(compared), kLeastGoodRate, kMostGoodRate);
-    const auto results = std::exchange(entry.unscored, {});
-    const auto rise = static_cast<double>(results.failed) * std::log(kBadFailureRate / good);
-    const auto fall = static_cast<double>(results.passed) * std::log((1 - good) / (1 - kBadFailureRate));
-    entry.score = std::max(0.0, entry.score + rise - fall);
-    entry.rejected = entry.score >= kRejectScore;
-    return entry.rejected;
+    const std::string_view compared = baseline.isValid() ? config[baseline].name : name;
+    double change = 0;
+    for (auto item = m_counts.lower_bound(name); item != m_counts.end() && item->first.starts_with(name); ++item) {
+        const auto rest = std::string_view(item->first).substr(name.size());
+        const bool isStratum = rest.empty() || rest.front() == '/';
+        if (isStratum && item->second.unscored.passed + item->second.unscored.failed > 0)
+            change += scoreNew(item->second, rest.empty() ? rest : rest.substr(1), compared, !baseline.isValid());
+    }
+    verdict.score = std::max(0.0, verdict.score + change);
+    verdict.rejected = verdict.score >= kRejectScore;
+    return verdict.rejected;
 }
 
 std::uint64_t evidence_table::budgetPart(const fleet &config, version_handle version) const
@@ -160,7 +197,7 @@
     const auto &settings = config[version];
     const auto *entry = find(settings.name);
     const bool isLimited = settings.state == version_state::rolling_out
-        || (entry != nullptr && settings.baseline.isValid() && entry->score >= kSuspectScore);
+        || (settings.baseline.isValid() && score(settings.name) >= kSuspectScore);
     if (!isLimited)
         return true;
     const auto part = budgetPart(config, version);
--- a/src/evidence_p.h
+++ b/src/evidence_p.h
@@ -12,7 +12,7 @@
 
 /// Counts for one version, of one host or summed over hosts.
 struct version_evidence {
-    std::string version;
+    std::string version; ///< or "version/stratum": rated answers of one stratum, see evidence_table
     std::uint64_t passed = 0; ///< answers that met the target
     std::uint64_t failed = 0; ///< answers below the target, and failed attempts
     std::uint64_t dispatched = 0; ///< attempts started
@@ -20,6 +20,8 @@
 };
 
 /// @remarks Each result counts once: local results when they are noted, those of other hosts when the totals grow.
+/// Rated answers are compared within a stratum (request kind, escalated or not): a shift towards harder requests, as
+/// when a cascade starts to send a strong model only what weaker ones failed, must not look like a bad version.
 class evidence_table
 {
 public:
@@ -31,7 +33,8 @@
 
     /// Counts a settled attempt.
     /// @param passed nothing: it will not be rated.
-    void noteResult(std::string_view version, std::optional<bool> passed);
+    /// @param stratum population of requests within which failure rates can be compared.
+    void noteResult(std::string_view version, std::optional<bool> passed, std::string_view stratum = {});
 
     /// Replaces the counts of the other hosts by the totals of the relay.
     /// @param totals sums since the version's first answer; a sum that shrinks (relay restarted) is a new start.
@@ -42,7 +45,8 @@
     /// @returns local counts since the last call, to be shared.
     [[nodiscard]] std::vector<version_evidence> takeDeltas();
 
-    /// @returns whether the test rejects the version against its baseline. Once true it stays true.
+    /// @returns whether the test rejects the version against its baseline, or against its own past where it has none.
+    /// Once true it stays true.
     /// @remarks Scores what has arrived since the last call as one batch, so call it after each result.
     [[nodiscard]] bool isRejected(const fleet &config, version_handle version) const;
 
@@ -50,8 +54,9 @@
     /// test suspects it.
     [[nodiscard]] bool hasExposureLeft(const fleet &config, version_handle version, instant now) const;
 
-    /// @returns failure rate of a version over about the last kRateWindow answers, drawn towards the prior.
-    [[nodiscard]] double failureRate(std::string_view version) const;
+    /// @returns failure rate of a version in a stratum over about the last kRateWindow answers, drawn towards the
+    /// prior.
+    [[nodiscard]] double failureRate(std::string_view version, std::string_view stratum = {}) const;
 
     /// @returns log likelihood ratio of the version being bad, as of the last isRejected().
     [[nodiscard]] double score(std::string_view version) const;
@@ -68,6 +73,7 @@
         std::uint64_t passed = 0;
         std::uint64_t failed = 0;
     };
+    /// Of a version, or of one of its strata.
     struct counts {
         version_evidence local; ///< of this host, since its start
         version_evidence pending; ///< part of `local` not yet shared
@@ -75,16 +81,22 @@
         batch unscored; ///< arrived since the last isRejected()
         double recentPassed = 0; ///< aged by kRateWindow
         double recentFailed = 0;
+    };
+    struct verdict {
         double score = 0; ///< CUSUM, never below 0
         bool rejected = false;
     };
     static void add(counts &entry, const batch &results);
-    [[nodiscard]] const counts *find(std::string_view version) const;
+    [[nodiscard]] const counts *find(std::string_view key) const;
+    [[nodiscard]] double scoreNew(counts &entry, std::string_view stratum, std::string_view compared,
+                                  bool isOwnPast) const;
     [[nodiscard]] std::uint64_t budgetPart(const fleet &config, version_handle version) const;
 
     std::string m_host;
     std::optional<instant> m_totalsAt; ///< last totals of the relay
-    mutable std::map<std::string, counts, std::less<>> m_counts; ///< by version name; isRejected() scores what is new
+    using counts_map = std::map<std::string, counts, std::less<>>;
+    mutable counts_map m_counts; ///< by version name or "version/stratum"; isRejected() scores what is new
+    mutable std::map<std::string, verdict, std::less<>> m_verdicts; ///< by version name
 };
 
 } // namespace foxtaildyke
--- a/tests/test_evidence.cpp
+++ b/tests/test_evidence.cpp
@@ -95,6 +95,46 @@
     CHECK(table.failureRate("swift-1") == doctest::Approx(0.25).epsilon(0.2));
 }
 
+TEST_CASE("evidence compares like with like")
+{
+    // A cascade that starts to send a strong model only what weaker ones failed, or a burst of a harder kind, would
+    // otherwise halt a good version.
+    const auto config = rolloutFleet(1);
+    coin source{std::mt19937_64{14}};
+    evidence_table table;
+    const auto note = [&](std::string_view version, std::string_view stratum, double rate, int answers) {
+        bool rejected = false;
+        for (int i = 0; i < answers; ++i) {
+            table.noteResult(version, source.passes(rate), stratum);
+            rejected = table.isRejected(config, kNew) || table.isRejected(config, kOld) || rejected;
+        }
+        return rejected;
+    };
+    CHECK_FALSE(note("swift-1", "page-tag", 0.04, 500));
+    CHECK_FALSE(note("swift-1", "page-tag/escalated", 0.4, 200));
+    CHECK_FALSE(note("swift-1", "appeal-draft", 0.8, 500));
+    CHECK_FALSE(note("swift-2", "page-tag", 0.04, 300));
+    CHECK_FALSE(note("swift-2", "appeal-draft", 0.8, 300));
+    CHECK(note("swift-2", "page-tag", 0.5, 60));
+    CHECK_FALSE(table.isRejected(config, kOld));
+}
+
+TEST_CASE("evidence compares a version without a baseline with its own past")
+{
+    // The first version of a cheap model fails many requests by design; it must serve, and still be found to turn bad.
+    const auto config = rolloutFleet(1);
+    coin source{std::mt19937_64{15}};
+    evidence_table table;
+    for (int i = 0; i < 1000; ++i) {
+        table.noteResult("swift-1", source.passes(0.3));
+        REQUIRE_FALSE(table.isRejected(config, kOld));
+    }
+    int taken = 0;
+    for (; taken < 300 && !table.isRejected(config, kOld); ++taken)
+        table.noteResult("swift-1", source.passes(0.9));
+    CHECK(taken < 60);
+}
+
 TEST_CASE("evidence of several hosts counts each result once")
 {
     // The relay's totals hold this host's own deltas as well; counted twice they would halve the evidence needed.
--- /dev/null
+++ b/tools/load_callers.cpp
@@ -0,0 +1,101 @@
+// Open-loop callers; see load_callers.h.
+#include "load_callers.h"
+
+#include <random>
+#include <xxhash.h>
+
+namespace foxtaildyke::load
+{
+
+namespace
+{
+
+constexpr std::size_t kBytesPerToken = 4;
+
+instant fromSeconds(double seconds)
+{
+    return instant{static_cast<std::int64_t>(seconds * 1e6)};
+}
+
+/// Makes the requests of one workload, so that a change of another one does not change them.
+class workload_planner
+{
+public:
+    workload_planner(const experiment &settings, std::size_t index, std::uint64_t seed, std::int64_t unixSeconds)
+        : m_settings(settings)
+        , m_source(settings.workloads[index])
+        , m_index(index)
+        , m_unixSeconds(unixSeconds)
+        , m_random(XXH64(m_source.name.data(), m_source.name.size(), seed))
+    {
+    }
+
+    void plan(std::vector<planned_request> &requests)
+    {
+        const double length = std::max(1U, m_source.sessionLength);
+        const double startsPerSecond = m_source.ratePerSecond / length;
+        if (startsPerSecond <= 0)
+            return;
+        for (double at = gap(startsPerSecond); at < m_settings.durationSeconds; at += gap(startsPerSecond))
+            planSession(requests, at);
+    }
+
+private:
+    double gap(double perSecond) { return std::exponential_distribution<double>(perSecond)(m_random); }
+    std::uint64_t below(std::uint64_t limit)
+    {
+        return std::uniform_int_distribution<std::uint64_t>(0, limit - 1)(m_random);
+    }
+
+    void planSession(std::vector<planned_request> &requests, double at)
+    {
+        const auto &account = m_source.accounts[below(m_source.accounts.size())];
+        const auto name = m_source.name + "." + std::to_string(++m_sessions);
+        const auto group = static_cast<std::uint32_t>(below(std::max(1U, m_source.prefixGroups)));
+        for (std::uint32_t i = 0; i < std::max(1U, m_source.sessionLength); ++i) {
+            requests.push_back({.at = fromSeconds(at),
+                                .workload = m_index,
+                                .account = account,
+                                .requestId = std::to_string(m_unixSeconds + static_cast<std::int64_t>(at)) + "-" + name
+                                    + "." + std::to_string(i),
+                                .sessionId = m_source.sessionLength > 1 ? name : std::string{},
+                                .prefixGroup = group,
+                                .hardness = m_random(),
+                                .duplicate = below(1000) < m_source.duplicatePermille});
+            at += gap(1 / std::max(0.001, m_source.thinkSeconds));
+        }
+    }
+
+    const experiment &m_settings;
+    const workload &m_source;
+    std::size_t m_index;
+    std::int64_t m_unixSeconds;
+    std::mt19937_64 m_random;
+    std::uint64_t m_sessions = 0;
+};
+
+} // namespace
+
+std::vector<planned_request> planRequests(const experiment &settings, std::uint64_t seed, std::int64_t unixSeconds)
+{
+    std::vector<planned_request> requests;
+    for (std::size_t index = 0; index < settings.workloads.size(); ++index)
+        workload_planner(settings, index, seed, unixSeconds).plan(requests);
+    std::ranges::stable_sort(requests, {}, &planned_request::at);
+    return requests;
+}
+
+std::string makePrompt(const workload &source, const planned_request &request, bool shareable)
+{
+    std::string prompt;
+    if (!shareable || source.prefixTokens == 0)
+        prompt = request.requestId + " ";
+    prompt += source.name + " group " + std::to_string(request.prefixGroup) + " ";
+    prompt.resize(
+        std::max<std::size_t>(prompt.size(), std::min(source.prefixTokens, source.promptTokens) * kBytesPerToken), 'p');
+    prompt += " " + request.requestId + " ";
+    prompt.resize(std::max<std::size_t>(prompt.size(), source.promptTokens * kBytesPerToken), 'q');
+    return prompt;
+}
+
+} // namespace foxtaildyke::load
--- /dev/null
+++ b/tools/load_simulation.h
@@ -0,0 +1,135 @@
+// One run of an experiment in virtual time: several routers' decision cores, callers, simulated upstreams, and fakes of
+// the ledger, the rating service and the relay. Equal settings and seeds give equal figures.
+#pragma once
+
+#include "load_callers.h"
+#include "load_report.h"
+#include "load_upstreams.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace foxtaildyke::load
+{
+
+class simulation
+{
+public:
+    simulation(const experiment &settings, std::uint64_t seed);
+
+    /// Runs to the end of all requests. @returns the report of this run.
+    [[nodiscard]] arm_report run();
+
+private:
+    struct host {
+        host(const host_config &config, std::uint64_t seed)
+            : name(config.name)
+            , core(config.name, config.failureDomain, seed)
+        {
+        }
+        std::string name;
+        router_core core;
+        std::optional<instant> timerAt;
+        std::map<std::string, version_evidence> shared; ///< own results that the relay holds, by version
+        std::map<std::string, std::uint64_t> arrivals; ///< by account, in the current second
+    };
+    /// One sending of a request to one host.
+    struct sending {
+        std::size_t request = 0; ///< index into m_requests
+        std::size_t host = 0;
+        instant at{};
+        std::map<std::string, bool> verdicts; ///< by version: its answer meets the target
+    };
+    /// What is known of one planned request.
+    struct request_state {
+        std::uint32_t sendings = 0;
+        std::uint32_t open = 0;
+        std::uint64_t runs = 0;
+        std::uint64_t bills = 0;
+        std::uint64_t costMicroUnits = 0;
+        std::optional<finish_request> best; ///< a whole answer, otherwise the last outcome
+        bool met = false;
+        instant endedAt{};
+        std::vector<double> refusalMs;
+    };
+    struct open_attempt {
+        std::string upstream;
+        std::string version;
+        std::size_t sending = 0;
+        instant startedAt{};
+    };
+    struct ledger_entry {
+        bool claimed = false;
+        bool billed = false;
+        std::string answer;
+        std::vector<std::string> pins;
+    };
+    using attempt_key = std::pair<std::size_t, attempt_token>; ///< host and attempt
+
+    // Set-up: load_simulation.cpp.
+    void buildUpstreams();
+    void buildHosts();
+    void scheduleEvents();
+    void scheduleReports();
+    void perform(const timed_event &event);
+    void applyVersion(const timed_event &event);
+    void publishHostList();
+    void publishShares();
+
+    // Callers: load_simulation.cpp.
+    void send(std::size_t request);
+    void sendTo(std::size_t request, std::size_t hostIndex);
+    void feed(std::size_t hostIndex, const core_input &input);
+    void feedLater(milliseconds delay, std::size_t hostIndex, core_input input);
+    void armTimer(std::size_t hostIndex);
+    [[nodiscard]] bool mayResend(const request_state &state, const workload &source,
+                                 const finish_request &answer) const;
+    [[nodiscard]] bool isReported(std::size_t request) const;
+    void countRequest(std::size_t request);
+
+    // Ports: load_simulation_ports.cpp.
+    void on(std::size_t hostIndex, const start_attempt &action);
+    void on(std::size_t hostIndex, const cancel_attempt &action);
+    void on(std::size_t hostIndex, const finish_request &action);
+    void on(std::size_t hostIndex, const write_claim &action);
+    void on(std::size_t hostIndex, const write_bill &action);
+    void on(std::size_t hostIndex, const write_pin &action);
+    void on(std::size_t hostIndex, const ask_rating &action);
+    void on(std::size_t hostIndex, const share_evidence &action);
+    void on(std::size_t hostIndex, const share_halt &action);
+    void on(std::size_t hostIndex, const record_event &action);
+    template <typename action_type>
+    void on(std::size_t /*host*/, const action_type & /*action*/)
+    {
+    }
+    void endAttempt(const attempt_key &key, std::optional<attempt_failure> failure);
+    [[nodiscard]] bool meetsTarget(const planned_request &request, const std::string &version) const;
+    void scheduleRelay();
+    void runRelay();
+    void noteHalt(std::size_t hostIndex, const std::string &version);
+    void noteAnswer(const open_attempt &attempt);
+
+    experiment m_settings;
+    std::uint64_t m_seed;
+    virtual_clock m_clock;
+    std::shared_ptr<const fleet> m_config;
+    std::vector<planned_request> m_requests;
+    std::vector<request_state> m_states; ///< of m_requests
+    std::vector<sending> m_sendings; ///< index + 1 is the request token
+    std::vector<std::unique_ptr<host>> m_hosts;
+    std::vector<std::unique_ptr<upstream>> m_upstreams;
+    std::map<std::string, upstream *> m_upstreamByName;
+    std::map<attempt_key, open_attempt> m_attempts;
+    std::map<attempt_key, std::string> m_unrated; ///< versions of answers whose rating may still be asked for
+    std::map<std::pair<std::string, std::string>, ledger_entry> m_ledger; ///< by account and request or session id
+    std::map<std::string, std::string> m_sessionTokens; ///< by session
+    std::map<std::pair<std::size_t, std::string>, version_evidence> m_unshared; ///< on its way to the relay
+    std::map<std::string, std::set<std::size_t>> m_haltedOn; ///< hosts that know of a halt, by version
+    std::set<std::string> m_halts; ///< versions whose halt the relay carries
+    std::map<std::string, incident> m_incidents; ///< by version
+    bool m_relayScheduled = false;
+    bool m_ratingUp = true;
+    arm_report m_report;
+};
+
+} // namespace foxtaildyke::load
--- /dev/null
+++ b/tools/load_upstreams.h
@@ -0,0 +1,82 @@
+// Simulated upstreams in virtual time: slots, a queue by class, token speed, prefix cache, crashes.
+#pragma once
+
+#include "load_experiment.h"
+#include "router_core_p.h"
+
+#include <functional>
+#include <list>
+#include <set>
+
+namespace foxtaildyke::load
+{
+
+/// Queue of things to do in virtual time. Equal times keep the order in which they were added.
+class virtual_clock
+{
+public:
+    void at(instant time, std::function<void()> call);
+    void after(milliseconds delay, std::function<void()> call) { at(m_now + delay, std::move(call)); }
+
+    /// Runs everything up to a time.
+    void runUntil(instant time);
+    [[nodiscard]] instant now() const { return m_now; }
+    [[nodiscard]] bool isEmpty() const { return m_calls.empty(); }
+
+private:
+    std::map<std::pair<instant, std::uint64_t>, std::function<void()>> m_calls;
+    std::uint64_t m_sequence = 0;
+    instant m_now{};
+};
+
+/// An attempt as an upstream sees it.
+struct upstream_job {
+    std::string id; ///< unique over all hosts
+    std::uint64_t prefix = 0; ///< of the prompt; equal prefixes can be cached
+    std::uint32_t promptTokens = 0;
+    std::uint32_t prefixTokens = 0;
+    std::uint32_t completionTokens = 0;
+    request_class priority = request_class::standard;
+    std::function<void()> started; ///< it got a slot
+    std::function<void()> done;
+    std::function<void(attempt_failure)> failed;
+};
+
+class upstream
+{
+public:
+    upstream(virtual_clock &clock, upstream_info info, const pool &settings);
+
+    void submit(upstream_job job);
+    void cancel(const std::string &id);
+    /// Loses all jobs; further ones are not sent until restart().
+    void crash();
+    void restart() { m_up = true; }
+    void setState(host_state state) { m_info.state = state; }
+
+    [[nodiscard]] const upstream_info &info() const { return m_info; }
+    [[nodiscard]] bool isUp() const { return m_up; }
+    [[nodiscard]] std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
+    [[nodiscard]] std::uint32_t queued() const { return static_cast<std::uint32_t>(m_queue.size()); }
+    [[nodiscard]] std::uint64_t cacheHits() const { return m_cacheHits; }
+    [[nodiscard]] std::uint64_t cacheMisses() const { return m_cacheMisses; }
+
+private:
+    void startNext();
+    milliseconds serviceTime(const upstream_job &job);
+    bool takeCached(std::uint64_t prefix);
+    void end(const std::string &id, std::uint64_t run);
+
+    virtual_clock &m_clock;
+    upstream_info m_info;
+    pool m_settings;
+    bool m_up = true;
+    std::uint64_t m_runs = 0; ///< tells a job that was cancelled from a later one
+    std::map<std::string, std::pair<std::uint64_t, upstream_job>> m_running;
+    std::list<upstream_job> m_queue; ///< by class, then by arrival
+    std::list<std::uint64_t> m_cache; ///< prefixes, newest first
+    std::uint64_t m_cacheHits = 0;
+    std::uint64_t m_cacheMisses = 0;
+};
+
+} // namespace foxtaildyke::load
