--- a/src/fleet_p.h
+++ b/src/fleet_p.h
@@ -64,6 +64,14 @@
     double exposure = 1;
 };
 
+/// How the first model of a cascade is chosen. The rules besides least_loss are the baselines of experiments.
+enum class start_rule : std::uint8_t { least_loss, strongest, cheapest, uniform, count };
+
+template <>
+struct enum_names<start_rule> {
+    static constexpr std::array kNames{"least_loss", "strongest", "cheapest", "uniform"};
+};
+
 struct tuning {
     std::chrono::milliseconds freshnessLease{4000};
     std::chrono::milliseconds exchangePeriod{500};
@@ -73,6 +81,7 @@
     std::uint32_t interactiveReservePercent = 20; ///< slots of a pool that only interactive requests may take
     std::chrono::seconds quarantineLifetime{600};
     objective_weights weights;
+    start_rule startRule = start_rule::least_loss; ///< set by experiments only; there is no key in the settings
     std::string sessionKey; ///< HMAC key of session tokens
 };
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -38,6 +38,14 @@
     return draw != 0 && XXH64(&draw, sizeof draw, 0) % kSteps < static_cast<std::uint64_t>(kExplorationShare * kSteps);
 }
 
+/// @returns the start by a rule that looks at no estimate.
+std::size_t fixedStart(start_rule rule, std::size_t candidates, std::uint64_t draw)
+{
+    if (rule == start_rule::uniform)
+        return XXH64(&draw, sizeof draw, 1) % candidates;
+    return rule == start_rule::cheapest ? 0 : candidates - 1;
+}
+
 /// Expected course of a cascade from one of its models on.
 struct chain {
     double cost = 0; ///< micro-units
@@ -115,6 +123,8 @@
         return {last, "rating unavailable"};
     if (!config[kind].rated)
         return {last, "kind is not rated"};
+    if (config.tune.startRule != start_rule::least_loss)
+        return {fixedStart(config.tune.startRule, candidates.size(), draw), nameOf(config.tune.startRule)};
     const auto &name = config[kind].name;
     const bool explores = isExploring(draw);
     std::minstd_rand random(static_cast<std::uint32_t>(draw ^ (draw >> 32)));
--- a/tools/load_experiment.cpp
+++ b/tools/load_experiment.cpp
@@ -92,7 +92,10 @@
 std::optional<error> readExperiment(experiment &target, const std::string &name, const section_keys &keys)
 {
     section_reader reader(name, keys);
-    reader.read("title", target.title).read("seed", target.seed).read("repeats", target.repeats);
+    reader.read("title", target.title)
+        .read("reference", target.reference)
+        .read("seed", target.seed)
+        .read("repeats", target.repeats);
     reader.read("duration_s", target.durationSeconds).read("warmup_s", target.warmupSeconds);
     reader.read("relay_ms", target.relayMs).read("share_evidence", target.shareEvidence);
     reader.read("affinity", target.affinity).read("start_rule", target.startRule);
@@ -147,7 +150,7 @@
     const auto version = name.substr(name.find(' ') + 1);
     for (const auto &[kind, text] : keys) {
         if (!assign(target.quality[{version, kind == "default" ? "" : kind}], text))
-            return error{error_code::value_out_of_range, name + "/" + kind};
+            return error{error_code::value_out_of_range, std::string(name).append("/").append(kind)};
     }
     return std::nullopt;
 }
--- a/tools/load_experiment.h
+++ b/tools/load_experiment.h
@@ -64,6 +64,7 @@
 
 struct experiment {
     std::string title;
+    std::string reference; ///< arm that costs are compared with; empty: the first
     std::uint64_t seed = 1;
     std::uint32_t repeats = 1; ///< runs with seed, seed + 1, ...
     double durationSeconds = 60; ///< of arrivals
--- a/tools/load_main.cpp
+++ b/tools/load_main.cpp
@@ -154,6 +154,7 @@
 {
     std::vector<load::arm_report> reports;
     std::string title;
+    std::string reference;
     for (const auto &arm : file.arms) {
         if (!chosen.arm.empty() && arm.name != chosen.arm)
             continue;
@@ -161,6 +162,7 @@
         if (settings.has_error())
             return fail(settings.error(), kInvalidSettings);
         title = settings.value().title;
+        reference = settings.value().reference;
         if (chosen.checkOnly)
             continue;
         auto report = runArm(settings.value(), arm.name, chosen);
@@ -171,7 +173,7 @@
     if (chosen.checkOnly)
         return kSuccess;
     std::cout << title << '\n';
-    load::writeTable(std::cout, reports, chosen.perAccount);
+    load::writeTable(std::cout, reports, reference, chosen.perAccount);
     const bool written = writeFile(chosen.json, load::toJson(reports).dump(2) + "\n")
         && writeFile(chosen.svg, load::toSvg(title, reports));
     return written ? kSuccess : kFailure;
--- a/tools/load_report.cpp
+++ b/tools/load_report.cpp
@@ -158,9 +158,13 @@
     return values[index];
 }
 
-void writeTable(std::ostream &out, const std::vector<arm_report> &arms, bool perAccount)
+void writeTable(std::ostream &out, const std::vector<arm_report> &arms, const std::string &reference, bool perAccount)
 {
-    const auto base = arms.empty() ? tally{} : arms.front().total();
+    if (arms.empty())
+        return;
+    const auto named = std::ranges::find(arms, reference, &arm_report::arm);
+    const auto &compared = named == arms.end() ? arms.front() : *named;
+    const auto base = compared.total();
     for (const auto &entry : arms) {
         const auto total = entry.total();
         out << "arm " << entry.arm << " (seed " << entry.seed << ", runs " << entry.repeats << ")\n";
@@ -179,7 +183,7 @@
         writeRow(out, "all", total, entry.knowsQuality);
         const auto own = ratio(total.costMicroUnits, total.met);
         const auto first = ratio(base.costMicroUnits, base.met);
-        out << "  cost per answer at the target relative to " << arms.front().arm << ": "
+        out << "  cost per answer at the target relative to " << compared.arm << ": "
             << (first > 0 ? fixed(own / first, 3) : "-") << "; retry amplification " << fixed(entry.amplification(), 3)
             << "; prefix cache hits " << fixed(100 * ratio(entry.cacheHits, entry.cacheHits + entry.cacheMisses), 1)
             << " %\n";
--- a/tools/load_report.h
+++ b/tools/load_report.h
@@ -61,7 +61,8 @@
 /// @returns the value below which a share of the values lies; 0 where there are none.
 [[nodiscard]] double quantile(std::vector<double> values, double share);
 
-void writeTable(std::ostream &out, const std::vector<arm_report> &arms, bool perAccount);
+/// @param reference arm that costs are compared with; an unknown name stands for the first.
+void writeTable(std::ostream &out, const std::vector<arm_report> &arms, const std::string &reference, bool perAccount);
 [[nodiscard]] nlohmann::json toJson(const std::vector<arm_report> &arms);
 /// Bars for each arm: cost per answer that met the target, share that met it, 95th percentile of latency.
 [[nodiscard]] std::string toSvg(const std::string &title, const std::vector<arm_report> &arms);
