--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -1,13 +1,22 @@
 add_library(foxtaildyke-core STATIC
+    src/acceptance.cpp
     src/admission.cpp
     src/balancer.cpp
+    src/controller_lease.cpp
     src/evidence.cpp
     src/fleet.cpp
     src/freshness.cpp
     src/ledger.cpp
+    src/ledger_codec.cpp
+    src/ledger_compaction.cpp
+    src/ledger_index.cpp
+    src/ledger_routing.cpp
+    src/ledger_service.cpp
     src/policy.cpp
+    src/publisher.cpp
     src/quarantine.cpp
     src/relay.cpp
+    src/rollout.cpp
     src/router_core.cpp
     src/router_core_answers.cpp
     src/router_core_attempts.cpp
@@ -19,4 +28,5 @@
     src/settings_ini.cpp
     src/settings_json.cpp
     src/settings_reference.cpp
-    src/settings_table.cpp)
+    src/settings_table.cpp
+    src/timeline.cpp)
