Test the ledger service with lost calls, outages, pauses and a killed host

Cause: routing, kept bills, copies and pins in an outage had no test. Change: 200 random runs of 2 to 4 hosts with a lossy network and a faulty store, and five directed cases; the test's refusals are compared with the log.

--- /dev/null
+++ b/tests/test_ledger_service.cpp
@@ -0,0 +1,378 @@
+// The ledgers of several hosts under lost calls, store outages, pauses and a killed host: a claim must be granted once,
+// and a bill that was answered must end in the log.
+#include "ledger_fakes.h"
+#include "ledger_service_p.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace foxtaildyke;
+using namespace foxtaildyke::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::int64_t kUnixSeconds = 1'900'000'000;
+
+fleet_ptr makeFleet(std::size_t hosts)
+{
+    auto config = std::make_shared<fleet>();
+    config->generation = 1;
+    config->tune.ledgerSegments = 2;
+    for (std::size_t i = 0; i < hosts; ++i)
+        config->hosts.push_back({"host" + std::to_string(i), "taipei", i % 2 == 0 ? "zhongshan-hall" : "datong-hall"});
+    return config;
+}
+
+struct ledger_host;
+using host_table = std::map<std::string, std::unique_ptr<ledger_host>>;
+
+/// Calls between hosts: some are lost on the way, some answers on the way back.
+class fake_peers : public ledger_peers
+{
+public:
+    fake_peers(simulation &sim, paused_host &self, std::string name, host_table &hosts,
+               const std::uint64_t &lossPermille)
+        : m_sim(sim)
+        , m_self(self)
+        , m_name(std::move(name))
+        , m_hosts(hosts)
+        , m_lossPermille(lossPermille)
+    {
+    }
+
+    void append(const std::string &host, std::uint32_t segment, std::string batch, append_replies done) override;
+    void copyBills(const std::string &host, std::string batch, std::vector<std::string> release,
+                   copy_done done) override;
+
+private:
+    static constexpr auto kCallTimeoutUs = 20000us;
+
+    /// Runs `done` once: with the first answer, or with timed_out.
+    template <typename reply_type>
+    std::function<void(reply_type)> withTimeout(std::function<void(reply_type)> done)
+    {
+        auto isDone = std::make_shared<bool>(false);
+        auto once = [isDone, done](const reply_type &reply) {
+            if (!std::exchange(*isDone, true))
+                done(reply);
+        };
+        m_self.deliver(kCallTimeoutUs, [once] {
+            const reply_type failure(error{error_code::timed_out, "peer"});
+            once(failure);
+        });
+        return [this, once](const reply_type &reply) {
+            if (!m_sim.chance(m_lossPermille))
+                m_self.deliver(instant(200 + m_sim.below(800)), [once, reply] { once(reply); });
+        };
+    }
+
+    void deliver(const std::string &host, std::function<void(ledger_host &)> call);
+
+    simulation &m_sim;
+    paused_host &m_self;
+    std::string m_name;
+    host_table &m_hosts;
+    const std::uint64_t &m_lossPermille;
+};
+
+struct ledger_host {
+    ledger_host(simulation &sim, shared_store &objects, const fault_mix &faults, const std::string &name,
+                host_table &hosts, const std::uint64_t &lossPermille)
+        : process(sim)
+        , store(sim, objects, process, faults)
+        , peers(sim, process, name, hosts, lossPermille)
+        , service(name, "run1", store, peers, timing())
+        , m_sim(sim)
+    {
+        tick();
+    }
+
+    static ledger_service_timing timing()
+    {
+        ledger_service_timing timing;
+        timing.copyAfter = 20ms;
+        timing.suspect = 100ms;
+        timing.retry = 50ms;
+        timing.adoptCopy = 300ms;
+        timing.segment.settle = 40ms;
+        timing.segment.retry = 10ms;
+        timing.segment.snapshotBatches = 8;
+        return timing;
+    }
+
+    void tick()
+    {
+        service.tick(m_sim.now(), kUnixSeconds);
+        process.deliver(1ms, [this] { tick(); });
+    }
+
+    paused_host process;
+    faulty_store store;
+    fake_peers peers;
+    ledger_service service;
+
+private:
+    simulation &m_sim;
+};
+
+void fake_peers::deliver(const std::string &host, std::function<void(ledger_host &)> call)
+{
+    auto &target = *m_hosts.at(host);
+    if (!m_sim.chance(m_lossPermille))
+        target.process.deliver(instant(200 + m_sim.below(800)), [&target, call = std::move(call)] { call(target); });
+}
+
+void fake_peers::append(const std::string &host, std::uint32_t segment, std::string batch, append_replies done)
+{
+    auto reply = withTimeout<result<std::vector<append_reply>>>(std::move(done));
+    deliver(host, [segment, batch = std::move(batch), reply](ledger_host &target) {
+        target.service.serveAppend(segment, batch, reply);
+    });
+}
+
+void fake_peers::copyBills(const std::string &host, std::string batch, std::vector<std::string> release, copy_done done)
+{
+    auto reply = withTimeout<result<bool>>(std::move(done));
+    deliver(host, [name = m_name, batch = std::move(batch), release = std::move(release), reply](ledger_host &target) {
+        reply(target.service.serveCopies(name, batch, release));
+    });
+}
+
+struct answered_call {
+    record_type type = record_type::claim;
+    std::string id;
+    std::string host;
+    std::optional<append_reply> reply;
+};
+
+/// Several hosts with one store.
+struct ledger_cluster {
+    ledger_cluster(std::uint64_t seed, std::size_t count)
+        : sim(seed)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto name = "host" + std::to_string(i);
+            hosts[name] = std::make_unique<ledger_host>(sim, store, faults, name, hosts, lossPermille);
+        }
+        for (auto &[name, host] : hosts)
+            host->service.configure(makeFleet(count));
+    }
+
+    ledger_host &host(std::size_t number) { return *hosts.at("host" + std::to_string(number)); }
+
+    std::shared_ptr<answered_call> send(std::size_t number, record_type type, const std::string &id)
+    {
+        auto call = std::make_shared<answered_call>();
+        call->type = type;
+        call->id = id;
+        call->host = "host" + std::to_string(number);
+        auto &target = host(number);
+        target.process.deliver(0us, [&target, call] {
+            const auto done = [call](append_reply reply) {
+                REQUIRE_FALSE(call->reply.has_value());
+                call->reply = std::move(reply);
+            };
+            if (call->type == record_type::claim)
+                target.service.claim({{}, "studio-legale", call->id}, done);
+            else if (call->type == record_type::bill)
+                target.service.bill({{}, "studio-legale", call->id, "grand", "grand-2", 1, 2, 3, {}}, done);
+            else
+                target.service.pin({{}, "studio-legale", call->id, {"grand-2"}}, done);
+        });
+        return call;
+    }
+
+    [[nodiscard]] effective_writers log()
+    {
+        auto writers = readFromScratch(store, 0);
+        writers.merge(readFromScratch(store, 1));
+        return writers;
+    }
+
+    void killHost(std::size_t number)
+    {
+        host(number).process.kill();
+        for (auto &[name, other] : hosts)
+            other->service.setGone({"host" + std::to_string(number)});
+    }
+
+    simulation sim;
+    shared_store store;
+    fault_mix faults;
+    std::uint64_t lossPermille = 0;
+    host_table hosts;
+};
+
+/// Where every claim of a host for a key was refused as surely not written, the log holds none of them.
+void checkRefusals(const std::vector<std::shared_ptr<answered_call>> &calls, const effective_writers &log)
+{
+    std::map<std::pair<std::string, std::string>, bool> allRefused;
+    for (const auto &call : calls) {
+        if (call->type != record_type::claim)
+            continue;
+        const bool isRefused = call->reply && call->reply->status == ledger_status::unavailable;
+        auto &entry = allRefused.try_emplace({call->host, call->id}, true).first->second;
+        entry = entry && isRefused;
+    }
+    for (const auto &[key, isRefused] : allRefused) {
+        const auto found = log.find("claim " + key.second);
+        if (isRefused && found != log.end())
+            RC_ASSERT_FALSE(found->second.starts_with(key.first + "-"));
+    }
+}
+
+void runRandomCluster()
+{
+    const auto count = static_cast<std::size_t>(*rc::gen::inRange(2, 5));
+    ledger_cluster cluster(*rc::gen::arbitrary<std::uint32_t>(), count);
+    const auto permille = [](int bound) {
+        return static_cast<std::uint64_t>(*rc::gen::inRange(0, bound));
+    };
+    cluster.faults = {permille(80), permille(80), permille(80), permille(80), 50000};
+    cluster.lossPermille = permille(200);
+    const auto pausePermille = permille(40);
+    const auto outagePermille = permille(40);
+    const bool kills = *rc::gen::inRange(0, 2) == 1;
+    std::vector<std::shared_ptr<answered_call>> calls;
+    constexpr std::size_t kSteps = 200;
+    for (std::size_t step = 0; step < kSteps; ++step) {
+        cluster.sim.runUntil(cluster.sim.now() + instant(cluster.sim.below(5000)));
+        if (cluster.sim.chance(pausePermille))
+            cluster.host(cluster.sim.below(count)).process.pause(instant(cluster.sim.below(200000)));
+        if (cluster.sim.chance(outagePermille))
+            cluster.store.isDown = !cluster.store.isDown;
+        if (kills && step == kSteps / 2)
+            cluster.killHost(0);
+        const auto number = cluster.sim.below(count);
+        if (!cluster.host(number).process.isAlive())
+            continue;
+        const auto type = static_cast<record_type>(cluster.sim.below(2));
+        calls.push_back(
+            cluster.send(number, type, std::to_string(step / 20) + "-" + std::to_string(cluster.sim.below(5))));
+    }
+    cluster.faults = {};
+    cluster.lossPermille = 0;
+    cluster.store.isDown = false;
+    cluster.sim.runUntil(cluster.sim.now() + 5s);
+
+    const auto log = cluster.log();
+    std::map<std::string, int> granted;
+    for (const auto &call : calls) {
+        const bool isAlive = cluster.hosts.at(call->host)->process.isAlive();
+        RC_ASSERT(call->reply.has_value() || !isAlive);
+        if (!call->reply)
+            continue;
+        const auto status = call->reply->status;
+        const auto key = std::string(nameOf(call->type)) + " " + call->id;
+        if (call->type == record_type::claim && status == ledger_status::written) {
+            RC_ASSERT(++granted[call->id] == 1);
+            RC_ASSERT(log.contains(key));
+            RC_ASSERT(log.at(key).starts_with(call->host + "-"));
+        }
+        // One failure at a time: a copy whose holder was killed is made again, as its host is alive.
+        if (call->type == record_type::bill && (status != ledger_status::unknown || isAlive))
+            RC_ASSERT(log.contains(key));
+    }
+    checkRefusals(calls, log);
+    for (const auto &[name, host] : cluster.hosts) {
+        if (host->process.isAlive()) {
+            RC_ASSERT(host->service.unwrittenBills() == 0U);
+            RC_ASSERT(host->service.keptCopies() == 0U);
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("hosts grant a claim once and lose no answered bill under lost calls, outages, pauses and a killed host")
+{
+    setenv("RC_PARAMS", "seed=20261203 max_success=200", 0);
+    CHECK(rc::check(runRandomCluster));
+}
+
+TEST_CASE("a bill in an outage is copied to another failure domain and written after its host was killed")
+{
+    ledger_cluster cluster(1, 4);
+    cluster.sim.runUntil(100ms);
+    cluster.store.isDown = true;
+    const auto bill = cluster.send(0, record_type::bill, "b");
+    const auto claim = cluster.send(0, record_type::claim, "c");
+    cluster.sim.runUntil(200ms);
+    REQUIRE(bill->reply.has_value());
+    CHECK(bill->reply->status == ledger_status::copied);
+    REQUIRE(claim->reply.has_value());
+    CHECK(claim->reply->status == ledger_status::unavailable);
+    CHECK(cluster.host(0).service.unsecuredBills() == 0);
+    CHECK(cluster.host(2).service.keptCopies() == 0); // host2 is in the failure domain of host0
+    CHECK(cluster.host(1).service.keptCopies() + cluster.host(3).service.keptCopies() == 1);
+    cluster.killHost(0);
+    cluster.store.isDown = false;
+    cluster.sim.runUntil(1s);
+    CHECK(cluster.log().contains("bill b"));
+    CHECK(cluster.host(1).service.keptCopies() + cluster.host(3).service.keptCopies() == 0);
+}
+
+TEST_CASE("a copy is made again when its holder goes, and released when the bill is written")
+{
+    ledger_cluster cluster(2, 4);
+    cluster.sim.runUntil(100ms);
+    cluster.store.isDown = true;
+    const auto bill = cluster.send(0, record_type::bill, "b");
+    cluster.sim.runUntil(200ms);
+    const std::size_t holder = cluster.host(1).service.keptCopies() == 1 ? 1 : 3;
+    cluster.killHost(holder);
+    cluster.sim.runUntil(400ms);
+    CHECK(cluster.host(4 - holder).service.keptCopies() == 1);
+    cluster.store.isDown = false;
+    cluster.sim.runUntil(600ms);
+    CHECK(cluster.host(0).service.unwrittenBills() == 0);
+    CHECK(cluster.host(4 - holder).service.keptCopies() == 0);
+}
+
+TEST_CASE("pins in an outage are made by a loaded owner, hold, and are written afterwards")
+{
+    ledger_cluster cluster(3, 3);
+    cluster.sim.runUntil(100ms);
+    const auto before = cluster.send(0, record_type::pin, "early");
+    cluster.sim.runUntil(200ms);
+    CHECK(before->reply->status == ledger_status::written);
+    cluster.store.isDown = true;
+    const auto first = cluster.send(1, record_type::pin, "s");
+    cluster.sim.runUntil(300ms);
+    const auto second = cluster.send(2, record_type::pin, "s");
+    cluster.sim.runUntil(400ms);
+    REQUIRE(first->reply.has_value());
+    REQUIRE(second->reply.has_value());
+    CHECK(first->reply->status == ledger_status::exists_pinned);
+    CHECK(second->reply->pins == first->reply->pins);
+    cluster.store.isDown = false;
+    cluster.sim.runUntil(1s);
+    CHECK(cluster.log().contains("pin s"));
+}
+
+TEST_CASE("a host whose log is not loaded refuses pins in an outage")
+{
+    ledger_cluster cluster(4, 1);
+    cluster.store.isDown = true;
+    const auto pin = cluster.send(0, record_type::pin, "s");
+    cluster.sim.runUntil(200ms);
+    REQUIRE(pin->reply.has_value());
+    CHECK(pin->reply->status == ledger_status::unavailable);
+}
+
+TEST_CASE("a silent owner is passed by and its host's records are written by their senders")
+{
+    ledger_cluster cluster(5, 3);
+    cluster.sim.runUntil(100ms);
+    for (std::size_t i = 0; i < 3; ++i)
+        cluster.host(i).process.pause(i == 1 ? 10s : 0s);
+    std::vector<std::shared_ptr<answered_call>> calls;
+    for (int i = 0; i < 20; ++i)
+        calls.push_back(cluster.send(i % 2 == 0 ? 0 : 2, record_type::claim, std::to_string(i)));
+    cluster.sim.runUntil(1s);
+    CHECK(std::ranges::all_of(
+        calls, [](const auto &call) { return call->reply && call->reply->status == ledger_status::written; }));
+}
