--- a/tests/core_simulation_p.h
+++ b/tests/core_simulation_p.h
@@ -49,6 +49,7 @@
     std::function<attempt_script(const start_attempt &)> upstream;
     std::function<std::optional<std::uint32_t>(std::string_view version)> rating;
     std::function<void(const core_action &)> observe; ///< sees each action before the fakes do
+    std::function<void(const core_input &)> observeInput; ///< sees each input before the core does
     std::function<int(const core_input &)> copies; ///< how often a reply arrives: 0 is lost, 2 is doubled
     milliseconds ledgerDelay{2};
     fake_ledger ledger;
--- a/tests/test_core_simulation.cpp
+++ b/tests/test_core_simulation.cpp
@@ -115,6 +115,8 @@
 
 void core_simulation::feed(const core_input &input, bool isTimer)
 {
+    if (observeInput)
+        observeInput(input);
     m_core.handle(input, m_now);
     const auto actions = m_core.takeActions();
     const auto text = describe(input);
