--- a/cmake/adapters.cmake
+++ b/cmake/adapters.cmake
@@ -7,5 +7,6 @@
     src/object_store_http.cpp
     src/peer_client.cpp
     src/peer_service.cpp
+    src/peer_wire.cpp
     src/platform_client.cpp
     src/upstream_client.cpp)
--- a/src/freshness.cpp
+++ b/src/freshness.cpp
@@ -1,2 +1,130 @@
 // Freshness of the configuration; see freshness_p.h.
 #include "freshness_p.h"
+
+#include <functional>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+/// A restarted host waits one lease and a tenth before it asks others; the tenth covers clocks of different speed, as
+/// in the acceptance rule.
+constexpr int kMarginDivisor = 10;
+
+bool isMajority(std::size_t count, std::size_t of)
+{
+    return 2 * count > of;
+}
+
+} // namespace
+
+freshness::freshness(std::string hostName, instant startedAt)
+    : m_host(std::move(hostName))
+    , m_startedAt(startedAt)
+{
+}
+
+bool freshness::adopt(generation_number generation, std::vector<std::string> registeredHosts,
+                      std::chrono::milliseconds lease)
+{
+    if (generation <= m_generation)
+        return false;
+    m_generation = generation;
+    m_registered = std::move(registeredHosts);
+    m_lease = lease;
+    noteExists(generation);
+    endRecoveryOnQuorum();
+    return true;
+}
+
+void freshness::noteExists(generation_number generation)
+{
+    m_highestKnown = std::max(m_highestKnown, generation);
+}
+
+void freshness::stamp(const freshness_stamp &stamp)
+{
+    noteExists(stamp.generation);
+    const bool isNewer = stamp.generation > m_stamp.generation
+        || (stamp.generation == m_stamp.generation && stamp.currentAt > m_stamp.currentAt);
+    if (isNewer)
+        m_stamp = stamp;
+}
+
+void freshness::storeRead(generation_number generation, instant readStarted)
+{
+    stamp({generation, readStarted});
+    if (m_generation >= generation)
+        m_recovering = false;
+}
+
+instant freshness::recoverAskTime() const
+{
+    return m_startedAt + m_lease + m_lease / kMarginDivisor;
+}
+
+bool freshness::recoverAnswer(const std::string &host, bool isRecovering, generation_number generation, instant askedAt)
+{
+    noteExists(generation);
+    if (askedAt < recoverAskTime() || isRecovering || generation == 0 || host == m_host)
+        return !m_recovering;
+    m_recoverAnswers.insert(host);
+    endRecoveryOnQuorum();
+    return !m_recovering;
+}
+
+void freshness::endRecoveryOnQuorum()
+{
+    if (!m_recovering || !holdsHighest())
+        return;
+    const auto hasAnswered = [this](const std::string &name) {
+        return m_recoverAnswers.contains(name);
+    };
+    const auto answered = static_cast<std::size_t>(std::ranges::count_if(m_registered, hasAnswered));
+    if (!isMajority(answered, m_registered.size()))
+        return;
+    m_recovering = false;
+    m_recoverAnswers.clear();
+}
+
+std::optional<freshness_stamp> freshness::quorumStamp(const std::vector<instant> &vouchedAt) const
+{
+    if (!holdsHighest() || vouchedAt.size() != m_registered.size())
+        return std::nullopt;
+    // The newest majority: its oldest vouch is the one at this position.
+    const auto last = m_registered.size() / 2;
+    auto times = vouchedAt;
+    std::ranges::nth_element(times, times.begin() + static_cast<std::ptrdiff_t>(last), std::greater{});
+    if (times.empty() || times[last] == kNoVouch)
+        return std::nullopt;
+    return freshness_stamp{m_generation, times[last]};
+}
+
+bool freshness::isAcknowledged(instant vouchedAt, instant now) const
+{
+    return vouchedAt != kNoVouch && now - vouchedAt < m_lease;
+}
+
+instant freshness::leaseEnd() const
+{
+    return m_generation == 0 || m_stamp.generation != m_generation ? instant{} : m_stamp.currentAt + m_lease;
+}
+
+bool freshness::mayDispatch(instant now) const
+{
+    return mayVouch() && now < leaseEnd();
+}
+
+bool freshness::mayVouch() const
+{
+    return !m_recovering && holdsHighest() && isRegistered();
+}
+
+bool freshness::isRegistered() const
+{
+    return std::ranges::find(m_registered, m_host) != m_registered.end();
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/peer_wire.cpp
@@ -0,0 +1,194 @@
+// Conversion between the relay's messages and the wire format; see peer_wire_p.h.
+#include "peer_wire_p.h"
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr std::size_t kBitsPerByte = 8;
+
+std::string packBits(const host_bits &bits)
+{
+    std::string bytes;
+    for (std::size_t i = 0; i < bits.size(); ++i) {
+        if (!bits[i])
+            continue;
+        bytes.resize(i / kBitsPerByte + 1);
+        bytes.back() = static_cast<char>(static_cast<unsigned char>(bytes.back()) | 1U << i % kBitsPerByte);
+    }
+    return bytes;
+}
+
+host_bits unpackBits(const std::string &bytes, std::size_t skippedBytes = 0)
+{
+    host_bits bits((skippedBytes + bytes.size()) * kBitsPerByte);
+    for (std::size_t i = skippedBytes * kBitsPerByte; i < bits.size(); ++i)
+        bits[i] = (static_cast<unsigned char>(bytes[i / kBitsPerByte - skippedBytes]) >> i % kBitsPerByte & 1U) != 0;
+    return bits;
+}
+
+void writeCount(const shared_count &count, evidence_count &wire)
+{
+    wire.set_kind(count.key.kind);
+    wire.set_version(count.key.version);
+    wire.set_passed(count.values[0]);
+    wire.set_failed(count.values[1]);
+    wire.set_dispatched(count.values[2]);
+    wire.set_settled(count.values[3]);
+}
+
+shared_count readCount(const evidence_count &wire)
+{
+    return {{wire.kind(), wire.version()}, {wire.passed(), wire.failed(), wire.dispatched(), wire.settled()}};
+}
+
+void writeVouches(const vouch_set &group, exchange_request &wire)
+{
+    auto bytes = packBits(group.members);
+    const auto first = std::min(bytes.find_first_not_of('\0'), bytes.size());
+    auto &target = *wire.add_vouches();
+    target.set_skipped_bytes(static_cast<std::uint32_t>(first));
+    target.set_members(bytes.substr(first));
+    target.set_lag_us(static_cast<std::uint64_t>(group.lag.count()));
+}
+
+template <typename message>
+void writeShared(const shared_news &news, message &wire)
+{
+    for (const auto &tally : news.tallies) {
+        auto &target = *wire.add_tallies();
+        target.set_root(tally.root);
+        for (const auto &count : tally.counts)
+            writeCount(count, *target.add_counts());
+    }
+    wire.mutable_halted_versions()->Add(news.haltedVersions.begin(), news.haltedVersions.end());
+    wire.mutable_quarantined()->Add(news.quarantined.begin(), news.quarantined.end());
+}
+
+template <typename message>
+shared_news readShared(const message &wire)
+{
+    shared_news news;
+    for (const auto &tally : wire.tallies()) {
+        news.tallies.push_back({tally.root(), {}});
+        for (const auto &count : tally.counts())
+            news.tallies.back().counts.push_back(readCount(count));
+    }
+    news.haltedVersions.assign(wire.halted_versions().begin(), wire.halted_versions().end());
+    news.quarantined.assign(wire.quarantined().begin(), wire.quarantined().end());
+    return news;
+}
+
+template <typename message>
+void writeConfig(const config_content &config, message &wire)
+{
+    wire.mutable_changes()->Add(config.changes.begin(), config.changes.end());
+    wire.set_document(config.document);
+}
+
+template <typename message>
+config_content readConfig(const message &wire)
+{
+    return {{wire.changes().begin(), wire.changes().end()}, wire.document()};
+}
+
+template <typename entries>
+void writeDemand(const demand_map &demand, entries &wire)
+{
+    for (const auto &[account, milli] : demand) {
+        auto &target = *wire.Add();
+        target.set_account(account);
+        target.set_demand_milli(milli);
+    }
+}
+
+template <typename entries>
+demand_map readDemand(const entries &wire)
+{
+    demand_map demand;
+    for (const auto &entry : wire)
+        demand[entry.account()] = entry.demand_milli();
+    return demand;
+}
+
+} // namespace
+
+exchange_request toWire(const exchange_call &call)
+{
+    exchange_request wire;
+    wire.set_host(call.host);
+    wire.set_generation(call.generation);
+    wire.set_echoed_clock_us(static_cast<std::uint64_t>(call.echoedClock.count()));
+    for (const auto &group : call.vouches)
+        writeVouches(group, wire);
+    wire.set_delta_sequence(call.deltaSequence);
+    for (const auto &count : call.delta)
+        writeCount(count, *wire.add_delta());
+    writeShared(call.shared, wire);
+    writeDemand(call.demand, *wire.mutable_demand());
+    wire.set_seen_news(call.seenNews);
+    wire.set_probe(call.isProbe);
+    writeConfig(call.config, wire);
+    return wire;
+}
+
+exchange_call fromWire(const exchange_request &wire)
+{
+    exchange_call call;
+    call.host = wire.host();
+    call.generation = wire.generation();
+    call.echoedClock = instant(wire.echoed_clock_us());
+    for (const auto &group : wire.vouches())
+        call.vouches.push_back({unpackBits(group.members(), group.skipped_bytes()), instant(group.lag_us())});
+    call.deltaSequence = wire.delta_sequence();
+    for (const auto &count : wire.delta())
+        call.delta.push_back(readCount(count));
+    call.shared = readShared(wire);
+    call.demand = readDemand(wire.demand());
+    call.seenNews = wire.seen_news();
+    call.isProbe = wire.probe();
+    call.config = readConfig(wire);
+    return call;
+}
+
+exchange_reply toWire(const exchange_answer &answer)
+{
+    exchange_reply wire;
+    wire.set_generation(answer.generation);
+    wire.set_clock_us(static_cast<std::uint64_t>(answer.clock.count()));
+    wire.set_held_us(static_cast<std::uint64_t>(answer.held.count()));
+    if (answer.stampAge)
+        wire.set_stamp_age_us(static_cast<std::uint64_t>(std::max(answer.stampAge->count(), instant::rep{0})));
+    writeConfig(answer.config, wire);
+    wire.set_taken_delta_sequence(answer.takenDeltaSequence);
+    writeShared(answer.shared, wire);
+    writeDemand(answer.demandTotals, *wire.mutable_demand_totals());
+    if (answer.acknowledged)
+        wire.set_acknowledged(packBits(*answer.acknowledged));
+    wire.set_news(answer.news);
+    wire.set_unknown_child(answer.isUnknownChild);
+    return wire;
+}
+
+exchange_answer fromWire(const exchange_reply &wire)
+{
+    exchange_answer answer;
+    answer.generation = wire.generation();
+    answer.clock = instant(wire.clock_us());
+    answer.held = instant(wire.held_us());
+    if (wire.has_stamp_age_us())
+        answer.stampAge = instant(wire.stamp_age_us());
+    answer.config = readConfig(wire);
+    answer.takenDeltaSequence = wire.taken_delta_sequence();
+    answer.shared = readShared(wire);
+    answer.demandTotals = readDemand(wire.demand_totals());
+    if (wire.has_acknowledged())
+        answer.acknowledged = unpackBits(wire.acknowledged());
+    answer.news = wire.news();
+    answer.isUnknownChild = wire.unknown_child();
+    return answer;
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/peer_wire_p.h
@@ -0,0 +1,15 @@
+// Conversion between the relay's messages and the wire format of proto/peer.proto. Knows protobuf, not gRPC.
+#pragma once
+
+#include "peer.pb.h"
+#include "relay_p.h"
+
+namespace foxtaildyke
+{
+
+[[nodiscard]] exchange_request toWire(const exchange_call &call);
+[[nodiscard]] exchange_call fromWire(const exchange_request &wire);
+[[nodiscard]] exchange_reply toWire(const exchange_answer &answer);
+[[nodiscard]] exchange_answer fromWire(const exchange_reply &wire);
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/tests/freshness_sim.cpp
@@ -0,0 +1,372 @@
+// Virtual-time set of hosts, a store and configuration writers; see freshness_sim.h.
+#include "freshness_sim.h"
+
+namespace foxtaildyke::sim
+{
+
+namespace
+{
+
+constexpr auto kLease = std::chrono::milliseconds(2000);
+constexpr int kLeaseSteps = 2000 / freshness_sim::kStepMs;
+constexpr int kAcceptSteps = kLeaseSteps + kLeaseSteps / 10;
+constexpr int kRequestEverySteps = 4;
+constexpr std::size_t kStoreReaders = 2; ///< hosts that read the store also when they are not recovering
+
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::ranges::find(names, name) != names.end();
+}
+
+bool isMajority(const std::vector<std::string> &acknowledged, const std::vector<std::string> &hosts)
+{
+    const auto count = std::ranges::count_if(hosts, [&](const auto &name) { return contains(acknowledged, name); });
+    return 2 * static_cast<std::size_t>(count) > hosts.size();
+}
+
+} // namespace
+
+freshness_sim::freshness_sim(std::size_t hosts, std::uint32_t seed, std::vector<fault> faults)
+    : m_random(seed)
+    , m_faults(std::move(faults))
+    , m_hosts(hosts)
+    , m_writers(2)
+{
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < hosts; ++i) {
+        m_hosts[i].name = std::string("h") + std::to_string(i);
+        names.push_back(m_hosts[i].name);
+        boot(m_hosts[i]);
+    }
+    m_store = {{}, {"initial", names}};
+}
+
+bool freshness_sim::isActive(fault_kind kind, std::size_t host) const
+{
+    return std::ranges::any_of(m_faults, [&](const fault &f) {
+        const bool now = f.kind == kind && m_step >= f.start && m_step < f.start + f.length;
+        return now && (kind == fault_kind::outage || f.affects(host));
+    });
+}
+
+bool freshness_sim::isCut(std::size_t first, std::size_t second) const
+{
+    return std::ranges::any_of(m_faults, [&](const fault &f) {
+        const bool now = f.kind == fault_kind::partition && m_step >= f.start && m_step < f.start + f.length;
+        return now && f.affects(first) != f.affects(second);
+    });
+}
+
+instant freshness_sim::clockOf(const sim_host &host) const
+{
+    return host.clockOffset + std::chrono::milliseconds(m_step * kStepMs);
+}
+
+int freshness_sim::delay()
+{
+    // Mostly short; now and then a message is on the way for up to 4 s, twice the lease.
+    return m_random() % 8 == 0 ? static_cast<int>(m_random() % 80) : static_cast<int>(m_random() % 2);
+}
+
+void freshness_sim::boot(sim_host &host)
+{
+    const auto name = host.name;
+    const auto incarnation = host.incarnation + 1;
+    host = {};
+    host.name = name;
+    host.incarnation = incarnation;
+    host.clockOffset = std::chrono::milliseconds(m_random() % 1000000);
+    host.state = std::make_unique<freshness>(name, clockOf(host));
+}
+
+void freshness_sim::adopt(sim_host &host, generation_number generation)
+{
+    if (generation == 0)
+        return;
+    host.state->adopt(generation, m_store[generation].hosts, kLease);
+    if (host.state->generation() < host.highest)
+        fail("a generation went down");
+    host.highest = host.state->generation();
+    if (host.vouchedGeneration == host.highest)
+        return;
+    host.vouched.clear();
+    host.vouchedGeneration = host.highest;
+}
+
+void freshness_sim::readStore(std::size_t index)
+{
+    if (isActive(fault_kind::cutStore, index) || isActive(fault_kind::outage, index))
+        return;
+    const auto &host = m_hosts[index];
+    m_replies.push_back({m_step + delay(), index, host.incarnation, m_store.size() - 1, clockOf(host)});
+}
+
+void freshness_sim::sendRequests(std::size_t index)
+{
+    auto &host = m_hosts[index];
+    for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+        if (to == index || isCut(index, to))
+            continue;
+        message request;
+        request.deliverAt = m_step + delay();
+        request.from = index;
+        request.to = to;
+        request.fromIncarnation = host.incarnation;
+        request.generation = host.state->generation();
+        request.isVouch = host.state->mayVouch();
+        request.echoed = host.echo[m_hosts[to].name];
+        request.sentAt = clockOf(host);
+        m_messages.push_back(request);
+    }
+}
+
+void freshness_sim::receive(const message &text)
+{
+    auto &host = m_hosts[text.to];
+    adopt(host, text.generation);
+    if (text.isReply)
+        takeReply(text);
+    else
+        answer(text);
+}
+
+void freshness_sim::answer(const message &request)
+{
+    auto &host = m_hosts[request.to];
+    const auto &asker = m_hosts[request.from];
+    const bool echoIsOwn = request.echoed != instant{} && host.issued[asker.name] == request.echoed;
+    if (request.isVouch && echoIsOwn && request.generation == host.state->generation()) {
+        auto &vouched = host.vouched.try_emplace(asker.name, kNoVouch).first->second;
+        vouched = std::max(vouched, request.echoed);
+    }
+    host.issued[asker.name] = clockOf(host);
+    if (isCut(request.from, request.to))
+        return;
+    message reply;
+    reply.deliverAt = m_step + delay();
+    reply.from = request.to;
+    reply.to = request.from;
+    reply.toIncarnation = request.fromIncarnation;
+    reply.isReply = true;
+    reply.generation = host.state->generation();
+    reply.recovering = host.state->isRecovering();
+    reply.clock = clockOf(host);
+    reply.sentAt = request.sentAt;
+    const auto &stamp = host.state->currentStamp();
+    if (stamp.generation != 0 && stamp.generation == host.state->generation())
+        reply.stamp = freshness_stamp{stamp.generation, clockOf(host) - stamp.currentAt};
+    m_messages.push_back(reply);
+}
+
+void freshness_sim::takeReply(const message &reply)
+{
+    auto &host = m_hosts[reply.to];
+    const auto &peer = m_hosts[reply.from].name;
+    host.echo[peer] = reply.clock;
+    if (reply.stamp)
+        host.state->stamp({reply.stamp->generation, reply.sentAt - reply.stamp->currentAt});
+    const bool wasRecovering = host.state->isRecovering();
+    if (host.state->recoverAnswer(peer, reply.recovering, reply.generation, reply.sentAt) && wasRecovering)
+        ++m_quorumRecoveries;
+}
+
+void freshness_sim::applyStamps(sim_host &host)
+{
+    if (host.state->mayVouch())
+        host.vouched[host.name] = clockOf(host);
+    std::vector<instant> times;
+    if (host.state->generation() == 0)
+        return;
+    for (const auto &name : m_store[host.state->generation()].hosts)
+        times.push_back(host.vouched.contains(name) ? host.vouched[name] : kNoVouch);
+    const auto stamp = host.state->quorumStamp(times);
+    if (!stamp)
+        return;
+    const bool hadLease = host.state->mayDispatch(clockOf(host));
+    host.state->stamp(*stamp);
+    m_quorumLeases += !hadLease && host.state->mayDispatch(clockOf(host)) ? 1 : 0;
+}
+
+void freshness_sim::deliver()
+{
+    const auto due = [this](const message &text) {
+        return text.deliverAt <= m_step && !isActive(fault_kind::pause, text.to);
+    };
+    std::vector<message> now;
+    std::ranges::copy_if(m_messages, std::back_inserter(now), due);
+    std::erase_if(m_messages, due);
+    for (const auto &text : now)
+        if (text.toIncarnation == 0 || text.toIncarnation == m_hosts[text.to].incarnation)
+            receive(text);
+    const auto isDue = [this](const store_reply &reply) {
+        return reply.deliverAt <= m_step && !isActive(fault_kind::pause, reply.host);
+    };
+    std::vector<store_reply> replies;
+    std::ranges::copy_if(m_replies, std::back_inserter(replies), isDue);
+    std::erase_if(m_replies, isDue);
+    for (const auto &reply : replies) {
+        auto &host = m_hosts[reply.host];
+        if (reply.incarnation != host.incarnation)
+            continue;
+        adopt(host, reply.generation);
+        host.state->storeRead(reply.generation, reply.readStarted);
+    }
+}
+
+void freshness_sim::stepHost(std::size_t index)
+{
+    auto &host = m_hosts[index];
+    if (isActive(fault_kind::pause, index))
+        return;
+    for (const auto &f : m_faults)
+        if (f.kind == fault_kind::restart && f.start == m_step && f.affects(index))
+            boot(host);
+    // A restarted host is down for the length of its fault.
+    if (isActive(fault_kind::restart, index))
+        return;
+    if ((m_step + static_cast<int>(index)) % kRequestEverySteps == 0) {
+        sendRequests(index);
+        if (index < kStoreReaders || host.state->isRecovering())
+            readStore(index);
+    }
+    applyStamps(host);
+    if (!host.state->mayDispatch(clockOf(host)))
+        return;
+    ++m_dispatches;
+    if (host.state->generation() < m_accepted)
+        fail(host.name + " dispatched under generation " + std::to_string(host.state->generation()) + " after "
+             + std::to_string(m_accepted) + " was accepted, at step " + std::to_string(m_step));
+    if (!contains(m_store[host.state->generation()].hosts, host.name))
+        fail(host.name + " dispatched without being registered");
+}
+
+std::vector<std::string> freshness_sim::acknowledgedBy(std::size_t observer) const
+{
+    const auto &host = m_hosts[observer];
+    std::vector<std::string> names;
+    for (const auto &[name, at] : host.vouched)
+        if (host.state->isAcknowledged(at, clockOf(host)))
+            names.push_back(name);
+    return names;
+}
+
+bool freshness_sim::majorityHolds(generation_number generation) const
+{
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        const auto held = m_hosts[i].state->generation();
+        if (held >= generation && isMajority(acknowledgedBy(i), m_store[held].hosts))
+            return true;
+    }
+    return false;
+}
+
+std::vector<std::string> freshness_sim::nextHosts(generation_number base)
+{
+    auto hosts = m_store[base].hosts;
+    // One host at a time, and only after a majority holds the generation before.
+    if (m_random() % 3 != 0 || !majorityHolds(base))
+        return hosts;
+    const auto name = m_hosts[m_random() % m_hosts.size()].name;
+    if (!contains(hosts, name))
+        hosts.push_back(name);
+    else if (hosts.size() > 3)
+        std::erase(hosts, name);
+    return hosts;
+}
+
+void freshness_sim::stepWriter(writer &state)
+{
+    if (m_step < state.next)
+        return;
+    if (state.now != writer::phase::waiting && isActive(fault_kind::outage, 0))
+        return;
+    switch (state.now) {
+    case writer::phase::idle:
+        state.base = m_store.size() - 1;
+        state.now = writer::phase::deciding;
+        state.next = m_step + static_cast<int>(m_random() % 10);
+        break;
+    case writer::phase::deciding:
+        decide(state);
+        break;
+    case writer::phase::doubtful:
+        settle(state);
+        break;
+    case writer::phase::waiting:
+        checkAccepted(state);
+        break;
+    }
+}
+
+void freshness_sim::decide(writer &state)
+{
+    state.now = writer::phase::idle;
+    const auto hosts = nextHosts(state.base);
+    // Conditional update: another writer may have been faster.
+    if (state.base != m_store.size() - 1)
+        return;
+    state.changeId = std::to_string(m_random());
+    state.written = state.base + 1;
+    state.majorityAt = -1;
+    if (m_random() % 8 == 0) { // the request is lost
+        state.now = writer::phase::doubtful;
+        return;
+    }
+    m_store.push_back({state.changeId, hosts});
+    // The answer is lost now and then.
+    state.now = m_random() % 8 == 0 ? writer::phase::doubtful : writer::phase::waiting;
+}
+
+void freshness_sim::settle(writer &state)
+{
+    const bool isOurs = state.written < m_store.size() && m_store[state.written].changeId == state.changeId;
+    state.now = isOurs ? writer::phase::waiting : writer::phase::idle;
+}
+
+void freshness_sim::checkAccepted(writer &state)
+{
+    // Asks a random host for its table, as the control process does with Status.
+    const auto observer = m_random() % m_hosts.size();
+    const auto held = m_hosts[observer].state->generation();
+    if (held >= state.written && !isActive(fault_kind::pause, observer)) {
+        const auto acknowledged = acknowledgedBy(observer);
+        // A host that was removed since the last accepted generation may still have a lease.
+        std::vector<std::string> mayHoldLease;
+        for (auto g = std::max<generation_number>(m_accepted, 1); g <= held; ++g)
+            std::ranges::copy(m_store[g].hosts, std::back_inserter(mayHoldLease));
+        const bool all =
+            std::ranges::all_of(mayHoldLease, [&](const auto &name) { return contains(acknowledged, name); });
+        if (state.majorityAt < 0 && isMajority(acknowledged, m_store[held].hosts))
+            state.majorityAt = m_step;
+        if (!all && (state.majorityAt < 0 || m_step < state.majorityAt + kAcceptSteps))
+            return;
+        ++m_acceptedCount;
+        m_accepted = std::max(m_accepted, state.written);
+        m_acceptedIds[state.written] = state.changeId;
+        state.now = writer::phase::idle;
+        state.next = m_step + static_cast<int>(m_random() % 20);
+    }
+}
+
+void freshness_sim::fail(std::string text)
+{
+    if (m_failure.empty())
+        m_failure = std::move(text);
+}
+
+std::string freshness_sim::run()
+{
+    for (m_step = 0; m_step < kSteps && m_failure.empty(); ++m_step) {
+        deliver();
+        for (std::size_t i = 0; i < m_hosts.size(); ++i)
+            stepHost(i);
+        for (auto &state : m_writers)
+            stepWriter(state);
+    }
+    for (const auto &[generation, changeId] : m_acceptedIds)
+        if (generation >= m_store.size() || m_store[generation].changeId != changeId)
+            fail("an accepted change was lost");
+    return m_failure;
+}
+
+} // namespace foxtaildyke::sim
