--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -229,7 +229,8 @@
             if (published.has_error())
                 return done(errorReply(published.error()));
             const auto generation = published.value().generation;
-            m_onEvent({"change_published", {}, {}, request.author + ' ' + request.changeId, generation});
+            if (published.value().isNew)
+                m_onEvent({"change_published", {}, {}, request.author + ' ' + request.changeId, generation});
             answerAccepted(generation, wait, done);
         });
     });
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -280,10 +280,13 @@
     request.seen = m_document.generation;
     request.edits = std::move(edits);
     request.mustBeNewest = mustBeNewest;
-    publish(std::move(request), [this, alive = m_alive](const result<published_change> &published) {
+    const auto author = request.author + ' ' + request.changeId;
+    publish(std::move(request), [this, alive = m_alive, author](const result<published_change> &published) {
         if (!*alive)
             return;
         m_ownChangeOpen = false;
+        if (published.has_value() && published.value().isNew)
+            emit({"change_published", {}, {}, author, published.value().generation});
         if (published.has_value())
             return;
         // Read what is current, and derive the change again if it is still needed.
--- a/src/publisher.cpp
+++ b/src/publisher.cpp
@@ -98,6 +98,7 @@
     instant retryAt{};
     bool waiting = false; ///< for retryAt; otherwise a call to the store is open
     bool finished = false;
+    bool wrote = false; ///< at least one write was sent
     std::optional<object_version> inDoubt; ///< version on which a write without an answer was conditional
 };
 
@@ -186,7 +187,7 @@
 void config_publisher::onDocument(const operation_ptr &open, const config_document &current, object_version version)
 {
     if (const auto *change = findChange(current, open->request.changeId))
-        return finish(open, published_change{change->generation, current});
+        return finish(open, published_change{change->generation, current, open->wrote});
     // A write on another version than the present one can't take effect any more.
     if (open->inDoubt && *open->inDoubt != version)
         open->inDoubt.reset();
@@ -194,11 +195,12 @@
     if (next.has_error())
         return finish(open, next.error());
     if (next.value().generation == current.generation)
-        return finish(open, published_change{current.generation, current});
+        return finish(open, published_change{current.generation, current, false});
     auto text = encodeToFit(next.value());
     if (text.has_error())
         return finish(open, text.error());
     open->inDoubt = version;
+    open->wrote = true;
     auto onDone = [this, open, alive = m_alive, next = next.value()](const result<object_version> &written) {
         if (*alive && !open->finished)
             onWritten(open, written, next);
@@ -210,7 +212,7 @@
 {
     if (written.has_value()) {
         const auto generation = next.generation;
-        return finish(open, published_change{generation, std::move(next)});
+        return finish(open, published_change{generation, std::move(next), true});
     }
     const auto code = written.error().code;
     if (code == error_code::conflict)
--- a/src/publisher_p.h
+++ b/src/publisher_p.h
@@ -24,6 +24,7 @@
 struct published_change {
     generation_number generation = 0; ///< that the change made
     config_document document;
+    bool isNew = false; ///< made by this call; false: it was there before, or made no difference
 };
 
 /// @returns the edit that withdraws a version.
--- a/tests/test_admin_api.cpp
+++ b/tests/test_admin_api.cpp
@@ -159,6 +159,11 @@
     CHECK(change.unixMs == 1'700'000'000'000);
     CHECK(test.events.back().type == "change_published");
     CHECK(test.events.back().generation == 2);
+    // Neither a repeated change nor one without a difference is published again.
+    const auto count = test.events.size();
+    CHECK(test.post("/v1/rollout", {{"version", "v2"}, {"action", "halt"}, {"change_id", "h"}}).status == 202);
+    CHECK(test.post("/v1/rollout", {{"version", "v2"}, {"action", "halt"}, {"change_id", "i"}}).status == 202);
+    CHECK(test.events.size() == count);
 }
 
 TEST_CASE("an apply based on an older generation conflicts where the keys overlap")
--- /dev/null
+++ b/tools/control_process.cpp
@@ -0,0 +1,196 @@
+// Control process; see control_p.h.
+#include "control_p.h"
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kTick{50};
+constexpr std::chrono::milliseconds kHostsPeriod{1000};
+constexpr int kUsPerMs = 1000;
+const http_headers kJsonHeader{{"Content-Type", "application/json"}};
+
+/// Tells this process from an earlier one of the same host.
+std::string makeIncarnation()
+{
+    std::random_device device;
+    return std::to_string(device()) + '-' + std::to_string(device());
+}
+
+std::string metricLine(std::string_view name, std::string_view labels, std::uint64_t value)
+{
+    return std::string(name).append(labels).append(" ").append(std::to_string(value)).append("\n");
+}
+
+std::string_view nameOfMethod(http_method method)
+{
+    return method == http_method::post ? "POST" : method == http_method::get ? "GET" : "";
+}
+
+} // namespace
+
+result<control_settings> loadControlSettings(const std::string &path)
+{
+    auto sections = readIniFile(path);
+    if (sections.has_error())
+        return sections.error();
+    auto operators = takeOperators(sections.value());
+    if (operators.has_error())
+        return operators.error();
+    auto process = checkProcessSettings(sections.value());
+    if (process.has_error())
+        return process.error();
+    if (process.value().adminListen.address.empty())
+        return error{error_code::missing_key, "process/admin_listen"};
+    return control_settings{std::move(process.value()), std::move(operators.value())};
+}
+
+void http_orders::load(const engine_order &order, load_done done)
+{
+    const nlohmann::json body{
+        {"order", "load"}, {"model", order.model}, {"version", order.version}, {"fencing", order.token}};
+    http_request request;
+    request.endpoint = {order.target.address, order.target.port};
+    request.method = http_method::post;
+    request.path = "/orders";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = body.dump();
+    http_handlers handlers;
+    handlers.onDone = [done = std::move(done), name = order.target.name](const http_reply &reply) {
+        if (reply.end != http_end::answered)
+            return done(error{reply.end == http_end::timed_out ? error_code::timed_out : error_code::io_failure, name});
+        if (reply.status != 200)
+            return done(error{reply.status == 409 ? error_code::conflict : error_code::unavailable, name});
+        const auto answer = nlohmann::json::parse(reply.body, nullptr, false);
+        if (!answer.is_object() || !answer.contains("versions") || !answer["versions"].is_array())
+            return done(error{error_code::protocol_violation, name});
+        std::vector<std::string> versions;
+        for (const auto &version : answer["versions"])
+            versions.push_back(version.is_string() ? version.get<std::string>() : "");
+        done(std::move(versions));
+    };
+    m_client.start(std::move(request), std::move(handlers));
+}
+
+control_process::control_process(control_settings settings, event_loop &loop, status_port &router)
+    : m_settings(std::move(settings))
+    , m_loop(loop)
+    , m_log("control", m_settings.process.host, m_settings.process.log)
+    , m_client(loop)
+    , m_store(m_client, m_settings.process.platform, object_store_http::kDefaultTimeout,
+              [this](std::string_view name, std::string_view end) { m_metrics.notePlatformCall(name, end); })
+    , m_platform(m_client, m_settings.process.platform)
+    , m_orders(m_client)
+    , m_controller(m_store, router, m_orders, m_settings.process.host, makeIncarnation(),
+                   [this](const controller_event &event) { note(event); })
+    , m_api(m_controller, m_settings.operators, [this](const controller_event &event) { note(event); })
+    , m_server(loop, [this](const http_exchange_ptr &exchange) { serve(exchange); })
+    , m_timer(loop, [this] { tick(); })
+{
+}
+
+result<void> control_process::start()
+{
+    const auto port = m_server.listen(m_settings.process.adminListen);
+    if (port.has_error())
+        return port.error();
+    m_loop.onSignal(SIGTERM, [this] { m_loop.stop(); });
+    m_loop.onSignal(SIGINT, [this] { m_loop.stop(); });
+    m_log.note("started", m_settings.process.adminListen.address + ':' + std::to_string(port.value()));
+    tick();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void control_process::tick()
+{
+    const auto now = event_loop::now();
+    const auto unixMs = unixMicroseconds() / kUsPerMs;
+    m_controller.tick(now, unixMs);
+    m_api.tick(now, unixMs);
+    m_metrics.setGeneration(m_controller.document().generation);
+    if (m_controller.isHolder() && now >= m_nextHosts) {
+        m_nextHosts = now + kHostsPeriod;
+        pollHosts();
+    }
+    m_timer.start(kTick);
+}
+
+void control_process::pollHosts()
+{
+    m_platform.hosts([this](const result<host_list> &list) {
+        if (list.has_value())
+            takeHosts(list.value());
+    });
+}
+
+void control_process::takeHosts(const host_list &list)
+{
+    std::vector<listed_entry> entries;
+    std::vector<upstream_info> upstreams;
+    for (const auto &host : list.hosts) {
+        if (host.role != "entry") {
+            upstreams.push_back(host.info);
+            continue;
+        }
+        const auto &region = host.region.empty() ? m_settings.process.region : host.region;
+        entries.push_back(
+            {{host.info.name, region, host.info.failureDomain, host.info.address, host.info.port}, host.info.state});
+    }
+    m_controller.setHosts(std::move(entries), std::move(upstreams));
+}
+
+void control_process::serve(const http_exchange_ptr &exchange)
+{
+    if (exchange->path == "/healthz")
+        return exchange->reply(200, "ok\n");
+    if (exchange->path == "/metrics")
+        return exchange->reply(200, metricsText(), {{"Content-Type", "text/plain; version=0.0.4"}});
+    admin_request request;
+    request.method = nameOfMethod(exchange->method);
+    request.path = exchange->path;
+    request.query = exchange->query;
+    request.authorization = exchange->header("Authorization");
+    request.body = exchange->body;
+    m_api.handle(request, [exchange](const admin_reply &reply) {
+        if (exchange->isOpen())
+            exchange->reply(reply.status, reply.body, kJsonHeader);
+    });
+}
+
+void control_process::note(const controller_event &event)
+{
+    ++m_eventCounts[event.type];
+    record_event record;
+    record.type = event.type;
+    record.version = event.version;
+    record.upstream = event.upstream;
+    record.reason = event.reason;
+    record.generation = event.generation;
+    m_log.write(record);
+}
+
+std::string control_process::metricsText() const
+{
+    const auto &changes = m_controller.changes();
+    auto text = m_metrics.text();
+    text += "# TYPE foxtaildyke_control_holds_lease gauge\n";
+    text += metricLine("foxtaildyke_control_holds_lease", "", m_controller.isHolder() ? 1 : 0);
+    text += "# TYPE foxtaildyke_control_newest_generation gauge\n";
+    text += metricLine("foxtaildyke_control_newest_generation", "", m_controller.document().generation);
+    text += "# TYPE foxtaildyke_control_accepted_generation gauge\n";
+    text += metricLine("foxtaildyke_control_accepted_generation", "", changes.accepted());
+    text += "# TYPE foxtaildyke_control_router_answers gauge\n";
+    text += metricLine("foxtaildyke_control_router_answers", "", m_controller.routerStatus() ? 1 : 0);
+    text += "# TYPE foxtaildyke_control_events_total counter\n";
+    for (const auto &[type, count] : m_eventCounts)
+        text += metricLine("foxtaildyke_control_events_total", "{type=\"" + type + "\"}", count);
+    return text;
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/tools/ctl_main.cpp
@@ -0,0 +1,236 @@
+// foxtaildyke-ctl: operators' command line.
+#include "ctl_p.h"
+#include "rollout_p.h"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <random>
+
+using namespace foxtaildyke;
+
+namespace
+{
+
+using nlohmann::json;
+
+const program_spec kProgram{
+    "foxtaildyke-ctl",
+    "Checks and changes the configuration of a deployment.",
+    "COMMAND [ARGUMENT]...",
+    {{"server", "IP:PORT", "administration address of a control process"},
+     {"key-file", "FILE", "file that holds the operator's key"},
+     {"wait", nullptr, "wait until the change is accepted everywhere"},
+     {"wait-ms", "MS", "longest wait of --wait, at most 30000", "15000"},
+     {"generation", "N", "generation on which the files are based: later changes of the same keys conflict"},
+     {"change-id", "ID", "repeat the change with this id"},
+     {"share", "PERMILLE", "share of new sessions for rollout start and step"},
+     {"hosts", nullptr, "apply the [host NAME] sections of the files as well"},
+     {"json", nullptr, "print JSON"},
+     {"help-settings", nullptr, "print the reference of all settings and exit"}},
+    "Commands:\n"
+    "  check FILE...                           check base.ini and overlays FAILURE-DOMAIN.ini; needs no server\n"
+    "  diff FILE...                            show what apply would change\n"
+    "  apply FILE...                           make the configuration equal to the files\n"
+    "  withdraw VERSION                        withdraw a version for ever\n"
+    "  rollout start|step|halt|finish VERSION  move a roll-out\n"
+    "  status, pending, history                show the deployment\n"
+    "  acceptance GENERATION                   show whether a generation is accepted\n"
+    "FILE may be a directory: all its .ini files."};
+
+/// A command line that makes no sense.
+struct usage_error {
+    std::string text;
+};
+
+std::string makeChangeId()
+{
+    std::random_device device;
+    return std::to_string(device()) + '-' + std::to_string(device());
+}
+
+std::string readKey(const std::string &path)
+{
+    std::ifstream file(path);
+    std::string key;
+    file >> key;
+    return key;
+}
+
+template <typename number>
+number numberOption(const command_line &line, const std::string &name, std::int64_t least, std::int64_t most)
+{
+    const auto value = line.number(name, least, most);
+    if (!value)
+        throw usage_error{"--" + name};
+    return static_cast<number>(*value);
+}
+
+ctl_options readOptions(const command_line &line)
+{
+    constexpr std::int64_t kMostWaitMs = 30000;
+    constexpr std::int64_t kPermille = 1000;
+    ctl_options options;
+    const auto server = parseEndpoint(line.text("server"));
+    if (!server)
+        throw usage_error{"--server"};
+    options.server = *server;
+    options.key = readKey(line.text("key-file"));
+    if (options.key.empty())
+        throw usage_error{"--key-file"};
+    if (line.has("wait"))
+        options.wait = std::chrono::milliseconds(numberOption<std::int64_t>(line, "wait-ms", 1, kMostWaitMs));
+    if (line.has("generation"))
+        options.generation = numberOption<generation_number>(line, "generation", 0, INT64_MAX);
+    if (line.has("share"))
+        options.sharePermille = numberOption<std::uint32_t>(line, "share", 1, kPermille);
+    options.changeId = line.has("change-id") ? line.text("change-id") : makeChangeId();
+    options.withHosts = line.has("hosts");
+    options.asJson = line.has("json");
+    return options;
+}
+
+exit_code postChange(const ctl_options &options, const std::string &path, json body)
+{
+    body["change_id"] = options.changeId;
+    body["wait_ms"] = options.wait.count();
+    if (options.generation)
+        body["generation"] = *options.generation;
+    return showReply(options, callServer(options, http_method::post, path, body.dump()));
+}
+
+exit_code getPage(const ctl_options &options, const std::string &path)
+{
+    return showReply(options, callServer(options, http_method::get, path, {}));
+}
+
+exit_code failWith(const error &failure)
+{
+    printError(kProgram, failure);
+    return failure.code == error_code::not_found ? exit_code::failure : exit_code::invalid_settings;
+}
+
+std::vector<std::string> argumentsAfter(const command_line &line, std::size_t count, std::size_t least)
+{
+    if (line.arguments.size() < count + least)
+        throw usage_error{"missing argument"};
+    return {line.arguments.begin() + static_cast<std::ptrdiff_t>(count), line.arguments.end()};
+}
+
+std::string onlyArgument(const command_line &line, std::size_t count)
+{
+    const auto rest = argumentsAfter(line, count, 1);
+    if (rest.size() > 1)
+        throw usage_error{"unexpected argument '" + rest[1] + "'"};
+    return rest.front();
+}
+
+exit_code runCheck(const command_line &line)
+{
+    const auto files = readSettingsFiles(argumentsAfter(line, 1, 1));
+    const auto checked = files.has_value() ? checkSettingsFiles(files.value()) : result<void>(files.error());
+    if (checked.has_error())
+        return failWith(checked.error());
+    std::cout << (line.has("json") ? "{\"valid\":true}\n" : "valid\n");
+    return exit_code::success;
+}
+
+exit_code runFiles(const command_line &line, const std::string &path)
+{
+    const auto options = readOptions(line);
+    const auto files = readSettingsFiles(argumentsAfter(line, 1, 1));
+    const auto checked = files.has_value() ? checkSettingsFiles(files.value()) : result<void>(files.error());
+    if (checked.has_error())
+        return failWith(checked.error());
+    const auto &sent = files.value();
+    return postChange(options, path, {{"base", sent.base}, {"overlays", sent.overlays}, {"hosts", options.withHosts}});
+}
+
+exit_code runRollout(const command_line &line)
+{
+    const auto action = argumentsAfter(line, 1, 1).front();
+    if (!valueOf<rollout_action>(action))
+        throw usage_error{"unknown action '" + action + "'"};
+    const auto options = readOptions(line);
+    json body{{"action", action}, {"version", onlyArgument(line, 2)}};
+    if (options.sharePermille > 0)
+        body["share_permille"] = options.sharePermille;
+    return postChange(options, "/v1/rollout", std::move(body));
+}
+
+exit_code runAcceptance(const command_line &line)
+{
+    const auto options = readOptions(line);
+    return getPage(options,
+                   "/v1/acceptance?generation=" + onlyArgument(line, 1)
+                       + "&wait_ms=" + std::to_string(options.wait.count()));
+}
+
+struct command {
+    std::string_view name;
+    exit_code (*run)(const command_line &);
+};
+
+constexpr std::array kCommands{
+    command{"check", runCheck},
+    command{"diff",
+            [](const command_line &line) {
+                return runFiles(line, "/v1/diff");
+            }},
+    command{"apply",
+            [](const command_line &line) {
+                return runFiles(line, "/v1/apply");
+            }},
+    command{"withdraw",
+            [](const command_line &line) {
+                return postChange(readOptions(line), "/v1/withdraw", {{"version", onlyArgument(line, 1)}});
+            }},
+    command{"rollout", runRollout},
+    command{"status",
+            [](const command_line &line) {
+                return getPage(readOptions(line), "/v1/status");
+            }},
+    command{"pending",
+            [](const command_line &line) {
+                return getPage(readOptions(line), "/v1/pending");
+            }},
+    command{"history",
+            [](const command_line &line) {
+                return getPage(readOptions(line), "/v1/history");
+            }},
+    command{"acceptance", runAcceptance},
+};
+
+exit_code runCommand(const command_line &line)
+try {
+    if (line.has("help-settings")) {
+        std::cout << settingsReference();
+        return exit_code::success;
+    }
+    if (line.arguments.empty())
+        throw usage_error{"missing command"};
+    const auto *const found = std::ranges::find(kCommands, line.arguments.front(), &command::name);
+    if (found == kCommands.end())
+        throw usage_error{"unknown command '" + line.arguments.front() + "'"};
+    return line.checkOnly ? exit_code::success : found->run(line);
+} catch (const usage_error &failure) {
+    std::cerr << kProgram.name << ": usage: " << failure.text << "\nTry '" << kProgram.name << " --help'.\n";
+    return exit_code::usage;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    auto parsed = parseCommandLine(kProgram, argc, argv);
+    if (const auto *code = std::get_if<exit_code>(&parsed))
+        return static_cast<int>(*code);
+    auto &line = std::get<command_line>(parsed);
+    const auto read = addOptionsFromFile(kProgram, line);
+    if (read.has_error()) {
+        printError(kProgram, read.error());
+        return static_cast<int>(exit_code::invalid_settings);
+    }
+    return static_cast<int>(runCommand(line));
+}
