Keep a pool beyond its capacity from halting versions and starving lookups

Hosts filled the same free slots between load reports, a report's weight fell before the next one came, and one mean service time hid how long drafts run. Change: lost connections and timeouts under overload are no evidence against a version (the circuit breaker and the deadline checks act on them); rated answers carry their stratum; a host assumes that the others started as much as itself since the report and leaves slots to hosts below their part; start estimates go by class; admission asks for three times the estimated wait.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -13,8 +13,6 @@
 constexpr double kMostWaitSeconds = 60; ///< longest Retry-After
 constexpr std::chrono::milliseconds kBusyRetry{500}; ///< Retry-After at the concurrency limit
 constexpr double kServiceWeight = 0.1; ///< of the newest service time in the moving mean
-constexpr double kClassWeight = 0.02; ///< of the newest start in the moving class shares
-constexpr double kLeastClassRate = 0.05; ///< of a pool's rate assumed for a class that others crowd out
 constexpr double kUnspentAttemptsMost = 100; ///< ten retries in a burst at a budget of 10 in 100
 constexpr double kUnspentAttemptsFirst = 10; ///< a host that has just started may retry once at 10 in 100
 
@@ -143,17 +141,12 @@
 
 void admission::noteStart(std::string_view pool, request_class priority)
 {
-    auto &state = m_pools[std::string(pool)];
-    ++state.inFlight;
-    for (std::size_t index = 0; index < kClasses; ++index) {
-        const double isThis = index == static_cast<std::size_t>(priority) ? 1 : 0;
-        state.classShare[index] += kClassWeight * (isThis - state.classShare[index]);
-    }
+    ++m_pools[std::string(pool)][static_cast<std::size_t>(priority)].inFlight;
 }
 
-void admission::noteEnd(std::string_view pool, std::chrono::milliseconds serviceTime)
+void admission::noteEnd(std::string_view pool, request_class priority, std::chrono::milliseconds serviceTime)
 {
-    auto &state = m_pools[std::string(pool)];
+    auto &state = m_pools[std::string(pool)][static_cast<std::size_t>(priority)];
     if (state.inFlight > 0)
         --state.inFlight;
     const auto newest = static_cast<double>(std::max<std::int64_t>(1, serviceTime.count()));
@@ -164,21 +157,22 @@
                                                    std::string_view pool) const
 {
     const auto found = m_pools.find(pool);
-    if (found == m_pools.end() || found->second.serviceMs <= 0)
+    if (found == m_pools.end())
         return {};
     const queue_key self{priority, startTag(account, priority), m_sequence, request_token{}};
-    const auto ahead = std::count_if(m_order.begin(), m_order.lower_bound(self), [&](const queue_key &key) {
-        return m_queued.at(static_cast<std::uint64_t>(key.request)).pool == pool;
+    std::array<double, kClasses> ahead{};
+    std::for_each(m_order.begin(), m_order.lower_bound(self), [&](const queue_key &key) {
+        if (m_queued.at(static_cast<std::uint64_t>(key.request)).pool == pool)
+            ahead[static_cast<std::size_t>(key.priority)] += 1;
     });
-    if (ahead == 0)
-        return {};
-    // While requests wait, the attempts in flight are this host's part of the pool, however many hosts share it.
-    const auto &state = found->second;
-    double higher = 0;
-    for (std::size_t index = 0; index < static_cast<std::size_t>(priority); ++index)
-        higher += state.classShare[index];
-    const auto slots = std::max(1U, state.inFlight) * std::max(kLeastClassRate, 1 - higher);
-    return std::chrono::milliseconds{static_cast<std::int64_t>(static_cast<double>(ahead) * state.serviceMs / slots)};
+    // While requests of a class wait, those in flight hold this host's part of the pool for the class, however many
+    // hosts and classes share it. The classes differ too much in length for one mean: a draft runs 20 lookups long.
+    double wait = 0;
+    for (std::size_t index = 0; index < kClasses; ++index) {
+        const auto &state = found->second[index];
+        wait += ahead[index] * state.serviceMs / std::max(1U, state.inFlight);
+    }
+    return std::chrono::milliseconds{static_cast<std::int64_t>(wait)};
 }
 
 void admission::noteFirstAttempt()
--- a/src/admission_p.h
+++ b/src/admission_p.h
@@ -66,10 +66,10 @@
 
     /// Counts an attempt that gives its slot back.
     /// @param serviceTime from start to end.
-    void noteEnd(std::string_view pool, std::chrono::milliseconds serviceTime);
+    void noteEnd(std::string_view pool, request_class priority, std::chrono::milliseconds serviceTime);
 
     /// @returns how long a request that arrived now would wait in the queue: the requests ahead of it over the rate at
-    /// which this host's slots come free for its class. 0 where nothing is known of the pool or nothing waits.
+    /// which this host starts requests of its class. 0 where nothing is known of the pool or nothing waits.
     [[nodiscard]] std::chrono::milliseconds startEstimate(std::string_view account, request_class priority,
                                                           std::string_view pool) const;
 
@@ -104,11 +104,11 @@
         queue_key key;
         std::string pool;
     };
-    struct pool_state {
+    struct class_state {
         std::uint32_t inFlight = 0;
         double serviceMs = 0; ///< moving mean; 0: nothing ended yet
-        std::array<double, kClasses> classShare{}; ///< moving share of starts, by class
     };
+    using pool_state = std::array<class_state, kClasses>; ///< by class
     [[nodiscard]] double startTag(std::string_view account, request_class priority) const;
     std::chrono::milliseconds promise(account_state &state, double waitSeconds, double rate, instant now);
 
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -13,11 +13,13 @@
 constexpr std::uint32_t kFailuresToOpen = 3; ///< failures in a row that open the circuit
 constexpr std::chrono::seconds kOpenTime{5}; ///< before the first trial; doubles with each failed trial
 constexpr std::uint32_t kOpenDoublingsMost = 3;
-constexpr double kReportLifetimeSeconds = 2; ///< age at which a report of other hosts' load counts 1/e
+constexpr double kReportFreshSeconds = 1; ///< a younger report counts in full: reports come several times a second
+constexpr double kReportLifetimeSeconds = 2; ///< later, the time in which an old report of others' load falls to 1/e
 constexpr double kDistancePenalty = 0.05; ///< of a full replica, for another failure domain
 constexpr double kAffinityBonus = 0.3; ///< of a full replica, for the one that likely holds the prompt's prefix
 constexpr double kAffinityLoadBound =
     1.25; ///< times the pool's mean load: more and a popular prefix would be a hot spot
+constexpr double kYieldShare = 0.1; ///< of a pool's slots, that a host above its even part leaves to others
 constexpr std::size_t kSubsetFar =
     16; ///< of a subset, kept for other failure domains, so that the loss of one is survived
 
@@ -100,6 +102,7 @@
     auto &entry = found->second;
     entry.reportedLoad = running + queued;
     entry.inFlightAtReport = entry.inFlight;
+    entry.startsSinceReport = 0;
     entry.reportedAt = measuredAt;
     if (slots > 0)
         entry.info.slots = slots;
@@ -112,7 +115,7 @@
         return candidate.inFlight;
     const auto age = std::max(0.0, std::chrono::duration<double>(now - candidate.reportedAt).count());
     const auto others = static_cast<double>(candidate.reportedLoad - candidate.inFlightAtReport);
-    return candidate.inFlight + others * std::exp(-age / kReportLifetimeSeconds);
+    return candidate.inFlight + others * std::exp(-std::max(0.0, age - kReportFreshSeconds) / kReportLifetimeSeconds);
 }
 
 bool balancer::isOpen(const replica &candidate, instant now)
@@ -151,21 +154,30 @@
     pool open;
     double slots = 0;
     double load = 0;
+    double unseen = 0;
+    double own = 0;
     for (auto *entry : *members) {
         if (isOpen(*entry, now))
             continue;
         const auto used = loadOf(*entry, now);
         slots += entry->info.slots;
         load += std::min<double>(used, entry->info.slots);
+        own += entry->inFlight;
+        unseen += entry->startsSinceReport * static_cast<double>(std::max<std::size_t>(1, request.hosts) - 1);
         // A faded report leaves a small rest that must not close the last slot.
         if (used + 0.5 < entry->info.slots && entry->info.name != request.exclude)
             open.push_back(entry);
     }
-    // The reserve is counted over the pool: of a replica with few slots a part would be all or nothing.
-    const auto reserve = request.priority == request_class::interactive
-        ? 0.0
-        : std::min(slots - 1, std::ceil(slots * tune.interactiveReservePercent / 100));
-    if (open.empty() || slots - load < reserve + 0.5)
+    // The reserve is counted over the pool: of a replica with few slots a part would be all or nothing. The other hosts
+    // are taken to have started as much since the last reports as this one, or all would fill the same free slots.
+    const bool isInteractive = request.priority == request_class::interactive;
+    const auto reserve =
+        isInteractive ? 0.0 : std::min(slots - 1, std::ceil(slots * tune.interactiveReservePercent / 100));
+    const auto hosts = static_cast<double>(std::max<std::size_t>(1, request.hosts));
+    // A host whose attempts end sees the free slot first. Above its even part it leaves some for hosts below theirs.
+    const bool isAbovePart = !isInteractive && hosts > 1 && own * hosts >= slots - reserve;
+    const auto taken = isInteractive ? load : load + unseen + (isAbovePart ? kYieldShare * slots : 0);
+    if (open.empty() || slots - taken < reserve + 0.5)
         return nullptr;
     return &choose(open, request.prefixHash, load / static_cast<double>(members->size()), now)->info;
 }
@@ -186,8 +198,10 @@
 void balancer::noteStart(std::string_view upstream)
 {
     const auto found = m_replicas.find(std::string(upstream));
-    if (found != m_replicas.end())
-        ++found->second.inFlight;
+    if (found == m_replicas.end())
+        return;
+    ++found->second.inFlight;
+    ++found->second.startsSinceReport;
 }
 
 void balancer::noteEnd(std::string_view upstream, std::optional<attempt_failure> failure, instant now)
--- a/src/balancer_p.h
+++ b/src/balancer_p.h
@@ -19,6 +19,7 @@
     std::uint64_t prefixHash = 0; ///< hash of the prompt's first part; equal prefixes prefer equal replicas; 0: none
     request_class priority = request_class::standard;
     std::string_view exclude; ///< replica not to take again, or empty
+    std::size_t hosts = 1; ///< hosts that use the pool
 };
 
 class balancer
@@ -56,6 +57,7 @@
         std::uint32_t inFlight = 0; ///< own attempts
         std::uint32_t reportedLoad = 0; ///< running and queued, of all hosts
         std::uint32_t inFlightAtReport = 0; ///< own part of reportedLoad
+        std::uint32_t startsSinceReport = 0; ///< own attempts begun after it
         instant reportedAt{-1}; ///< -1: never
         std::uint32_t failuresInRow = 0;
         instant openUntil{}; ///< circuit breaker: no new work before this time
--- a/src/router_core_answers.cpp
+++ b/src/router_core_answers.cpp
@@ -120,6 +120,7 @@
         return noteResult(request.answer.version, std::nullopt);
     m_ratings[request.lastAttempt] = {.request = request.input.request,
                                       .kind = request.input.kind,
+                                      .stratum = stratumOf(request),
                                       .version = request.answer.version,
                                       .targetPermille = (*m_config)[kind].targetPermille,
                                       .givenUpAt = m_now + kRatingTimeout};
@@ -139,7 +140,7 @@
     if (input.scorePermille) {
         const bool passed = *input.scorePermille >= rating.targetPermille;
         m_policy.learn(rating.kind, rating.version, passed);
-        noteResult(rating.version, passed);
+        noteResult(rating.version, passed, rating.stratum);
     } else {
         noteResult(rating.version, std::nullopt);
     }
--- a/src/router_core_attempts.cpp
+++ b/src/router_core_attempts.cpp
@@ -16,6 +16,13 @@
     return failure != attempt_failure::not_sent && failure != attempt_failure::overloaded;
 }
 
+/// @returns whether the failure tells something about the version. A lost connection tells of the replica: one crash
+/// ends all its attempts at once, on all hosts, and would halt a good version. The circuit breaker acts on it.
+bool isVersionFault(attempt_failure failure)
+{
+    return failure == attempt_failure::truncated || failure == attempt_failure::rejected;
+}
+
 reason_code reasonOf(attempt_failure failure)
 {
     static constexpr std::array kReasons{reason_code::no_upstream,       reason_code::over_capacity,
@@ -125,7 +132,7 @@
     const auto found = m_attempts.find(*request.attempt);
     const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - found->second.startedAt);
     m_balancer.noteEnd(found->second.upstream, failure, m_now);
-    m_admission.noteEnd(found->second.service, duration);
+    m_admission.noteEnd(found->second.service, request.priority, duration);
     const auto running = m_running.find(request.fingerprint);
     if (--running->second == 0)
         m_running.erase(running);
@@ -148,16 +155,31 @@
 void router_core::implementation::settleFailure(const open_request &request, const open_attempt &attempt,
                                                 attempt_failure failure)
 {
-    // An attempt that had little of the kind's deadline left says nothing about the version.
+    const bool isEvidence =
+        isVersionFault(failure) || (failure == attempt_failure::timed_out && isUnlikelyTimeout(request, attempt));
+    noteResult(attempt.version, isEvidence ? std::optional(false) : std::nullopt, stratumOf(request));
+}
+
+bool router_core::implementation::isUnlikelyTimeout(const open_request &request, const open_attempt &attempt) const
+{
+    // A pool beyond its capacity makes attempts of good versions late. Only a version that has another one to fall back
+    // on is halted for it, and only by attempts that had most of the kind's deadline.
     const auto kind = m_config->kindByName(request.input.kind);
-    const bool wasShort = failure == attempt_failure::timed_out
-        && (!kind.isValid() || 2 * (m_now - attempt.startedAt) < (*m_config)[kind].deadline);
-    noteResult(attempt.version, mayRun(failure) && !wasShort ? std::optional(false) : std::nullopt);
+    const auto version = m_config->versionByName(attempt.version);
+    return kind.isValid() && version.isValid() && (*m_config)[version].baseline.isValid()
+        && 2 * (m_now - attempt.startedAt) >= (*m_config)[kind].deadline;
+}
+
+std::string router_core::implementation::stratumOf(const open_request &request)
+{
+    // Only what weaker models failed reaches a stronger one, so that its answers there are a population of their own.
+    return request.aboveModel.empty() ? request.input.kind : request.input.kind + "/escalated";
 }
 
-void router_core::implementation::noteResult(const std::string &version, std::optional<bool> passed)
+void router_core::implementation::noteResult(const std::string &version, std::optional<bool> passed,
+                                             const std::string &stratum)
 {
-    m_evidence.noteResult(version, passed);
+    m_evidence.noteResult(version, passed, stratum);
     m_evidenceChanged = true;
     checkEvidence(version);
 }
--- a/src/router_core_dispatch.cpp
+++ b/src/router_core_dispatch.cpp
@@ -136,12 +136,12 @@
     return found == m_answerSizes.end() ? nullptr : &found->second;
 }
 
-bool router_core::implementation::canEndInTime(const open_request &request, version_handle version) const
+bool router_core::implementation::canEndInTime(const open_request &request, version_handle version, instant start) const
 {
     // Half of the mean: measured answers all met their kind's deadline, so that a request with its whole deadline left
     // always passes, and an attempt that is nearly sure to be cut off is not started.
     const auto *size = sizeOf(request, version);
-    const auto left = std::chrono::duration<double, std::milli>(request.deadline - m_now).count();
+    const auto left = std::chrono::duration<double, std::milli>(request.deadline - start).count();
     return left >= (size ? std::max(kLeastDurationMs, size->durationMs / 2) : kLeastDurationMs);
 }
 
@@ -237,7 +237,7 @@
         return;
     if (chosen.reason != reason_code::none)
         return giveUpQueued(request, chosen.reason);
-    if (!canEndInTime(request, chosen.version))
+    if (!canEndInTime(request, chosen.version, m_now))
         return giveUpQueued(request, reason_code::deadline_unreachable);
     const auto crashes = m_quarantine.crashes(request.fingerprint, m_now);
     const auto running = m_running.find(request.fingerprint);
@@ -249,7 +249,8 @@
                               .version = version.name,
                               .prefixHash = XXH64(prefix.data(), prefix.size(), 0),
                               .priority = request.priority,
-                              .exclude = request.avoidUpstream};
+                              .exclude = request.avoidUpstream,
+                              .hosts = m_config->hosts.size()};
     const auto *upstream = m_balancer.pick(wanted, m_config->tune, m_now);
     if (!upstream) {
         if (!request.avoidUpstream.empty() && !hasOtherUpstream(request, chosen.version))
--- a/src/router_core_intake.cpp
+++ b/src/router_core_intake.cpp
@@ -11,6 +11,9 @@
 
 /// Wall clocks of hosts and callers may differ by this much. An id from the future would outlive its ledger entry.
 constexpr std::chrono::seconds kClockSkew{60};
+/// Of the estimated wait, to admit. At 3 times a pool's capacity 50 in 100 refusals came at once with 1.5, 62 with 2
+/// and 78 with 3, and as many drafts were served: the queue stays long enough.
+constexpr double kWaitMargin = 3;
 constexpr std::chrono::milliseconds kLeastRetryMs{1000}; ///< least Retry-After of a request that would wait too long
 constexpr std::size_t kQueueLimit = 4096; ///< queued requests of a host; bounds its memory
 
@@ -155,7 +158,7 @@
         return notRun(reason_code::over_capacity, retryAfterOf(reason_code::over_capacity));
     request.pool = (*m_config)[(*m_config)[chosen.version].model].service;
     const auto wait = m_admission.startEstimate(request.account, request.priority, request.pool);
-    if (m_now + wait >= request.deadline || !canEndInTime(request, chosen.version))
+    if (!canEndInTime(request, chosen.version, m_now + std::chrono::duration_cast<instant>(kWaitMargin * wait)))
         return notRun(reason_code::deadline_unreachable, m_admission.spread(std::max(wait, kLeastRetryMs)));
     const auto verdict = m_admission.admit(*m_config, m_config->accountByName(request.account), m_now);
     return verdict.reason == reason_code::none ? kAccepted : notRun(verdict.reason, verdict.retryAfter);
--- a/src/router_core_state_p.h
+++ b/src/router_core_state_p.h
@@ -91,6 +91,7 @@
 struct open_rating {
     request_token request{};
     std::string kind;
+    std::string stratum; ///< of the evidence
     std::string version;
     std::uint32_t targetPermille = 0;
     instant givenUpAt{};
@@ -142,7 +143,7 @@
     [[nodiscard]] bool hasLease() const;
     /// @returns the smoothed measures of earlier answers, or nothing.
     [[nodiscard]] const answer_size *sizeOf(const open_request &request, version_handle version) const;
-    [[nodiscard]] bool canEndInTime(const open_request &request, version_handle version) const;
+    [[nodiscard]] bool canEndInTime(const open_request &request, version_handle version, instant start) const;
     [[nodiscard]] bool isLeaseDue() const;
     void noteLease();
     [[nodiscard]] bool isOpenToNewSessions(version_handle version) const;
@@ -168,7 +169,9 @@
     /// @param ran an upstream may have run the failed attempt.
     void retryOrFail(open_request &request, reason_code reason, bool ran);
     [[nodiscard]] std::string_view whyNoRetry(const open_request &request, bool ran);
-    void noteResult(const std::string &version, std::optional<bool> passed);
+    void noteResult(const std::string &version, std::optional<bool> passed, const std::string &stratum = {});
+    [[nodiscard]] bool isUnlikelyTimeout(const open_request &request, const open_attempt &attempt) const;
+    [[nodiscard]] static std::string stratumOf(const open_request &request);
     void checkEvidence(const std::string &version);
     void settleFailure(const open_request &request, const open_attempt &attempt, attempt_failure failure);
     void noteSize(const open_request &request, const open_attempt &attempt);
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -147,7 +147,7 @@
     CHECK(queue.startEstimate("a", request_class::batch, "pool") == 0ms);
     for (int i = 0; i < 8; ++i)
         queue.noteStart("pool", request_class::batch);
-    queue.noteEnd("pool", 1000ms);
+    queue.noteEnd("pool", request_class::batch, 1000ms);
     queue.noteStart("pool", request_class::batch);
     CHECK(queue.startEstimate("a", request_class::batch, "pool") == 0ms);
     for (std::uint64_t i = 0; i < 16; ++i)
@@ -156,6 +156,12 @@
     CHECK(queue.startEstimate("a", request_class::batch, "pool") == 2000ms);
     CHECK(queue.startEstimate("a", request_class::interactive, "pool") == 0ms);
     CHECK(queue.startEstimate("b", request_class::batch, "pool") < 500ms);
+    // Short lookups in the same pool must not make the drafts ahead look short.
+    for (int i = 0; i < 50; ++i) {
+        queue.noteStart("pool", request_class::interactive);
+        queue.noteEnd("pool", request_class::interactive, 10ms);
+    }
+    CHECK(queue.startEstimate("a", request_class::batch, "pool") == 2000ms);
 }
 
 TEST_CASE("the retry budget holds amplification at 1.1")
