--- a/tools/load_report.cpp
+++ b/tools/load_report.cpp
@@ -42,6 +42,8 @@
                         {"cost_per_met_answer", ratio(sums.costMicroUnits, sums.met)},
                         {"share_met", ratio(sums.met, count(sums, outcome_kind::complete))},
                         {"share_in_time", ratio(sums.inTime, sums.requests)},
+                        {"refusals", sums.refusalMs.size()},
+                        {"refusals_at_once", sums.refusedAtOnce()},
                         {"refusal_ms_most", quantile(sums.refusalMs, 1)},
                         {"runs", sums.runs},
                         {"runs_most_per_id", sums.runsMost},
@@ -74,9 +76,10 @@
     const auto complete = count(sums, outcome_kind::complete);
     out << std::setw(9) << (knowsQuality ? fixed(ratio(sums.costMicroUnits, sums.met), 1) : "-") << std::setw(8)
         << (knowsQuality ? fixed(100 * ratio(sums.met, complete), 1) : "-") << std::setw(8)
-        << fixed(100 * ratio(sums.inTime, sums.requests), 1) << std::setw(9) << fixed(quantile(sums.refusalMs, 1), 0)
-        << std::setw(6) << sums.runsMost << std::setw(6) << sums.billsMost << std::setw(7) << sums.rerunNonIdempotent
-        << '\n';
+        << fixed(100 * ratio(sums.inTime, sums.requests), 1) << std::setw(8)
+        << fixed(100 * ratio(sums.refusedAtOnce(), sums.refusalMs.size()), 1) << std::setw(9)
+        << fixed(quantile(sums.refusalMs, 1), 0) << std::setw(6) << sums.runsMost << std::setw(6) << sums.billsMost
+        << std::setw(7) << sums.rerunNonIdempotent << '\n';
 }
 
 void writeIncidents(std::ostream &out, const std::vector<incident> &incidents)
@@ -127,6 +130,13 @@
     rerunNonIdempotent += other.rerunNonIdempotent;
 }
 
+std::uint64_t tally::refusedAtOnce() const
+{
+    constexpr double kAtOnceMs = 50; // the target for a refusal
+    return static_cast<std::uint64_t>(
+        std::ranges::count_if(refusalMs, [](double value) { return value <= kAtOnceMs; }));
+}
+
 tally arm_report::total() const
 {
     tally sum;
@@ -171,7 +181,7 @@
         out << std::left << std::setw(34) << "workload" << std::right;
         for (const auto *column :
              {"requests", "complete", "invalid", "not_run", "may_run", "failed", "p50 ms", "p95 ms", "p99 ms",
-              "cost/met", "met %", "time %", "refuse ms", "runs", "bills", "rerun"})
+              "cost/met", "met %", "time %", "at once %", "refuse ms", "runs", "bills", "rerun"})
             out << ' ' << column;
         out << '\n';
         for (const auto &[name, sums] : entry.byWorkload())
--- a/tools/load_report.h
+++ b/tools/load_report.h
@@ -29,6 +29,7 @@
     std::uint64_t rerunNonIdempotent = 0; ///< request ids of non-idempotent kinds that ran more than once
 
     void add(const tally &other);
+    [[nodiscard]] std::uint64_t refusedAtOnce() const; ///< refusals within 50 ms
 };
 
 /// A version that turned bad during a run, or was halted without turning bad.
