--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -12,7 +12,8 @@
 
 constexpr std::uint32_t kFailuresToOpen = 3; ///< failures in a row that open the circuit
 constexpr std::chrono::seconds kOpenTime{5}; ///< before the first trial; doubles with each failed trial
-constexpr std::uint32_t kOpenDoublingsMost = 3;
+constexpr std::uint32_t kOpenDoublingsMost =
+    1; ///< a replica that came back waits for its trial as long as the circuit stays open
 constexpr double kReportFreshSeconds = 1; ///< a younger report counts in full: reports come several times a second
 constexpr double kReportLifetimeSeconds = 2; ///< later, the time in which an old report of others' load falls to 1/e
 constexpr double kDistancePenalty = 0.05; ///< of a full replica, for another failure domain
@@ -118,6 +119,26 @@
     return candidate.inFlight + others * std::exp(-std::max(0.0, age - kReportFreshSeconds) / kReportLifetimeSeconds);
 }
 
+double balancer::unseenStarts(const replica &candidate, std::size_t hosts, instant now)
+{
+    // Without reports the own starts would only add up, and in the end keep the host from a pool that is free.
+    const auto age = std::chrono::duration<double>(now - candidate.reportedAt).count();
+    if (candidate.reportedAt < instant{} || age > kReportFreshSeconds || hosts < 2)
+        return 0;
+    return candidate.startsSinceReport * static_cast<double>(hosts - 1);
+}
+
+bool balancer::isLastClosed(const replica &candidate, instant now) const
+{
+    return std::ranges::any_of(m_pools, [&](const auto &item) {
+        const auto &members = item.second;
+        const bool isMember = std::ranges::find(members, &candidate) != members.end();
+        return isMember && std::ranges::none_of(members, [&](const replica *other) {
+                   return other != &candidate && now >= other->openUntil;
+               });
+    });
+}
+
 bool balancer::isOpen(const replica &candidate, instant now)
 {
     return now < candidate.openUntil || (candidate.isHalfOpen && candidate.inFlight > 0);
@@ -163,7 +184,7 @@
         slots += entry->info.slots;
         load += std::min<double>(used, entry->info.slots);
         own += entry->inFlight;
-        unseen += entry->startsSinceReport * static_cast<double>(std::max<std::size_t>(1, request.hosts) - 1);
+        unseen += unseenStarts(*entry, request.hosts, now);
         // A faded report leaves a small rest that must not close the last slot.
         if (used + 0.5 < entry->info.slots && entry->info.name != request.exclude)
             open.push_back(entry);
@@ -228,7 +249,12 @@
     // Attempts that began before the circuit opened say nothing new.
     if (now < entry.openUntil)
         return;
-    if (++entry.failuresInRow < kFailuresToOpen && !entry.isHalfOpen)
+    // A replica that takes no connection is gone, and looks idle: a second attempt would go there as well.
+    entry.failuresInRow += *failure == attempt_failure::not_sent ? kFailuresToOpen : 1;
+    if (entry.failuresInRow < kFailuresToOpen && !entry.isHalfOpen)
+        return;
+    // Timeouts of an overloaded pool must not close its last replica to everyone.
+    if (isLastClosed(entry, now))
         return;
     const auto doublings =
         std::min(kOpenDoublingsMost, entry.failuresInRow - std::min(entry.failuresInRow, kFailuresToOpen));
--- a/src/balancer_p.h
+++ b/src/balancer_p.h
@@ -70,6 +70,8 @@
     void limitPool(pool &members) const;
     [[nodiscard]] const pool *findPool(std::string_view service, std::string_view version) const;
     [[nodiscard]] static double loadOf(const replica &candidate, instant now);
+    [[nodiscard]] static double unseenStarts(const replica &candidate, std::size_t hosts, instant now);
+    [[nodiscard]] bool isLastClosed(const replica &candidate, instant now) const;
     [[nodiscard]] static bool isOpen(const replica &candidate, instant now);
     [[nodiscard]] double score(const replica &candidate, instant now) const;
     [[nodiscard]] replica *choose(const pool &open, std::uint64_t prefixHash, double meanLoad, instant now);
--- a/tools/load_simulation.cpp
+++ b/tools/load_simulation.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::int64_t kUnixStart = 1790000000; ///< wall clock at virtual time 0
 constexpr std::chrono::seconds kSettleTime{900}; ///< after the last arrival, for queued work to end
+constexpr std::chrono::seconds kReportTail{150}; ///< reports go on after the last arrival; longer than any deadline
 constexpr std::chrono::seconds kSharePeriod{1}; ///< of limit shares
 
 std::uint64_t hashOf(std::string_view text, std::uint64_t seed)
@@ -76,7 +77,7 @@
 
 void simulation::scheduleReports()
 {
-    const instant last{static_cast<std::int64_t>(m_settings.durationSeconds * 1e6)};
+    const auto last = instant{static_cast<std::int64_t>(m_settings.durationSeconds * 1e6)} + kReportTail;
     const milliseconds period{std::max(1U, m_settings.loadReportMs)};
     for (instant at{}; at <= last; at += period) {
         m_clock.at(at, [this, period] {
