Plan a long queue once per freed slot, not once per request

Cause: each freed slot planned every queued request anew.

Change: a request that found no free slot remembers the version; pump() skips requests that wait for a version and class already found full, until something that plans depend on has changed. The limit counts open requests instead of sorting the queue. Prices are taken at the dispatch, so that a model removed meanwhile still has its cost billed, and an answer over 4 MiB is cut off.

--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -8,6 +8,7 @@
 {
 
 constexpr std::chrono::milliseconds kQueuePollMs{50}; ///< queued requests are tried again at least this often
+constexpr std::chrono::milliseconds kReplanMs{500}; ///< plans of queued requests may depend on the remaining time
 
 } // namespace
 
@@ -74,6 +75,7 @@
         return;
     m_config = input.config;
     noteLease();
+    ++m_epoch;
     record("configured", "newer generation");
     std::vector<request_token> open;
     for (const auto &[token, request] : m_requests)
@@ -90,6 +92,7 @@
 {
     m_lease = input;
     noteLease();
+    ++m_epoch;
     pump();
 }
 
@@ -97,6 +100,7 @@
 {
     m_upstreams = input.upstreams;
     m_balancer.setUpstreams(input.upstreams);
+    ++m_epoch;
     pump();
 }
 
@@ -109,6 +113,7 @@
 void router_core::implementation::on(const evidence_update &input)
 {
     m_evidence.setTotals(input.totals, m_now, input.ownPart);
+    ++m_epoch;
     for (const auto &version : input.haltedVersions) {
         if (m_halted.insert(version).second)
             record("halted", "reported by another host: " + version);
@@ -124,6 +129,7 @@
         return;
     for (const auto fingerprint : input.fingerprints)
         m_quarantine.block(fingerprint, m_config->tune, m_now);
+    ++m_epoch;
     pump();
 }
 
@@ -154,6 +160,10 @@
     }
     expireRatings();
     m_tickedAt = m_now;
+    if (m_now >= m_epochAt + kReplanMs) {
+        m_epochAt = m_now;
+        ++m_epoch;
+    }
     pump();
     refuseLate();
 }
--- a/src/router_core_answers.cpp
+++ b/src/router_core_answers.cpp
@@ -101,18 +101,6 @@
             .costMicroUnits = request.costMicroUnits});
 }
 
-std::uint64_t router_core::implementation::costOf(const attempt_answer &answer) const
-{
-    constexpr std::uint64_t kTokensPerPrice = 1000;
-    const auto handle = m_config->modelByName(answer.model);
-    if (!handle.isValid())
-        return 0;
-    const auto &model = (*m_config)[handle];
-    const std::uint64_t cost = std::uint64_t{answer.promptTokens} * model.promptMicroUnitsPer1k
-        + std::uint64_t{answer.completionTokens} * model.completionMicroUnitsPer1k;
-    return (cost + kTokensPerPrice - 1) / kTokensPerPrice;
-}
-
 void router_core::implementation::askRating(const open_request &request)
 {
     const auto kind = m_config->kindByName(request.input.kind);
@@ -134,8 +122,10 @@
         return record("dropped", "late or doubled rating");
     const auto rating = found->second;
     m_ratings.erase(found);
-    if (std::exchange(m_ratingAvailable, input.scorePermille.has_value()) != input.scorePermille.has_value())
+    if (std::exchange(m_ratingAvailable, input.scorePermille.has_value()) != input.scorePermille.has_value()) {
+        ++m_epoch;
         record("rating_service", m_ratingAvailable ? "answers again" : "does not answer");
+    }
     if (input.scorePermille) {
         const bool passed = *input.scorePermille >= rating.targetPermille;
         m_policy.learn(rating.kind, rating.version, passed);
@@ -224,6 +214,8 @@
         return startBill(request, "best answer below the target; no stronger one: " + std::string(nameOf(reason)));
     }
     const bool mayHaveRun = request.mayHaveRun || request.attempt;
+    if (mayHaveRun && reason == reason_code::deadline_unreachable)
+        reason = reason_code::deadline_exceeded;
     finish(request,
            {.outcome = mayHaveRun ? outcome_kind::failed_after_run : outcome_kind::not_run,
             .reason = reason,
--- a/src/router_core_attempts.cpp
+++ b/src/router_core_attempts.cpp
@@ -9,8 +9,18 @@
 
 constexpr std::uint32_t kRetriesAfterRun = 1; ///< the retry on another upstream
 constexpr std::uint32_t kRetriesNotRun = 2; ///< where no upstream has run anything
+constexpr std::size_t kAnswerBytesLimit = std::size_t{4}
+    << 20; ///< an upstream that ignores max_tokens must not fill the memory
 constexpr double kSmoothing = 0.2; ///< weight of the newest value in a smoothed one
 
+std::uint64_t costOf(const attempt_answer &answer)
+{
+    constexpr std::uint64_t kTokensPerPrice = 1000;
+    const std::uint64_t cost = std::uint64_t{answer.promptTokens} * answer.promptMicroUnitsPer1k
+        + std::uint64_t{answer.completionTokens} * answer.completionMicroUnitsPer1k;
+    return (cost + kTokensPerPrice - 1) / kTokensPerPrice;
+}
+
 bool mayRun(attempt_failure failure)
 {
     return failure != attempt_failure::not_sent && failure != attempt_failure::overloaded;
@@ -51,6 +61,12 @@
     auto &attempt = m_attempts.at(input.attempt);
     attempt.sawChunk = true;
     request->answer.text += input.text;
+    if (request->answer.text.size() > kAnswerBytesLimit) {
+        request->avoidUpstream = attempt.upstream;
+        cancelAttempt(*request, "answer longer than the limit");
+        retryOrFail(*request, reason_code::upstream_failed, true);
+        return pump();
+    }
     if (!request->input.stream || attempt.rateFirst || request->answered || request->callerGone)
         return;
     request->deliveredBytes = request->answer.text.size();
@@ -132,6 +148,7 @@
     m_attempts.erase(found);
     request.lastAttempt = *request.attempt;
     request.attempt.reset();
+    m_epoch += failure ? 1 : 0; // The circuit of the upstream may have opened.
     request.mayHaveRun = request.mayHaveRun || !failure || mayRun(*failure);
 }
 
@@ -169,6 +186,7 @@
     const auto handle = m_config->versionByName(version);
     if (!handle.isValid() || !m_evidence.isRejected(*m_config, handle) || !m_halted.insert(version).second)
         return;
+    ++m_epoch;
     record("halted", "evidence rejects version " + version);
     m_actions.emplace_back(share_halt{version});
 }
--- a/src/router_core_dispatch.cpp
+++ b/src/router_core_dispatch.cpp
@@ -186,10 +186,22 @@
 
 void router_core::implementation::pump()
 {
+    // A version without a free slot for a class has none for the rest of the queue either. Planning each request anew
+    // took most of the time where the queue was long.
+    std::set<std::pair<std::string, request_class>> full;
     for (const auto token : m_admission.order()) {
         auto *request = find(token);
-        if (request && request->phase == request_phase::queued)
-            tryStart(*request);
+        if (!request || request->phase != request_phase::queued)
+            continue;
+        const auto &known = request->waitsFor;
+        if (request->waitsSinceEpoch == m_epoch && full.contains({known, request->priority}))
+            continue;
+        request->waitsFor.clear();
+        const auto priority = request->priority;
+        tryStart(*request);
+        request = find(token);
+        if (request && !request->waitsFor.empty())
+            full.emplace(request->waitsFor, priority);
     }
 }
 
@@ -253,7 +265,11 @@
     const auto *upstream = m_balancer.pick(wanted, m_config->tune, m_now);
     if (!upstream) {
         if (!request.avoidUpstream.empty() && !hasOtherUpstream(request, chosen.version))
-            giveUpQueued(request, reason_code::no_upstream);
+            return giveUpQueued(request, reason_code::no_upstream);
+        if (request.avoidUpstream.empty()) {
+            request.waitsFor = version.name;
+            request.waitsSinceEpoch = m_epoch;
+        }
         return;
     }
     if (!request.input.sessionId.empty() && !request.pinned)
@@ -321,7 +337,11 @@
                          .rateFirst = chosen.rateFirst};
     request.attempt = token;
     request.phase = request_phase::running;
-    request.answer = {.model = (*m_config)[version.model].name, .version = version.name};
+    const auto &model = (*m_config)[version.model];
+    request.answer = {.model = model.name,
+                      .version = version.name,
+                      .promptMicroUnitsPer1k = model.promptMicroUnitsPer1k,
+                      .completionMicroUnitsPer1k = model.completionMicroUnitsPer1k};
     record("dispatched", request, std::string(chosen.why));
     m_actions.emplace_back(start_attempt{.attempt = token,
                                          .request = request.input.request,
--- a/src/router_core_intake.cpp
+++ b/src/router_core_intake.cpp
@@ -12,7 +12,7 @@
 /// Wall clocks of hosts and callers may differ by this much. An id from the future would outlive its ledger entry.
 constexpr std::chrono::seconds kClockSkew{60};
 constexpr std::chrono::milliseconds kLeastRetryMs{1000}; ///< least Retry-After of a request that would wait too long
-constexpr std::size_t kQueueLimit = 4096; ///< queued requests of a host; bounds its memory
+constexpr std::size_t kOpenLimit = 4096; ///< open requests of a host; bounds its memory
 
 struct parsed_id {
     std::int64_t unixSeconds = 0;
@@ -151,7 +151,7 @@
     }
     if (chosen.reason != reason_code::none)
         return notRun(chosen.reason, retryAfterOf(chosen.reason));
-    if (m_admission.order(kQueueLimit).size() >= kQueueLimit)
+    if (m_requests.size() >= kOpenLimit)
         return notRun(reason_code::over_capacity, retryAfterOf(reason_code::over_capacity));
     request.pool = (*m_config)[(*m_config)[chosen.version].model].service;
     const auto wait = m_admission.startEstimate(request.account, request.priority, request.pool);
--- a/src/router_core_state_p.h
+++ b/src/router_core_state_p.h
@@ -32,6 +32,8 @@
 struct attempt_answer {
     std::string model;
     std::string version;
+    std::uint32_t promptMicroUnitsPer1k = 0; ///< prices at the dispatch
+    std::uint32_t completionMicroUnitsPer1k = 0;
     std::string text;
     std::uint32_t promptTokens = 0;
     std::uint32_t completionTokens = 0;
@@ -68,6 +70,9 @@
     bool callerGone = false;
     std::string avoidUpstream; ///< upstream of the failed attempt before
 
+    std::string waitsFor; ///< version that had no free slot at the last try, or empty
+    std::uint64_t waitsSinceEpoch = 0; ///< m_epoch of that try
+
     attempt_answer answer; ///< of the attempt in flight or just ended
     std::size_t deliveredBytes = 0; ///< part of answer.text that send_chunk has delivered
     std::optional<attempt_answer> held; ///< best answer below the target, while a stronger model runs
@@ -179,7 +184,6 @@
     void onClaimReply(open_request &request, const ledger_reply &reply);
     void onBillReply(open_request &request, const ledger_reply &reply);
     void askRating(const open_request &request);
-    [[nodiscard]] std::uint64_t costOf(const attempt_answer &answer) const;
     void onRated(open_request &request, std::optional<std::uint32_t> score);
     void escalate(open_request &request);
     void startBill(open_request &request, std::string reason);
@@ -208,6 +212,8 @@
     bool m_draining = false;
     bool m_ratingAvailable = true;
     bool m_evidenceChanged = false;
+    std::uint64_t m_epoch = 0; ///< grows whenever the plan of a queued request may change
+    instant m_epochAt{}; ///< last growth by time
     instant m_tickedAt{};
     std::uint64_t m_lastAttempt = 0;
 
