--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -15,9 +15,18 @@
     return XXH64(prompt.data(), prompt.size(), second);
 }
 
+quarantine::entry &quarantine::entryOf(std::uint64_t fingerprint, instant now)
+{
+    if (m_entries.size() >= m_purgeAt) {
+        std::erase_if(m_entries, [&](const auto &item) { return now >= item.second.expiresAt; });
+        m_purgeAt = std::max(kLeastPurgeSize, 2 * m_entries.size());
+    }
+    return m_entries[fingerprint];
+}
+
 bool quarantine::noteCrash(std::uint64_t fingerprint, const tuning &tune, instant now)
 {
-    auto &entry = m_entries[fingerprint];
+    auto &entry = entryOf(fingerprint, now);
     if (now >= entry.expiresAt)
         entry.crashes = 0;
     entry.expiresAt = now + tune.quarantineLifetime;
@@ -26,7 +35,7 @@
 
 void quarantine::block(std::uint64_t fingerprint, const tuning &tune, instant now)
 {
-    auto &entry = m_entries[fingerprint];
+    auto &entry = entryOf(fingerprint, now);
     entry.crashes = kCrashLimit;
     entry.expiresAt = std::max<instant>(entry.expiresAt, now + tune.quarantineLifetime);
 }
--- a/src/quarantine_p.h
+++ b/src/quarantine_p.h
@@ -35,7 +35,11 @@
         std::uint32_t crashes = 0;
         instant expiresAt{};
     };
+    entry &entryOf(std::uint64_t fingerprint, instant now);
+
+    static constexpr std::size_t kLeastPurgeSize = 1024; ///< entries; below this expired ones are kept
     std::unordered_map<std::uint64_t, entry> m_entries;
+    std::size_t m_purgeAt = kLeastPurgeSize; ///< size at which expired entries are dropped
 };
 
 } // namespace foxtaildyke
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -36,6 +36,22 @@
     return std::exchange(m_impl->m_actions, {});
 }
 
+std::vector<account_arrivals> router_core::takeArrivals()
+{
+    return m_impl->m_admission.takeArrivals();
+}
+
+std::vector<estimate_counts> router_core::takeEstimates()
+{
+    return m_impl->m_policy.takeDeltas();
+}
+
+void router_core::learnEstimates(const std::vector<estimate_counts> &counts)
+{
+    m_impl->m_policy.learnFromOthers(counts);
+    ++m_impl->m_epoch;
+}
+
 std::optional<instant> router_core::nextTimer() const
 {
     const auto &core = *m_impl;
--- a/src/router_core_answers.cpp
+++ b/src/router_core_answers.cpp
@@ -62,7 +62,8 @@
 {
     const auto own = std::ranges::find(m_unsentClaims, std::pair(request.account, request.requestId));
     const bool isOwn = reply.status == ledger_status::exists_open && own != m_unsentClaims.end();
-    if (isOwn)
+    // Used up by any reply but "nothing was written", so that it can't let a second submission run.
+    if (own != m_unsentClaims.end() && reply.status != ledger_status::unavailable)
         m_unsentClaims.erase(own);
     if (isOwn || reply.status == ledger_status::written) {
         request.claimed = true;
@@ -86,6 +87,7 @@
 {
     const bool isBilled = reply.status == ledger_status::written || reply.status == ledger_status::copied
         || reply.status == ledger_status::exists_billed;
+    record(isBilled ? "billed" : "not_billed", request, std::string(nameOf(reply.status)));
     if (request.answered)
         return drop(request);
     if (!isBilled) // An answer without a bill would break R4, so it is withheld.
--- a/src/router_core_p.h
+++ b/src/router_core_p.h
@@ -62,9 +62,20 @@
     unknown, ///< claim: it may or may not have been written
     count
 };
+template <>
+struct enum_names<ledger_status> {
+    static constexpr std::array kNames{"written", "exists_open", "exists_billed", "exists_pinned",
+                                       "copied",  "unavailable", "unknown"};
+};
+
 /// Which action a ledger_reply answers. Without it a pin's late or doubled reply could pass for a claim's.
 enum class ledger_step : std::uint8_t { claim, bill, pin, count };
 
+template <>
+struct enum_names<ledger_step> {
+    static constexpr std::array kNames{"claim", "bill", "pin"};
+};
+
 struct ledger_reply {
     request_token request{};
     ledger_step step = ledger_step::claim;
@@ -213,6 +224,18 @@
                                  write_pin, ask_rating, share_evidence, share_halt, share_quarantine, record_event>;
 
 /// State machine over the requests in flight of one host.
+/// @remarks What a caller is told:
+/// - `not_run`: no attempt of this submission was sent. Where a claim was written but its attempt was certainly never
+///   sent, a resend with the same request id through this host runs; through another host, or after a restart, it is
+///   answered `may_have_run`, because the claim stays in the ledger.
+/// - `may_have_run`: an equal request id is in flight here, the ledger holds another claim without a stored answer, or
+///   the reply to a claim was lost.
+/// - `failed_after_run`: an attempt was sent. A non-idempotent one runs on past its caller's deadline or disconnection
+///   to its bill, so that a resend gets the stored answer.
+/// - `complete`: the bill was written before. An answer whose bill can't be written is withheld (store_unavailable).
+/// An idempotent attempt, or an answer not yet billed, of a version that is withdrawn is cancelled and repeated on
+/// another version within the retry budget, but never in a session. A non-idempotent one runs on, as its effect can't
+/// be undone. An answer below the target is delivered where no stronger model can run in time.
 class router_core
 {
 public:
@@ -229,6 +252,16 @@
     /// @returns the actions since the last call, in order.
     [[nodiscard]] std::vector<core_action> takeActions();
 
+    /// @returns requests per account since the last call, refused ones included: the demand that limit_shares follow.
+    [[nodiscard]] std::vector<account_arrivals> takeArrivals();
+
+    /// @returns rated answers per kind and version since the last call, to be shared with the other hosts.
+    [[nodiscard]] std::vector<estimate_counts> takeEstimates();
+
+    /// Takes rated answers of other hosts into account.
+    /// @param counts new answers only, not sums.
+    void learnEstimates(const std::vector<estimate_counts> &counts);
+
     /// @returns when timer_tick is due next, or nothing.
     [[nodiscard]] std::optional<instant> nextTimer() const;
 
--- a/tests/test_transcript.cpp
+++ b/tests/test_transcript.cpp
@@ -37,20 +37,6 @@
     return value == 0 ? std::string{} : field(key, std::to_string(value));
 }
 
-std::string_view nameOfStep(ledger_step step)
-{
-    static constexpr std::array<std::string_view, 3> kNames{"claim", "bill", "pin"};
-    return kNames[static_cast<std::size_t>(step)];
-}
-
-std::string_view nameOfStatus(ledger_status status)
-{
-    static constexpr std::array<std::string_view, 7> kNames{"written", "exists_open", "exists_billed", "exists_pinned",
-                                                            "copied",  "unavailable", "unknown"};
-    static_assert(kNames.size() == static_cast<std::size_t>(ledger_status::count));
-    return kNames[static_cast<std::size_t>(status)];
-}
-
 struct input_text {
     std::string operator()(const caller_request &input) const
     {
@@ -74,9 +60,8 @@
     }
     std::string operator()(const ledger_reply &input) const
     {
-        return "ledger reply to " + std::string(nameOfStep(input.step)) + " of " + number(input.request) + ": "
-            + std::string(nameOfStatus(input.status)) + field("pins", joined(input.pins))
-            + field("answer", input.answer);
+        return "ledger reply to " + std::string(nameOf(input.step)) + " of " + number(input.request) + ": "
+            + std::string(nameOf(input.status)) + field("pins", joined(input.pins)) + field("answer", input.answer);
     }
     std::string operator()(const rating_reply &input) const
     {
