--- a/tests/failure_deployment.cpp
+++ b/tests/failure_deployment.cpp
@@ -108,7 +108,7 @@
     return body.is_discarded() ? nlohmann::json{} : body;
 }
 
-deployment::deployment(std::size_t hosts, ini_document extraSettings)
+deployment::deployment(std::size_t hosts, const ini_document &extraSettings)
 {
     auto pattern = (std::filesystem::temp_directory_path() / "foxtaildyke-XXXXXX").string();
     if (mkdtemp(pattern.data()) == nullptr)
@@ -121,8 +121,8 @@
 
     auto &base = m_document.layers.base;
     base = baseSettings();
-    for (auto &[section, keys] : extraSettings)
-        for (auto &[key, value] : keys)
+    for (const auto &[section, keys] : extraSettings)
+        for (const auto &[key, value] : keys)
             base[section][key] = value;
     for (std::size_t i = 1; i <= hosts; ++i) {
         auto router = std::make_unique<router_process>();
--- a/tests/failure_deployment.h
+++ b/tests/failure_deployment.h
@@ -53,7 +53,7 @@
 {
 public:
     /// Starts the platform and `hosts` routers h1, h2, ... in failure domains d1, d2, ..., all registered.
-    explicit deployment(std::size_t hosts, ini_document extraSettings = {});
+    explicit deployment(std::size_t hosts, const ini_document &extraSettings = {});
     ~deployment();
 
     /// Starts an upstream and waits until it is on the host list.
--- /dev/null
+++ b/tests/failure_platform.cpp
@@ -0,0 +1,188 @@
+// Configuration, claims and bills under failures of the platform, cuts of the network and frozen hosts.
+#include "failure_deployment.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace foxtaildyke;
+using namespace foxtaildyke::testing;
+
+namespace
+{
+
+/// Longer than the freshness lease of the test settings (2 s).
+constexpr std::chrono::milliseconds kPastLease{3000};
+
+struct three_hosts : deployment {
+    three_hosts()
+        : deployment(3)
+    {
+        addUpstream({"u1", "models", "swift-1,grand-1"});
+        addUpstream({"u2", "models", "swift-1,grand-1"});
+        addUpstream({"u3", "desk", "desk-1"});
+        for (std::size_t i = 0; i < 3; ++i)
+            REQUIRE(waitUntilServing(i));
+    }
+    bool refusesAsStale(std::size_t router) const
+    {
+        return waitFor([&] {
+            const auto response = call(router, {});
+            return response.status == 503 && bodyOf(response).value("reason", "") == "no_fresh_configuration";
+        });
+    }
+    generation_number withdraw(const std::string &version)
+    {
+        return publish({{"", "version " + version, "state", "withdrawn"}});
+    }
+    bool refusesVersion(std::size_t router, const std::string &kind) const
+    {
+        return waitFor([&] {
+            const auto reason = bodyOf(call(router, {.kind = kind, .requestId = makeRequestId("w")})).value("reason", "");
+            return reason == "version_withdrawn" || reason == "not_allowed";
+        });
+    }
+};
+
+} // namespace
+
+// Guards against work for a withdrawn version by a host that was frozen while the withdrawal was published.
+TEST_CASE("freeze: a router that wakes up past its lease sends nothing to a version withdrawn meanwhile")
+{
+    three_hosts fleet;
+    fleet.routers[2]->process->signal(SIGSTOP);
+    fleet.withdraw("grand-1");
+    REQUIRE(fleet.refusesVersion(0, "reminder-draft"));
+    std::this_thread::sleep_for(kPastLease);
+    const auto runs = fleet.runsOfVersion("grand-1");
+    // These wait in the frozen router's socket and are read before any news of the withdrawal.
+    const auto one = fleet.makeCall(2, {.kind = "reminder-draft", .requestId = makeRequestId("frozen-1")});
+    const auto two = fleet.makeCall(2, {.kind = "reminder-draft", .requestId = makeRequestId("frozen-2")});
+    http_task first(one);
+    http_task second(two);
+    std::this_thread::sleep_for(std::chrono::milliseconds{300});
+    fleet.routers[2]->process->signal(SIGCONT);
+    CHECK(first.get().status != 200);
+    CHECK(second.get().status != 200);
+    CHECK(fleet.runsOfVersion("grand-1") == runs);
+}
+
+// Guards against a store outage that stops service, and against "not run" refusals that are not true.
+TEST_CASE("outage: hosts go on serving, non-idempotent requests are refused as not run, and service resumes")
+{
+    three_hosts fleet;
+    fleet.setFaults(fleet.platformPort, {{"outage", true}});
+    std::this_thread::sleep_for(kPastLease);
+    for (std::size_t i = 0; i < 3; ++i)
+        CHECK(fleet.call(i, {.requestId = makeRequestId("o" + std::to_string(i))}).status == 200);
+    const caller_call promise{.kind = "payment-promise", .requestId = makeRequestId("promise")};
+    const auto refused = fleet.call(0, promise);
+    CHECK(refused.status == 503);
+    CHECK(bodyOf(refused).value("outcome", "") == "not_run");
+    CHECK(bodyOf(refused).value("reason", "") == "store_unavailable");
+    CHECK(refused.headers.contains("retry-after"));
+    CHECK(fleet.runsOf(promise.requestId) == 0);
+    fleet.setFaults(fleet.platformPort, {{"outage", false}});
+    CHECK(waitFor([&] { return fleet.call(1, promise).status == 200; }));
+    CHECK(fleet.runsOf(promise.requestId) == 1);
+}
+
+// Guards against bills lost when a host dies in a store outage, and against doubled ones afterwards.
+TEST_CASE("outage and kill: a bill made during an outage is written once though its host died")
+{
+    three_hosts fleet;
+    fleet.setFaults(fleet.platformPort, {{"outage", true}});
+    const caller_call request{.kind = "tone-check", .requestId = makeRequestId("billed")};
+    REQUIRE(waitFor([&] { return fleet.call(0, request).status == 200; }));
+    fleet.routers[0]->process->kill();
+    CHECK(fleet.call(1, request).status == 200);
+    fleet.setFaults(fleet.platformPort, {{"outage", false}});
+    REQUIRE(waitFor([&] { return fleet.ledgerRecords("bill", request.requestId) >= 1; }));
+    std::this_thread::sleep_for(kPastLease);
+    CHECK(fleet.ledgerRecords("bill", request.requestId) == 1);
+}
+
+// Guards against a host that starts with nothing during an outage and serves an old or no generation.
+TEST_CASE("outage and restart: a host that starts during an outage learns the newest generation from its peers")
+{
+    three_hosts fleet;
+    fleet.withdraw("grand-1");
+    for (std::size_t i = 0; i < 3; ++i)
+        REQUIRE(fleet.refusesVersion(i, "reminder-draft"));
+    const auto runs = fleet.runsOfVersion("grand-1");
+    fleet.setFaults(fleet.platformPort, {{"outage", true}});
+    fleet.routers[1]->process->kill();
+    fleet.startRouter(1);
+    CHECK(fleet.waitUntilServing(1));
+    CHECK(fleet.refusesVersion(1, "reminder-draft"));
+    CHECK(fleet.runsOfVersion("grand-1") == runs);
+}
+
+// Guards against a cut-off minority that serves under a configuration that may be old.
+TEST_CASE("cut: a host without store and peers refuses as not run, and serves again when the cut is healed")
+{
+    three_hosts fleet;
+    fleet.routers[2]->platformLink->cut();
+    fleet.cutPeers(2);
+    CHECK(fleet.refusesAsStale(2));
+    CHECK(fleet.call(0, {}).status == 200);
+    fleet.routers[2]->platformLink->heal();
+    fleet.healPeers(2);
+    CHECK(fleet.waitUntilServing(2));
+}
+
+// Guards against a host that stops when only its way to the store is cut.
+TEST_CASE("cut: a host cut off from the store alone goes on through its peers")
+{
+    three_hosts fleet;
+    fleet.routers[0]->platformLink->cut();
+    std::this_thread::sleep_for(kPastLease);
+    CHECK(fleet.call(0, {}).status == 200);
+    fleet.withdraw("grand-1");
+    CHECK(fleet.refusesVersion(0, "reminder-draft"));
+}
+
+// Guards against a majority that is held together by vouches of hosts that know better.
+TEST_CASE("cut in an outage: a minority refuses while the majority serves")
+{
+    three_hosts fleet;
+    fleet.setFaults(fleet.platformPort, {{"outage", true}});
+    fleet.cutPeers(0);
+    CHECK(fleet.refusesAsStale(0));
+    CHECK(waitFor([&] { return fleet.call(1, {}).status == 200 && fleet.call(2, {}).status == 200; }));
+    fleet.healPeers(0);
+    CHECK(fleet.waitUntilServing(0));
+}
+
+// Guards against a claim or bill that is made twice when the answer of a write is lost.
+TEST_CASE("lost answers: requests whose ledger writes lose their answers run once and are billed once")
+{
+    three_hosts fleet;
+    for (int i = 0; i < 5; ++i) {
+        fleet.setFaults(fleet.platformPort, {{"lose_answers", 2}});
+        const caller_call request{.kind = "payment-promise", .requestId = makeRequestId("lost" + std::to_string(i))};
+        const auto response = fleet.call(static_cast<std::size_t>(i) % 3, request);
+        CHECK((response.status == 200 || bodyOf(response).value("outcome", "") == "may_have_run"
+               || bodyOf(response).value("outcome", "") == "not_run"));
+        fleet.setFaults(fleet.platformPort, {{"lose_answers", 0}});
+        const auto again = fleet.call(static_cast<std::size_t>(i + 1) % 3, request);
+        CHECK(again.status != 0);
+        CHECK(fleet.runsOf(request.requestId) <= 1);
+        if (response.status == 200) {
+            CHECK(again.status == 200);
+            CHECK(fleet.ledgerRecords("claim", request.requestId) == 1);
+            CHECK(fleet.ledgerRecords("bill", request.requestId) == 1);
+        }
+    }
+}
+
+// Guards against a slow store that breaks what a working one holds.
+TEST_CASE("slow store: non-idempotent requests still run once")
+{
+    three_hosts fleet;
+    fleet.setFaults(fleet.platformPort, {{"slow_ms", 400}});
+    const caller_call request{.kind = "payment-promise", .requestId = makeRequestId("slow")};
+    const auto response = fleet.call(0, request);
+    CHECK(response.status == 200);
+    CHECK(fleet.call(1, request).status == 200);
+    CHECK(fleet.runsOf(request.requestId) == 1);
+}
--- a/tests/failure_support.cpp
+++ b/tests/failure_support.cpp
@@ -129,7 +129,7 @@
 {
     auto text = call.method + " " + call.path + " HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n";
     for (const auto &[name, value] : call.headers)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     if (!call.body.empty() || call.method != "GET")
         text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
     return text + "\r\n" + call.body;
