--- a/tests/failure_platform.cpp
+++ b/tests/failure_platform.cpp
@@ -37,7 +37,8 @@
     bool refusesVersion(std::size_t router, const std::string &kind) const
     {
         return waitFor([&] {
-            const auto reason = bodyOf(call(router, {.kind = kind, .requestId = makeRequestId("w")})).value("reason", "");
+            const auto reason =
+                bodyOf(call(router, {.kind = kind, .requestId = makeRequestId("w")})).value("reason", "");
             return reason == "version_withdrawn" || reason == "not_allowed";
         });
     }
--- a/tests/failure_requests.cpp
+++ b/tests/failure_requests.cpp
@@ -146,7 +146,8 @@
     for (const std::string name : {"u4", "u5", "u6"})
         fleet.addUpstream({name, "models", "swift-1,grand-1"});
     const auto alive = [&] {
-        return std::ranges::count_if(fleet.upstreams, [](const auto &upstream) { return upstream->process->isRunning(); });
+        return std::ranges::count_if(fleet.upstreams,
+                                     [](const auto &upstream) { return upstream->process->isRunning(); });
     };
     const auto before = alive();
     const auto poison = [&](std::size_t router) {
@@ -163,7 +164,9 @@
 {
     usual_deployment fleet;
     fleet.setFaults(fleet.upstreams[0]->port, {{"leave", true}});
-    const auto runs = [&] { return fleet.counts(fleet.upstreams[0]->port)["runs_by_version"].value("swift-1", 0); };
+    const auto runs = [&] {
+        return fleet.counts(fleet.upstreams[0]->port)["runs_by_version"].value("swift-1", 0);
+    };
     // The host list is read each second: after the last of several answers without a run there, none may follow.
     int quiet = 0;
     REQUIRE(waitFor([&] {
