Tell ports about configuration, entry hosts and drain; precise timers

Cause: the ledger and relay adapters need the configuration, the entry hosts and the planned stop. Timers of the event loop were rounded up to whole milliseconds by epoll, which would also double a 2 ms group commit.

--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -23,7 +23,12 @@
 {
     static const int s_threads = evthread_use_pthreads();
     (void)s_threads;
-    return event_base_new();
+    // Without the precise timer epoll rounds each delay up to whole milliseconds: 2 ms became about 4 ms.
+    auto *config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    auto *base = event_base_new_with_config(config);
+    event_config_free(config);
+    return base;
 }
 
 struct one_shot {
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -117,7 +117,20 @@
     else if (const auto *failed = std::get_if<attempt_failed>(&input))
         noteAttemptEnd(failed->attempt, failed->failure);
     else if (const auto *changed = std::get_if<config_changed>(&input))
-        m_metrics.setGeneration(changed->config->generation);
+        onConfig(changed->config);
+}
+
+void router_task::onConfig(const fleet_ptr &config)
+{
+    m_metrics.setGeneration(config->generation);
+    tellPorts([&](port_events &port) { port.onConfig(config); });
+}
+
+void router_task::tellPorts(const std::function<void(port_events &)> &tell)
+{
+    tell(*m_ports.config);
+    tell(*m_ports.ledger);
+    tell(*m_ports.sharing);
 }
 
 void router_task::noteAttemptEnd(attempt_token attempt, std::optional<attempt_failure> failure)
@@ -213,9 +226,13 @@
         return;
     m_hostListVersion = list.value().version;
     std::vector<upstream_info> upstreams;
+    std::vector<listed_host> entryHosts;
     for (const auto &host : list.value().hosts)
         if (host.role == "upstream")
             upstreams.push_back(host.info);
+        else if (host.role == "entry")
+            entryHosts.push_back(host);
+    tellPorts([&](port_events &port) { port.onEntryHosts(entryHosts); });
     upstreams = replicaSubset(m_settings.host, std::move(upstreams));
     m_loads.setUpstreams(upstreams);
     m_log.note("host_list_changed", "version " + std::to_string(*m_hostListVersion));
@@ -247,6 +264,7 @@
         return;
     m_log.note("drain_started");
     m_callers.drain();
+    tellPorts([](port_events &port) { port.onDrain(); });
     deliver(drain_request{});
     stopWhenDrained();
 }
--- a/src/router_task_p.h
+++ b/src/router_task_p.h
@@ -59,6 +59,7 @@
 private:
     void handleOne(const core_input &input);
     void observe(const core_input &input);
+    void onConfig(const fleet_ptr &config);
     void noteAttemptEnd(attempt_token attempt, std::optional<attempt_failure> failure);
 
     void perform(const start_attempt &action);
@@ -74,6 +75,7 @@
     void perform(const share_quarantine &action);
     void perform(const record_event &action);
 
+    void tellPorts(const std::function<void(port_events &)> &tell);
     void pollPlatform();
     void onHostList(const result<host_list> &list);
     void serveAdmin(const http_exchange_ptr &exchange);
--- a/tests/whole_path.sh
+++ b/tests/whole_path.sh
@@ -30,6 +30,7 @@
 # start NAME ARGUMENT...: starts a stand-in and sets address to where it listens.
 start() {
     local log="$work/$1.log"
+    : >"$log"
     "build/foxtaildyke-$2" "${@:3}" >"$log" &
     pids+=($!)
     eventually grep -q "^listening on " "$log" || fail "$1 does not listen"
