--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::chrono::milliseconds kPlatformPeriod{1000}; ///< host list and load reports
 constexpr std::chrono::milliseconds kDrainCheckPeriod{20};
+/// A planned stop takes at least this long, so that requests on their way when it began still get their refusal.
+constexpr std::chrono::milliseconds kLeastDrain{200};
 
 std::uint64_t randomSeed()
 {
@@ -262,6 +264,7 @@
 {
     if (std::exchange(m_isDraining, true))
         return;
+    m_drainStart = event_loop::now();
     m_log.note("drain_started");
     m_callers.drain();
     tellPorts([](port_events &port) { port.onDrain(); });
@@ -271,7 +274,8 @@
 
 void router_task::stopWhenDrained()
 {
-    if (m_core.openRequests() > 0 || !m_callers.isIdle() || !m_ports.ledger->isIdle()) {
+    const bool isEarly = event_loop::now() < m_drainStart + kLeastDrain;
+    if (isEarly || m_core.openRequests() > 0 || !m_callers.isIdle() || !m_ports.ledger->isIdle()) {
         m_drainTimer.start(kDrainCheckPeriod);
         return;
     }
--- a/src/router_task_p.h
+++ b/src/router_task_p.h
@@ -102,6 +102,7 @@
     std::deque<core_input> m_inputs;
     bool m_isHandling = false;
     bool m_isDraining = false;
+    instant m_drainStart{};
     std::uint16_t m_callerPort = 0;
     std::optional<std::uint64_t> m_hostListVersion;
     std::unordered_map<std::uint64_t, std::string> m_attemptVersions; ///< version names by attempt token, while running
