Ask the router of the host for its status over gRPC

Cause: without the router's acknowledgements every change stays "written, pending".

Change: status_client calls the Status method of the peer service and delivers the answer on the control process's loop; the settings of the control process need peer_listen, the address of the router's peer service.

Conclusion: acceptance works as soon as the router serves Status.

--- a/cmake/adapters.cmake
+++ b/cmake/adapters.cmake
@@ -16,4 +16,5 @@
     src/process_settings.cpp
     src/router_task.cpp
     src/store_ports.cpp
+    src/status_client.cpp
     src/upstream_client.cpp)
--- a/tests/control_cli.sh
+++ b/tests/control_cli.sh
@@ -60,6 +60,7 @@
 failure_domain = zhongshan-hall
 platform = $platform
 admin_listen = 127.0.0.1:0
+peer_listen = 127.0.0.1:1
 log = $work/events
 [operator ada]
 key = ada-operator-key-1
--- /dev/null
+++ b/tests/test_status_client.cpp
@@ -0,0 +1,93 @@
+// Status client over a real gRPC server: a router that is down must give an error, and its answer must arrive on the
+// task that asked.
+#include "peer.grpc.pb.h"
+#include "status_client_p.h"
+
+#include <doctest/doctest.h>
+#include <grpcpp/grpcpp.h>
+#include <thread>
+
+using namespace foxtaildyke;
+
+namespace
+{
+
+class router_standin : public peer::Service
+{
+public:
+    grpc::Status Status(grpc::ServerContext *, const status_request *, status_reply *reply) override
+    {
+        reply->set_generation(7);
+        reply->set_may_dispatch(true);
+        reply->add_acknowledged_hosts("h1");
+        reply->add_registered_hosts("h1");
+        reply->add_registered_hosts("h2");
+        reply->add_halted_versions("v2");
+        return grpc::Status::OK;
+    }
+};
+
+result<host_status> askOnce(event_loop &loop, status_client &client)
+{
+    std::optional<result<host_status>> answer;
+    std::thread::id answeredOn;
+    client.status([&](const result<host_status> &status) {
+        answer = status;
+        answeredOn = std::this_thread::get_id();
+        loop.stop();
+    });
+    loop.run();
+    CHECK(answeredOn == std::this_thread::get_id());
+    return answer.value();
+}
+
+} // namespace
+
+TEST_CASE("the status of a router is read over gRPC, also after the router was restarted")
+{
+    router_standin service;
+    const auto start = [&service](int &port) {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort("127.0.0.1:" + std::to_string(port), grpc::InsecureServerCredentials(), &port);
+        builder.RegisterService(&service);
+        return builder.BuildAndStart();
+    };
+    int port = 0;
+    auto server = start(port);
+    REQUIRE(port != 0);
+    event_loop loop;
+    status_client client(loop, {"127.0.0.1", static_cast<std::uint16_t>(port)});
+    const auto first = askOnce(loop, client);
+    REQUIRE(first.has_value());
+    CHECK(first.value().generation == 7);
+    CHECK(first.value().acknowledged == std::vector<std::string>{"h1"});
+    CHECK(first.value().registered == std::vector<std::string>{"h1", "h2"});
+    CHECK(first.value().halted == std::vector<std::string>{"v2"});
+
+    server->Shutdown();
+    const auto down = askOnce(loop, client);
+    REQUIRE(down.has_error());
+    server = start(port);
+    bool isBack = false;
+    for (int tries = 0; tries < 100 && !isBack; ++tries) {
+        isBack = askOnce(loop, client).has_value();
+        if (!isBack)
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    CHECK(isBack);
+    server->Shutdown();
+}
+
+TEST_CASE("a client that ends with an open call waits for it")
+{
+    event_loop loop;
+    bool hasFailed = false;
+    {
+        status_client client(loop, {"127.0.0.1", 1});
+        client.status([&](const result<host_status> &status) { hasFailed = status.has_error(); });
+    }
+    // The answer was posted before the client was gone.
+    loop.post([&loop] { loop.stop(); });
+    loop.run();
+    CHECK(hasFailed);
+}
--- a/tools/control_main.cpp
+++ b/tools/control_main.cpp
@@ -1,5 +1,6 @@
 // foxtaildyke-control: administration API, publishing of configuration, roll-outs and orders to engines.
 #include "control_p.h"
+#include "status_client_p.h"
 
 #include <csignal>
 
@@ -17,13 +18,6 @@
     "(of the router of this host) and optionally log, and sections [operator NAME] with key= and role=viewer|editor.\n"
     "SIGTERM and SIGINT stop the process."};
 
-/// Used until the client of the routers' Status method is there: no router answers, so no change is ever accepted.
-class no_router : public status_port
-{
-public:
-    void status(status_done done) override { done(error{error_code::unavailable, "router"}); }
-};
-
 int exitWith(exit_code code)
 {
     return static_cast<int>(code);
@@ -32,7 +26,7 @@
 int runControl(const control_settings &settings)
 {
     event_loop loop;
-    no_router router;
+    status_client router(loop, settings.process.peerListen);
     control_process process(settings, loop, router);
     const auto started = process.start();
     if (started.has_error()) {
--- a/tools/control_process.cpp
+++ b/tools/control_process.cpp
@@ -48,6 +48,8 @@
         return process.error();
     if (process.value().adminListen.address.empty())
         return error{error_code::missing_key, "process/admin_listen"};
+    if (process.value().peerListen.address.empty())
+        return error{error_code::missing_key, "process/peer_listen"};
     return control_settings{std::move(process.value()), std::move(operators.value())};
 }
 
