--- a/src/acceptance.cpp
+++ b/src/acceptance.cpp
@@ -47,7 +47,11 @@
         if (change.generation > m_accepted)
             m_changes.try_emplace(change.generation, effectOf(change));
     }
-    m_known[document.generation] = {hostsOf(document), leaseOf(document), std::nullopt};
+    auto hosts = hostsOf(document);
+    // Names of replaced hosts would pile up otherwise.
+    if (document.generation > newest())
+        std::erase_if(m_held, [&](const auto &held) { return !hosts.contains(held.first); });
+    m_known[document.generation] = {std::move(hosts), leaseOf(document), std::nullopt};
 }
 
 acceptance::change_effect acceptance::effectOf(const config_change &change)
@@ -113,7 +117,8 @@
 
 std::vector<std::string> acceptance::unacknowledged(generation_number generation) const
 {
-    const auto known = m_known.find(generation);
+    // Another process may have made the generation; the next one that is known has about the same hosts.
+    const auto known = m_known.lower_bound(generation);
     if (generation <= m_accepted || known == m_known.end())
         return {};
     std::vector<std::string> missing;
