--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -18,6 +18,9 @@
     src/publisher.cpp
     src/quarantine.cpp
     src/relay.cpp
+    src/relay_children.cpp
+    src/relay_search.cpp
+    src/relay_shared.cpp
     src/rollout.cpp
     src/router_core.cpp
     src/router_core_answers.cpp
