--- a/src/publisher.cpp
+++ b/src/publisher.cpp
@@ -99,6 +99,7 @@
     bool waiting = false; ///< for retryAt; otherwise a call to the store is open
     bool finished = false;
     bool wrote = false; ///< at least one write was sent
+    bool earlierInDoubt = false; ///< also the write before the open one had no answer, on the same version
     std::optional<object_version> inDoubt; ///< version on which a write without an answer was conditional
 };
 
@@ -199,6 +200,7 @@
     auto text = encodeToFit(next.value());
     if (text.has_error())
         return finish(open, text.error());
+    open->earlierInDoubt = open->inDoubt.has_value();
     open->inDoubt = version;
     open->wrote = true;
     auto onDone = [this, open, alive = m_alive, next = next.value()](const result<object_version> &written) {
@@ -219,8 +221,9 @@
         return readFor(open);
     if (code == error_code::too_large)
         return finish(open, written.error());
-    // Only `unavailable` says that nothing was written. Reading back shows whether the change id is there.
-    if (code == error_code::unavailable)
+    // Only `unavailable` says that nothing was written, and only of this write. Reading back shows whether the change
+    // id is there.
+    if (code == error_code::unavailable && !open->earlierInDoubt)
         open->inDoubt.reset();
     open->waiting = true;
     open->retryAt = m_now + kRetryDelay;
