--- a/src/router_core_attempts.cpp
+++ b/src/router_core_attempts.cpp
@@ -9,13 +9,30 @@
 
 constexpr std::uint32_t kRetriesAfterRun = 1; ///< the retry on another upstream
 constexpr std::uint32_t kRetriesNotRun = 2; ///< where no upstream has run anything
+constexpr std::size_t kAnswerBytesLimit = std::size_t{4}
+    << 20; ///< an upstream that ignores max_tokens must not fill the memory
 constexpr double kSmoothing = 0.2; ///< weight of the newest value in a smoothed one
 
+std::uint64_t costOf(const attempt_answer &answer)
+{
+    constexpr std::uint64_t kTokensPerPrice = 1000;
+    const std::uint64_t cost = std::uint64_t{answer.promptTokens} * answer.promptMicroUnitsPer1k
+        + std::uint64_t{answer.completionTokens} * answer.completionMicroUnitsPer1k;
+    return (cost + kTokensPerPrice - 1) / kTokensPerPrice;
+}
+
 bool mayRun(attempt_failure failure)
 {
     return failure != attempt_failure::not_sent && failure != attempt_failure::overloaded;
 }
 
+/// @returns whether the failure tells something about the version. A lost connection tells of the replica: one crash
+/// ends all its attempts at once, on all hosts, and would halt a good version. The circuit breaker acts on it.
+bool isVersionFault(attempt_failure failure)
+{
+    return failure == attempt_failure::truncated || failure == attempt_failure::rejected;
+}
+
 reason_code reasonOf(attempt_failure failure)
 {
     static constexpr std::array kReasons{reason_code::no_upstream,       reason_code::over_capacity,
@@ -51,6 +68,12 @@
     auto &attempt = m_attempts.at(input.attempt);
     attempt.sawChunk = true;
     request->answer.text += input.text;
+    if (request->answer.text.size() > kAnswerBytesLimit) {
+        request->avoidUpstream = attempt.upstream;
+        cancelAttempt(*request, "answer longer than the limit");
+        retryOrFail(*request, reason_code::upstream_failed, true);
+        return pump();
+    }
     if (!request->input.stream || attempt.rateFirst || request->answered || request->callerGone)
         return;
     request->deliveredBytes = request->answer.text.size();
@@ -125,13 +148,14 @@
     const auto found = m_attempts.find(*request.attempt);
     const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - found->second.startedAt);
     m_balancer.noteEnd(found->second.upstream, failure, m_now);
-    m_admission.noteEnd(found->second.service, duration);
+    m_admission.noteEnd(found->second.service, request.priority, duration);
     const auto running = m_running.find(request.fingerprint);
     if (--running->second == 0)
         m_running.erase(running);
     m_attempts.erase(found);
     request.lastAttempt = *request.attempt;
     request.attempt.reset();
+    m_epoch += failure ? 1 : 0; // The circuit of the upstream may have opened.
     request.mayHaveRun = request.mayHaveRun || !failure || mayRun(*failure);
 }
 
@@ -148,16 +172,31 @@
 void router_core::implementation::settleFailure(const open_request &request, const open_attempt &attempt,
                                                 attempt_failure failure)
 {
-    // An attempt that had little of the kind's deadline left says nothing about the version.
+    const bool isEvidence =
+        isVersionFault(failure) || (failure == attempt_failure::timed_out && isUnlikelyTimeout(request, attempt));
+    noteResult(attempt.version, isEvidence ? std::optional(false) : std::nullopt, stratumOf(request));
+}
+
+bool router_core::implementation::isUnlikelyTimeout(const open_request &request, const open_attempt &attempt) const
+{
+    // A pool beyond its capacity makes attempts of good versions late. Only a version that has another one to fall back
+    // on is halted for it, and only by attempts that had most of the kind's deadline.
     const auto kind = m_config->kindByName(request.input.kind);
-    const bool wasShort = failure == attempt_failure::timed_out
-        && (!kind.isValid() || 2 * (m_now - attempt.startedAt) < (*m_config)[kind].deadline);
-    noteResult(attempt.version, mayRun(failure) && !wasShort ? std::optional(false) : std::nullopt);
+    const auto version = m_config->versionByName(attempt.version);
+    return kind.isValid() && version.isValid() && (*m_config)[version].baseline.isValid()
+        && 2 * (m_now - attempt.startedAt) >= (*m_config)[kind].deadline;
+}
+
+std::string router_core::implementation::stratumOf(const open_request &request)
+{
+    // Only what weaker models failed reaches a stronger one, so that its answers there are a population of their own.
+    return request.aboveModel.empty() ? request.input.kind : request.input.kind + "/escalated";
 }
 
-void router_core::implementation::noteResult(const std::string &version, std::optional<bool> passed)
+void router_core::implementation::noteResult(const std::string &version, std::optional<bool> passed,
+                                             const std::string &stratum)
 {
-    m_evidence.noteResult(version, passed);
+    m_evidence.noteResult(version, passed, stratum);
     m_evidenceChanged = true;
     checkEvidence(version);
 }
@@ -169,6 +208,7 @@
     const auto handle = m_config->versionByName(version);
     if (!handle.isValid() || !m_evidence.isRejected(*m_config, handle) || !m_halted.insert(version).second)
         return;
+    ++m_epoch;
     record("halted", "evidence rejects version " + version);
     m_actions.emplace_back(share_halt{version});
 }
