--- a/tests/test_ledger_service.cpp
+++ b/tests/test_ledger_service.cpp
@@ -370,6 +370,7 @@
     for (std::size_t i = 0; i < 3; ++i)
         cluster.host(i).process.pause(i == 1 ? 10s : 0s);
     std::vector<std::shared_ptr<answered_call>> calls;
+    calls.reserve(20);
     for (int i = 0; i < 20; ++i)
         calls.push_back(cluster.send(i % 2 == 0 ? 0 : 2, record_type::claim, std::to_string(i)));
     cluster.sim.runUntil(1s);
