--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -1,6 +1,10 @@
 add_library(foxtaildyke-core STATIC
+    src/acceptance.cpp
+    src/admin_api.cpp
+    src/admin_json.cpp
     src/admission.cpp
     src/balancer.cpp
+    src/controller_lease.cpp
     src/evidence.cpp
     src/fleet.cpp
     src/freshness.cpp
@@ -11,8 +15,13 @@
     src/ledger_routing.cpp
     src/ledger_service.cpp
     src/policy.cpp
+    src/publisher.cpp
     src/quarantine.cpp
     src/relay.cpp
+    src/relay_children.cpp
+    src/relay_search.cpp
+    src/relay_shared.cpp
+    src/rollout.cpp
     src/router_core.cpp
     src/router_core_answers.cpp
     src/router_core_attempts.cpp
@@ -24,4 +33,5 @@
     src/settings_ini.cpp
     src/settings_json.cpp
     src/settings_reference.cpp
-    src/settings_table.cpp)
+    src/settings_table.cpp
+    src/timeline.cpp)
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -8,6 +8,7 @@
 {
 
 constexpr std::chrono::milliseconds kQueuePollMs{50}; ///< queued requests are tried again at least this often
+constexpr std::chrono::milliseconds kReplanMs{500}; ///< plans of queued requests may depend on the remaining time
 
 } // namespace
 
@@ -44,8 +45,8 @@
     };
     if (!core.m_deadlines.empty())
         consider(core.m_deadlines.begin()->first);
-    if (!core.m_admission.order().empty())
-        consider(core.m_pumpedAt + kQueuePollMs);
+    if (!core.m_admission.order(1).empty())
+        consider(core.m_tickedAt + kQueuePollMs);
     for (const auto &[attempt, entry] : core.m_attempts)
         consider(entry.stopAt);
     for (const auto &[attempt, entry] : core.m_ratings)
@@ -73,6 +74,8 @@
     if (!isNewer)
         return;
     m_config = input.config;
+    noteLease();
+    ++m_epoch;
     record("configured", "newer generation");
     std::vector<request_token> open;
     for (const auto &[token, request] : m_requests)
@@ -89,6 +92,7 @@
 {
     m_lease = input;
     noteLease();
+    ++m_epoch;
     pump();
 }
 
@@ -96,6 +100,7 @@
 {
     m_upstreams = input.upstreams;
     m_balancer.setUpstreams(input.upstreams);
+    ++m_epoch;
     pump();
 }
 
@@ -108,6 +113,7 @@
 void router_core::implementation::on(const evidence_update &input)
 {
     m_evidence.setTotals(input.totals, m_now, input.ownPart);
+    ++m_epoch;
     for (const auto &version : input.haltedVersions) {
         if (m_halted.insert(version).second)
             record("halted", "reported by another host: " + version);
@@ -123,6 +129,7 @@
         return;
     for (const auto fingerprint : input.fingerprints)
         m_quarantine.block(fingerprint, m_config->tune, m_now);
+    ++m_epoch;
     pump();
 }
 
@@ -152,7 +159,13 @@
         fail(request, reason_code::deadline_exceeded);
     }
     expireRatings();
+    m_tickedAt = m_now;
+    if (m_now >= m_epochAt + kReplanMs) {
+        m_epochAt = m_now;
+        ++m_epoch;
+    }
     pump();
+    refuseLate();
 }
 
 void router_core::implementation::on(const drain_request &)
--- a/src/router_core_attempts.cpp
+++ b/src/router_core_attempts.cpp
@@ -9,13 +9,30 @@
 
 constexpr std::uint32_t kRetriesAfterRun = 1; ///< the retry on another upstream
 constexpr std::uint32_t kRetriesNotRun = 2; ///< where no upstream has run anything
+constexpr std::size_t kAnswerBytesLimit = std::size_t{4}
+    << 20; ///< an upstream that ignores max_tokens must not fill the memory
 constexpr double kSmoothing = 0.2; ///< weight of the newest value in a smoothed one
 
+std::uint64_t costOf(const attempt_answer &answer)
+{
+    constexpr std::uint64_t kTokensPerPrice = 1000;
+    const std::uint64_t cost = std::uint64_t{answer.promptTokens} * answer.promptMicroUnitsPer1k
+        + std::uint64_t{answer.completionTokens} * answer.completionMicroUnitsPer1k;
+    return (cost + kTokensPerPrice - 1) / kTokensPerPrice;
+}
+
 bool mayRun(attempt_failure failure)
 {
     return failure != attempt_failure::not_sent && failure != attempt_failure::overloaded;
 }
 
+/// @returns whether the failure tells something about the version. A lost connection tells of the replica: one crash
+/// ends all its attempts at once, on all hosts, and would halt a good version. The circuit breaker acts on it.
+bool isVersionFault(attempt_failure failure)
+{
+    return failure == attempt_failure::truncated || failure == attempt_failure::rejected;
+}
+
 reason_code reasonOf(attempt_failure failure)
 {
     static constexpr std::array kReasons{reason_code::no_upstream,       reason_code::over_capacity,
@@ -25,11 +42,9 @@
     return kReasons[static_cast<std::size_t>(failure)];
 }
 
-void smooth(std::map<std::string, double, std::less<>> &values, const std::string &key, double value)
+void smooth(double &mean, double value)
 {
-    const auto [entry, isNew] = values.try_emplace(key, value);
-    if (!isNew)
-        entry->second += kSmoothing * (value - entry->second);
+    mean += kSmoothing * (value - mean);
 }
 
 } // namespace
@@ -53,6 +68,12 @@
     auto &attempt = m_attempts.at(input.attempt);
     attempt.sawChunk = true;
     request->answer.text += input.text;
+    if (request->answer.text.size() > kAnswerBytesLimit) {
+        request->avoidUpstream = attempt.upstream;
+        cancelAttempt(*request, "answer longer than the limit");
+        retryOrFail(*request, reason_code::upstream_failed, true);
+        return pump();
+    }
     if (!request->input.stream || attempt.rateFirst || request->answered || request->callerGone)
         return;
     request->deliveredBytes = request->answer.text.size();
@@ -68,7 +89,7 @@
     request->answer.promptTokens = input.promptTokens;
     request->answer.completionTokens = input.completionTokens;
     request->costMicroUnits += costOf(request->answer);
-    noteDuration(attempt, input.completionTokens);
+    noteSize(*request, attempt);
     endAttempt(*request, std::nullopt);
     askRating(*request);
     if (attempt.rateFirst && !request->answered) {
@@ -90,7 +111,7 @@
     const auto failure = attempt.sawChunk && !mayRun(input.failure) ? attempt_failure::connection_lost : input.failure;
     record("attempt_failed", *request, std::string(nameOf(failure)));
     endAttempt(*request, failure);
-    settleFailure(*request, attempt.version, failure);
+    settleFailure(*request, attempt, failure);
     request->avoidUpstream = attempt.upstream;
     auto reason = reasonOf(failure);
     if (failure == attempt_failure::connection_lost
@@ -127,13 +148,14 @@
     const auto found = m_attempts.find(*request.attempt);
     const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - found->second.startedAt);
     m_balancer.noteEnd(found->second.upstream, failure, m_now);
-    m_admission.noteEnd(found->second.service, duration);
+    m_admission.noteEnd(found->second.service, request.priority, duration);
     const auto running = m_running.find(request.fingerprint);
     if (--running->second == 0)
         m_running.erase(running);
     m_attempts.erase(found);
     request.lastAttempt = *request.attempt;
     request.attempt.reset();
+    m_epoch += failure ? 1 : 0; // The circuit of the upstream may have opened.
     request.mayHaveRun = request.mayHaveRun || !failure || mayRun(*failure);
 }
 
@@ -141,22 +163,40 @@
 {
     record("cancelled", request, std::move(reason));
     m_actions.emplace_back(cancel_attempt{*request.attempt});
+    const auto attempt = m_attempts.at(*request.attempt);
     const bool isLate = m_now >= request.deadline;
     endAttempt(request, isLate ? std::optional(attempt_failure::timed_out) : std::nullopt);
-    settleFailure(request, request.answer.version, isLate ? attempt_failure::timed_out : attempt_failure::not_sent);
+    settleFailure(request, attempt, isLate ? attempt_failure::timed_out : attempt_failure::not_sent);
 }
 
-void router_core::implementation::settleFailure(const open_request &request, const std::string &version,
+void router_core::implementation::settleFailure(const open_request &request, const open_attempt &attempt,
                                                 attempt_failure failure)
 {
-    // A caller's own short deadline says nothing about the version.
-    const bool ownDeadline = failure == attempt_failure::timed_out && request.input.deadline.has_value();
-    noteResult(version, mayRun(failure) && !ownDeadline ? std::optional(false) : std::nullopt);
+    const bool isEvidence =
+        isVersionFault(failure) || (failure == attempt_failure::timed_out && isUnlikelyTimeout(request, attempt));
+    noteResult(attempt.version, isEvidence ? std::optional(false) : std::nullopt, stratumOf(request));
 }
 
-void router_core::implementation::noteResult(const std::string &version, std::optional<bool> passed)
+bool router_core::implementation::isUnlikelyTimeout(const open_request &request, const open_attempt &attempt) const
 {
-    m_evidence.noteResult(version, passed);
+    // A pool beyond its capacity makes attempts of good versions late. Only a version that has another one to fall back
+    // on is halted for it, and only by attempts that had most of the kind's deadline.
+    const auto kind = m_config->kindByName(request.input.kind);
+    const auto version = m_config->versionByName(attempt.version);
+    return kind.isValid() && version.isValid() && (*m_config)[version].baseline.isValid()
+        && 2 * (m_now - attempt.startedAt) >= (*m_config)[kind].deadline;
+}
+
+std::string router_core::implementation::stratumOf(const open_request &request)
+{
+    // Only what weaker models failed reaches a stronger one, so that its answers there are a population of their own.
+    return request.aboveModel.empty() ? request.input.kind : request.input.kind + "/escalated";
+}
+
+void router_core::implementation::noteResult(const std::string &version, std::optional<bool> passed,
+                                             const std::string &stratum)
+{
+    m_evidence.noteResult(version, passed, stratum);
     m_evidenceChanged = true;
     checkEvidence(version);
 }
@@ -168,14 +208,22 @@
     const auto handle = m_config->versionByName(version);
     if (!handle.isValid() || !m_evidence.isRejected(*m_config, handle) || !m_halted.insert(version).second)
         return;
+    ++m_epoch;
     record("halted", "evidence rejects version " + version);
     m_actions.emplace_back(share_halt{version});
 }
 
-void router_core::implementation::noteDuration(const open_attempt &attempt, std::uint32_t completionTokens)
+void router_core::implementation::noteSize(const open_request &request, const open_attempt &attempt)
 {
-    smooth(m_attemptMs, attempt.version, std::chrono::duration<double, std::milli>(m_now - attempt.startedAt).count());
-    smooth(m_completionTokens, attempt.version, completionTokens);
+    if (m_now > request.deadline) // Longer than the kind's deadline would refuse all later requests of the kind.
+        return;
+    const answer_size size{std::chrono::duration<double, std::milli>(m_now - attempt.startedAt).count(),
+                           static_cast<double>(request.answer.completionTokens)};
+    const auto [entry, isNew] = m_answerSizes.try_emplace({request.input.kind, attempt.version}, size);
+    if (isNew)
+        return;
+    smooth(entry->second.durationMs, size.durationMs);
+    smooth(entry->second.completionTokens, size.completionTokens);
 }
 
 bool router_core::implementation::hasOtherUpstream(const open_request &request, version_handle version) const
@@ -200,9 +248,10 @@
     if (m_now >= request.deadline)
         return "deadline reached";
     const auto chosen = plan(request);
-    if (chosen.reason != reason_code::none)
+    const bool waitsForLease = chosen.reason == reason_code::no_fresh_configuration && isLeaseDue();
+    if (chosen.reason != reason_code::none && !waitsForLease)
         return nameOf(chosen.reason);
-    if (!hasOtherUpstream(request, chosen.version))
+    if (!waitsForLease && !hasOtherUpstream(request, chosen.version))
         return "no other upstream";
     if (!m_admission.takeRetry(m_config->tune))
         return "retry budget used up";
@@ -239,8 +288,9 @@
     if (request.attempt)
         cancelAttempt(request, "version withdrawn");
     request.avoidUpstream.clear();
-    retryOrFail(request, request.pinned ? reason_code::session_version_withdrawn : reason_code::version_withdrawn,
-                true);
+    if (request.pinned)
+        return fail(request, reason_code::session_version_withdrawn);
+    retryOrFail(request, reason_code::version_withdrawn, true);
 }
 
 } // namespace foxtaildyke
--- a/src/router_core_state_p.h
+++ b/src/router_core_state_p.h
@@ -32,6 +32,8 @@
 struct attempt_answer {
     std::string model;
     std::string version;
+    std::uint32_t promptMicroUnitsPer1k = 0; ///< prices at the dispatch
+    std::uint32_t completionMicroUnitsPer1k = 0;
     std::string text;
     std::uint32_t promptTokens = 0;
     std::uint32_t completionTokens = 0;
@@ -68,6 +70,9 @@
     bool callerGone = false;
     std::string avoidUpstream; ///< upstream of the failed attempt before
 
+    std::string waitsFor; ///< version that had no free slot at the last try, or empty
+    std::uint64_t waitsSinceEpoch = 0; ///< m_epoch of that try
+
     attempt_answer answer; ///< of the attempt in flight or just ended
     std::size_t deliveredBytes = 0; ///< part of answer.text that send_chunk has delivered
     std::optional<attempt_answer> held; ///< best answer below the target, while a stronger model runs
@@ -91,6 +96,7 @@
 struct open_rating {
     request_token request{};
     std::string kind;
+    std::string stratum; ///< of the evidence
     std::string version;
     std::uint32_t targetPermille = 0;
     instant givenUpAt{};
@@ -104,6 +110,12 @@
     std::string_view why; ///< for the time line
 };
 
+/// Smoothed measures of whole answers.
+struct answer_size {
+    double durationMs = 0;
+    double completionTokens = 0;
+};
+
 struct router_core::implementation {
     implementation(std::string hostName, std::string failureDomain, std::uint64_t seed);
 
@@ -134,6 +146,10 @@
 
     // Dispatch: router_core_dispatch.cpp.
     [[nodiscard]] bool hasLease() const;
+    /// @returns the smoothed measures of earlier answers, or nothing.
+    [[nodiscard]] const answer_size *sizeOf(const open_request &request, version_handle version) const;
+    [[nodiscard]] bool canEndInTime(const open_request &request, version_handle version, instant start) const;
+    [[nodiscard]] bool isLeaseDue() const;
     void noteLease();
     [[nodiscard]] bool isOpenToNewSessions(version_handle version) const;
     [[nodiscard]] dispatch_plan plan(const open_request &request) const;
@@ -141,6 +157,9 @@
     [[nodiscard]] cascade_candidate estimateOf(const open_request &request, version_handle version) const;
     void pump();
     void tryStart(open_request &request);
+    /// Refuses queued requests that can't start before their deadline.
+    void refuseLate();
+    [[nodiscard]] double msForEachStart(const open_request &request) const;
     void giveUpQueued(open_request &request, reason_code reason);
     void startPin(open_request &request);
     void startClaim(open_request &request);
@@ -155,10 +174,12 @@
     /// @param ran an upstream may have run the failed attempt.
     void retryOrFail(open_request &request, reason_code reason, bool ran);
     [[nodiscard]] std::string_view whyNoRetry(const open_request &request, bool ran);
-    void noteResult(const std::string &version, std::optional<bool> passed);
+    void noteResult(const std::string &version, std::optional<bool> passed, const std::string &stratum = {});
+    [[nodiscard]] bool isUnlikelyTimeout(const open_request &request, const open_attempt &attempt) const;
+    [[nodiscard]] static std::string stratumOf(const open_request &request);
     void checkEvidence(const std::string &version);
-    void settleFailure(const open_request &request, const std::string &version, attempt_failure failure);
-    void noteDuration(const open_attempt &attempt, std::uint32_t completionTokens);
+    void settleFailure(const open_request &request, const open_attempt &attempt, attempt_failure failure);
+    void noteSize(const open_request &request, const open_attempt &attempt);
     void stopWithdrawn(open_request &request);
 
     // Answers: router_core_answers.cpp.
@@ -166,7 +187,6 @@
     void onClaimReply(open_request &request, const ledger_reply &reply);
     void onBillReply(open_request &request, const ledger_reply &reply);
     void askRating(const open_request &request);
-    [[nodiscard]] std::uint64_t costOf(const attempt_answer &answer) const;
     void onRated(open_request &request, std::optional<std::uint32_t> score);
     void escalate(open_request &request);
     void startBill(open_request &request, std::string reason);
@@ -195,7 +215,9 @@
     bool m_draining = false;
     bool m_ratingAvailable = true;
     bool m_evidenceChanged = false;
-    instant m_pumpedAt{};
+    std::uint64_t m_epoch = 0; ///< grows whenever the plan of a queued request may change
+    instant m_epochAt{}; ///< last growth by time
+    instant m_tickedAt{};
     std::uint64_t m_lastAttempt = 0;
 
     admission m_admission;
@@ -205,8 +227,7 @@
     quarantine m_quarantine;
     std::vector<upstream_info> m_upstreams;
     std::set<std::string, std::less<>> m_halted; ///< versions that evidence has halted, here or on another host
-    std::map<std::string, double, std::less<>> m_attemptMs; ///< smoothed duration of whole answers, by version name
-    std::map<std::string, double, std::less<>> m_completionTokens; ///< smoothed length of answers, by version name
+    std::map<std::pair<std::string, std::string>, answer_size> m_answerSizes; ///< by names of kind and version
 
     /// Invariant: holds a request from its admission until its finish_request and, where an attempt runs on, its bill.
     std::unordered_map<request_token, std::unique_ptr<open_request>> m_requests;
