--- a/src/router_task_p.h
+++ b/src/router_task_p.h
@@ -59,6 +59,7 @@
 private:
     void handleOne(const core_input &input);
     void observe(const core_input &input);
+    void onConfig(const fleet_ptr &config);
     void noteAttemptEnd(attempt_token attempt, std::optional<attempt_failure> failure);
 
     void perform(const start_attempt &action);
@@ -74,6 +75,7 @@
     void perform(const share_quarantine &action);
     void perform(const record_event &action);
 
+    void tellPorts(const std::function<void(port_events &)> &tell);
     void pollPlatform();
     void onHostList(const result<host_list> &list);
     void serveAdmin(const http_exchange_ptr &exchange);
@@ -100,6 +102,7 @@
     std::deque<core_input> m_inputs;
     bool m_isHandling = false;
     bool m_isDraining = false;
+    instant m_drainStart{};
     std::uint16_t m_callerPort = 0;
     std::optional<std::uint64_t> m_hostListVersion;
     std::unordered_map<std::uint64_t, std::string> m_attemptVersions; ///< version names by attempt token, while running
