Read the host list only when it has changed

Change: GET /hosts with If-None-Match; the stand-in answers 304 for a known version. A unit test covers it.

--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr std::chrono::milliseconds kTimeout{2000};
+constexpr int kNotModified = 304;
 
 using nlohmann::json;
 
@@ -73,38 +74,50 @@
 {
 }
 
-void platform_client::start(http_method method, const char *path, std::string body,
-                            std::function<void(http_reply)> done)
+void platform_client::start(http_request request, std::function<void(http_reply)> done)
 {
-    http_request request;
     request.endpoint = m_platform;
-    request.method = method;
-    request.path = path;
-    request.body = std::move(body);
     request.timeout = kTimeout;
     m_client.start(std::move(request), {std::move(done), {}});
 }
 
-void platform_client::hosts(hosts_done done)
+void platform_client::post(const char *path, std::string body, std::function<void(http_reply)> done)
+{
+    http_request request;
+    request.method = http_method::post;
+    request.path = path;
+    request.body = std::move(body);
+    start(std::move(request), std::move(done));
+}
+
+void platform_client::hosts(std::optional<std::uint64_t> knownVersion, hosts_done done)
 {
-    start(http_method::get, "/hosts", {}, [done = std::move(done)](const http_reply &reply) {
+    http_request request;
+    request.path = "/hosts";
+    if (knownVersion)
+        request.headers.emplace_back("If-None-Match", '"' + std::to_string(*knownVersion) + '"');
+    start(std::move(request), [done = std::move(done)](const http_reply &reply) {
+        if (reply.status == kNotModified)
+            return done(std::nullopt);
         if (auto failure = platformError(reply, "hosts"))
             return done(*failure);
-        done(decodeHostList(reply.body));
+        auto list = decodeHostList(reply.body);
+        if (list.has_error())
+            return done(list.error());
+        done(std::optional(std::move(list.value())));
     });
 }
 
 void platform_client::rate(const std::string &kind, const std::string &text, rate_done done)
 {
     auto body = dump({{"kind", kind}, {"text", text}});
-    start(http_method::post, "/rate", std::move(body),
-          [done = std::move(done)](const http_reply &reply) { done(decodeScore(reply)); });
+    post("/rate", std::move(body), [done = std::move(done)](const http_reply &reply) { done(decodeScore(reply)); });
 }
 
 void platform_client::requestWeights(const std::string &model, const std::string &version, weights_done done)
 {
     auto body = dump({{"model", model}, {"version", version}});
-    start(http_method::post, "/weights", std::move(body), [version, done = std::move(done)](const http_reply &reply) {
+    post("/weights", std::move(body), [version, done = std::move(done)](const http_reply &reply) {
         if (auto failure = platformError(reply, version))
             return done(*failure);
         done(BOOST_OUTCOME_V2_NAMESPACE::success());
--- a/src/platform_client_p.h
+++ b/src/platform_client_p.h
@@ -23,13 +23,16 @@
 class platform_client
 {
 public:
-    using hosts_done = std::function<void(result<host_list>)>;
+    /// Nothing inside the result: the list still has the version that is known.
+    using hosts_done = std::function<void(result<std::optional<host_list>>)>;
     using rate_done = std::function<void(std::optional<std::uint32_t> scorePermille)>;
     using weights_done = std::function<void(result<void>)>;
 
     platform_client(http_client &client, http_endpoint platform);
 
-    void hosts(hosts_done done);
+    /// Reads the host list.
+    /// @param knownVersion version of the list that the caller has; the platform then sends no list that is the same.
+    void hosts(std::optional<std::uint64_t> knownVersion, hosts_done done);
 
     /// Rates an answer. @param done gets nothing where the rating service did not answer.
     void rate(const std::string &kind, const std::string &text, rate_done done);
@@ -39,7 +42,8 @@
     void requestWeights(const std::string &model, const std::string &version, weights_done done);
 
 private:
-    void start(http_method method, const char *path, std::string body, std::function<void(http_reply)> done);
+    void start(http_request request, std::function<void(http_reply)> done);
+    void post(const char *path, std::string body, std::function<void(http_reply)> done);
 
     http_client &m_client;
     http_endpoint m_platform;
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -217,19 +217,22 @@
 void router_task::pollPlatform()
 {
     m_platformTimer.start(kPlatformPeriod);
-    m_platform.hosts([this](const result<host_list> &list) { onHostList(list); });
+    m_platform.hosts(m_hostListVersion, [this](const result<std::optional<host_list>> &list) {
+        // The last list stays in force while the platform does not answer.
+        if (list.has_value() && list.value())
+            onHostList(*list.value());
+    });
     m_loads.poll();
 }
 
-void router_task::onHostList(const result<host_list> &list)
+void router_task::onHostList(const host_list &list)
 {
-    // The last list stays in force while the platform does not answer.
-    if (list.has_error() || list.value().version == m_hostListVersion)
+    if (list.version == m_hostListVersion)
         return;
-    m_hostListVersion = list.value().version;
+    m_hostListVersion = list.version;
     std::vector<upstream_info> upstreams;
     std::vector<listed_host> entryHosts;
-    for (const auto &host : list.value().hosts)
+    for (const auto &host : list.hosts)
         if (host.role == "upstream")
             upstreams.push_back(host.info);
         else if (host.role == "entry")
--- a/src/router_task_p.h
+++ b/src/router_task_p.h
@@ -77,7 +77,7 @@
 
     void tellPorts(const std::function<void(port_events &)> &tell);
     void pollPlatform();
-    void onHostList(const result<host_list> &list);
+    void onHostList(const host_list &list);
     void serveAdmin(const http_exchange_ptr &exchange);
     [[nodiscard]] std::string metricsText();
     void stopWhenDrained();
--- a/tests/test_platform_client.cpp
+++ b/tests/test_platform_client.cpp
@@ -114,3 +114,26 @@
     const auto used = replicaSubset("h", all, 2);
     CHECK(used.size() == 3);
 }
+
+// Guards against a host list of thousands of replicas that every host reads and parses each second.
+TEST_CASE("a host list whose version is known is not sent again")
+{
+    loopback net;
+    platform_client platform(net.client, net.endpoint);
+    net.serve = [](const http_exchange_ptr &exchange) {
+        if (exchange->header("If-None-Match") == "\"7\"")
+            return exchange->reply(304, {});
+        exchange->reply(200, R"({"version":7,"hosts":[]})");
+    };
+    std::vector<std::optional<std::uint64_t>> versions;
+    const auto note = [&](const result<std::optional<host_list>> &list) {
+        REQUIRE(list.has_value());
+        versions.push_back(list.value() ? std::optional(list.value()->version) : std::nullopt);
+        net.loop.stop();
+    };
+    platform.hosts(std::nullopt, note);
+    REQUIRE(net.run());
+    platform.hosts(7, note);
+    REQUIRE(net.run());
+    CHECK(versions == std::vector<std::optional<std::uint64_t>>{7, std::nullopt});
+}
--- a/tools/control_p.h
+++ b/tools/control_p.h
@@ -63,6 +63,7 @@
     admin_api m_api;
     http_server m_server;
     instant m_nextHosts{};
+    std::optional<std::uint64_t> m_hostListVersion; ///< of the list that the controller has
     std::map<std::string, std::uint64_t> m_eventCounts; ///< by type, for /metrics
     loop_timer m_timer;
 };
--- a/tools/control_process.cpp
+++ b/tools/control_process.cpp
@@ -125,14 +125,15 @@
 
 void control_process::pollHosts()
 {
-    m_platform.hosts([this](const result<host_list> &list) {
-        if (list.has_value())
-            takeHosts(list.value());
+    m_platform.hosts(m_hostListVersion, [this](const result<std::optional<host_list>> &list) {
+        if (list.has_value() && list.value())
+            takeHosts(*list.value());
     });
 }
 
 void control_process::takeHosts(const host_list &list)
 {
+    m_hostListVersion = list.version;
     std::vector<listed_entry> entries;
     std::vector<upstream_info> upstreams;
     for (const auto &host : list.hosts) {
--- a/tools/standin_platform_service.cpp
+++ b/tools/standin_platform_service.cpp
@@ -238,7 +238,11 @@
     if (m_faults.hostListDown)
         return exchange->reply(503, {});
     const auto time = event_loop::now() - std::chrono::milliseconds(m_faults.hostListLagMs);
-    exchange->reply(200, m_hosts.listAt(time).dump(), {{"Content-Type", "application/json"}});
+    const auto list = m_hosts.listAt(time);
+    const auto tag = '"' + list.at("version").dump() + '"';
+    if (exchange->header("If-None-Match") == tag)
+        return exchange->reply(304, {}, {{"ETag", tag}});
+    exchange->reply(200, list.dump(), {{"Content-Type", "application/json"}, {"ETag", tag}});
 }
 
 void standin_platform::serveHostChange(const http_exchange_ptr &exchange)
