Keep gRPC initialised in the status client

Cause: running all unit tests in one process aborts now and then inside gRPC (ref_counted.h, prior > 0). One suspect was the library shutting down while a callback still holds references. Change: grpc_init() once per process in the status client.

--- a/src/status_client.cpp
+++ b/src/status_client.cpp
@@ -30,6 +30,13 @@
     return grpc::CreateCustomChannel(targetOf(router), grpc::InsecureChannelCredentials(), arguments);
 }
 
+/// Keeps gRPC initialised for the life of the process. A callback drops its last references to the library after it has
+/// reported its end; without this, the last channel may be gone by then and the library aborts the process.
+void keepGrpcInitialised()
+{
+    [[maybe_unused]] static const bool s_isInitialised = (grpc_init(), true);
+}
+
 host_status decodeStatus(const status_reply &reply)
 {
     host_status status;
@@ -86,6 +93,7 @@
 status_client::status_client(event_loop &loop, const http_endpoint &router)
     : m_impl(std::make_unique<implementation>(loop, router))
 {
+    keepGrpcInitialised();
 }
 
 status_client::~status_client()
