Test that a lease read before a pause is dated by the waking

Cause: a trial mutation that dated the lease by the start of the read passed all tests; a process that wakes from a pause could then take a lease that is held.

Change: a directed test.

Conclusion: no change of behaviour.

--- a/tests/test_controller.cpp
+++ b/tests/test_controller.cpp
@@ -216,6 +216,43 @@
     CHECK(other.events.back().reason > holder.events.front().reason);
 }
 
+TEST_CASE("a lease that was read before a pause is dated by the waking, not by the start of the read")
+{
+    class held_store : public fake_store
+    {
+    public:
+        std::function<void()> held; ///< the first read, until the test lets it go
+        bool isFirst = true;
+
+        void read(const std::string &key, read_done done) override
+        {
+            if (!std::exchange(isFirst, false))
+                return fake_store::read(key, std::move(done));
+            held = [this, key, done = std::move(done)] {
+                fake_store::read(key, done);
+            };
+        }
+    };
+    held_store store;
+    const auto renew = [&](std::uint64_t renewal, object_version expected) {
+        store.write("lease/controller", encodeLease({"x/1", 5, renewal}), expected,
+                    [](const result<object_version> &written) { REQUIRE(written.has_value()); });
+    };
+    renew(1, 0);
+    controller_lease lease(store, "b/1");
+    lease.tick(milliseconds(1), milliseconds(100));
+    // The process is paused; the holder renews at 10 s, and only then is the read answered.
+    renew(2, 1);
+    store.held();
+    for (int ms = 10000; ms < 15900; ms += 50)
+        lease.tick(milliseconds(ms), milliseconds(100));
+    CHECK(store.writes == 2);
+    for (int ms = 15900; ms < 16100; ms += 50)
+        lease.tick(milliseconds(ms), milliseconds(100));
+    CHECK(store.writes == 3);
+    CHECK(lease.token() == 6);
+}
+
 TEST_CASE("the holder survives a lost answer of a renewal and stops in an outage")
 {
     deployment test;
