Close idle client connections after their limit

Cause: pooled connections to hosts that were replaced were never used again and never freed, so they piled up with each replacement.

Change: the HTTP client drops idle connections after 20 s; tests for that, for cancelling from another call's handler, and for endpoint syntax.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -16,9 +16,6 @@
 namespace
 {
 
-/// Idle connections are dropped before the server drops them (evhttp servers: 50 s), so that a request is not lost on a
-/// connection that is just being closed.
-constexpr std::chrono::seconds kIdleLimit{20};
 constexpr std::size_t kIdlePerEndpoint = 64;
 
 constexpr std::array kMethods{EVHTTP_REQ_GET, EVHTTP_REQ_POST, EVHTTP_REQ_PUT, EVHTTP_REQ_DELETE};
@@ -82,10 +79,13 @@
     loop_timer timeout;
 };
 
-http_client::http_client(event_loop &loop)
+http_client::http_client(event_loop &loop, std::chrono::microseconds idleLimit)
     : m_loop(loop)
+    , m_idleLimit(idleLimit)
     , m_cleanup(loop, [this] { freeDiscarded(); })
+    , m_prune(loop, [this] { pruneIdle(); })
 {
+    m_prune.start(m_idleLimit);
 }
 
 http_client::~http_client()
@@ -105,7 +105,7 @@
     while (!idle.empty()) {
         const auto last = idle.back();
         idle.pop_back();
-        if (event_loop::now() - last.since < kIdleLimit)
+        if (event_loop::now() - last.since < m_idleLimit)
             return last.connection;
         discard(last.connection, nullptr);
     }
@@ -145,6 +145,21 @@
         evhttp_connection_free(connection);
 }
 
+void http_client::pruneIdle()
+{
+    // Endpoints of replaced hosts never come back; without this their connections would pile up.
+    m_prune.start(m_idleLimit);
+    const auto oldest = event_loop::now() - m_idleLimit;
+    for (auto &[endpoint, connections] : m_idle)
+        std::erase_if(connections, [&](const idle_connection &idle) {
+            if (idle.since > oldest)
+                return false;
+            discard(idle.connection, nullptr);
+            return true;
+        });
+    std::erase_if(m_idle, [](const auto &item) { return item.second.empty(); });
+}
+
 http_call_id http_client::start(http_request request, http_handlers handlers)
 {
     const auto id = m_nextCall++;
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -64,7 +64,11 @@
 class http_client
 {
 public:
-    explicit http_client(event_loop &loop);
+    /// Idle connections are dropped before the server drops them (evhttp servers: 50 s), so that a request is not lost
+    /// on a connection that is just being closed.
+    static constexpr std::chrono::seconds kIdleLimit{20};
+
+    explicit http_client(event_loop &loop, std::chrono::microseconds idleLimit = kIdleLimit);
     ~http_client();
     http_client(const http_client &) = delete;
     http_client &operator=(const http_client &) = delete;
@@ -91,6 +95,7 @@
     void giveBack(const http_endpoint &endpoint, evhttp_connection *connection);
     void discard(evhttp_connection *connection, std::unique_ptr<call> owner);
     void freeDiscarded();
+    void pruneIdle();
     bool send(call &open);
     void onResponse(call &open, evhttp_request *response);
     void onBodyPart(call &open, evhttp_request *response);
@@ -98,12 +103,14 @@
     void finish(call &open, http_reply reply);
 
     event_loop &m_loop;
+    std::chrono::microseconds m_idleLimit;
     std::uint64_t m_nextCall = 1;
     std::unordered_map<std::uint64_t, std::unique_ptr<call>> m_calls;
     std::map<http_endpoint, std::vector<idle_connection>> m_idle;
     /// Connections to free outside of evhttp's own callbacks, with the call that those may still refer to.
     std::vector<std::pair<evhttp_connection *, std::unique_ptr<call>>> m_discarded;
     loop_timer m_cleanup;
+    loop_timer m_prune;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< for posted messages that outlive this object
 };
 
--- /dev/null
+++ b/tests/test_http_client.cpp
@@ -0,0 +1,69 @@
+// HTTP client: connections to hosts that were replaced must not pile up, and endpoints must be IP addresses.
+#include "loopback_p.h"
+
+using namespace foxtaildyke;
+
+TEST_CASE("idle connections are closed after their limit")
+{
+    loopback net;
+    net.serve = [](const http_exchange_ptr &exchange) {
+        exchange->reply(200, {});
+    };
+    http_client client(net.loop, std::chrono::milliseconds(40));
+    http_request request;
+    request.endpoint = net.endpoint;
+    request.path = "/";
+    std::size_t idleAfterReply = 0;
+    client.start(request,
+                 {[&](const http_reply &) {
+                      idleAfterReply = client.idleConnections();
+                      net.loop.after(std::chrono::milliseconds(200), [&] { net.loop.stop(); });
+                  },
+                  {}});
+    REQUIRE(net.run());
+    CHECK(idleAfterReply == 1);
+    CHECK(client.idleConnections() == 0);
+}
+
+TEST_CASE("a call that is cancelled by another call's handler runs no handler")
+{
+    loopback net;
+    net.serve = [](const http_exchange_ptr &exchange) {
+        exchange->reply(200, "x");
+    };
+    http_request request;
+    request.endpoint = net.endpoint;
+    request.path = "/";
+    // The call whose data comes first cancels the other one; which it is does not matter.
+    std::array<http_call_id, 2> calls{};
+    int parts = 0;
+    int ends = 0;
+    const auto start = [&](std::size_t own) {
+        http_handlers handlers;
+        handlers.onData = [&, own](int, std::string_view) {
+            ++parts;
+            net.client.cancel(calls[1 - own]);
+        };
+        handlers.onDone = [&](const http_reply &) {
+            ++ends;
+            net.stopSoon();
+        };
+        return net.client.start(request, handlers);
+    };
+    calls = {start(0), start(1)};
+    REQUIRE(net.run());
+    CHECK(parts == 1);
+    CHECK(ends == 1);
+    CHECK(net.client.openCalls() == 0);
+}
+
+TEST_CASE("an endpoint is an IP address and a port")
+{
+    CHECK(parseEndpoint("127.0.0.1:80") == http_endpoint{"127.0.0.1", 80});
+    CHECK(parseEndpoint("[::1]:7") == http_endpoint{"::1", 7});
+    for (const char *text : {"", ":1", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:65536", "localhost:1",
+                             "127.0.0.1:1 ", "256.0.0.1:1"}) {
+        CAPTURE(text);
+        CHECK(!parseEndpoint(text));
+    }
+}
