Count only acknowledgements of one status towards acceptance

Cause: acceptance kept each acknowledgement for good. The model of freshness refutes this (variant ACK_KEPT): in a store outage a host that acknowledged can restart and learn an older generation from a majority, so that a majority at the older one goes on dispatching after the acceptance was reported. It relies on routers reporting acknowledgements that are younger than a lease.

--- a/src/acceptance.cpp
+++ b/src/acceptance.cpp
@@ -48,9 +48,6 @@
             m_changes.try_emplace(change.generation, effectOf(change));
     }
     auto hosts = hostsOf(document);
-    // Names of replaced hosts would pile up otherwise.
-    if (document.generation > newest())
-        std::erase_if(m_held, [&](const auto &held) { return !hosts.contains(held.first); });
     m_known[document.generation] = {std::move(hosts), leaseOf(document), std::nullopt};
 }
 
@@ -73,10 +70,10 @@
 
 void acceptance::observe(const host_status &status, instant now)
 {
-    for (const auto &host : status.acknowledged) {
-        auto &held = m_held[host];
-        held = std::max(held, status.generation);
-    }
+    // Only acknowledgements of one status are counted together; see m_held.
+    m_held.clear();
+    for (const auto &host : status.acknowledged)
+        m_held[host] = status.generation;
     for (auto &[generation, known] : m_known) {
         if (!known.majorityAt && hasMajority(generation))
             known.majorityAt = now;
--- a/src/acceptance_p.h
+++ b/src/acceptance_p.h
@@ -64,7 +64,9 @@
 
     std::map<generation_number, known_generation> m_known; ///< m_accepted, where it is known, and later ones
     std::map<generation_number, change_effect> m_changes; ///< of generations after m_accepted
-    std::map<std::string, generation_number> m_held; ///< highest generation that each host has acknowledged
+    /// Generation that each host held in the last status. Acknowledgements of earlier ones don't count: a host that has
+    /// restarted in an outage since then may hold an older generation, so that two majorities would not intersect.
+    std::map<std::string, generation_number> m_held;
     generation_number m_accepted = 0;
 };
 
--- a/tests/test_controller.cpp
+++ b/tests/test_controller.cpp
@@ -155,6 +155,22 @@
     CHECK(changes.accepted() == 3);
 }
 
+// Guards against a majority put together from acknowledgements of different times: in an outage a restarted host may
+// have learnt an older generation from the others, and a majority at the older one goes on dispatching.
+TEST_CASE("an acknowledgement that is no longer reported does not count towards a majority")
+{
+    acceptance changes;
+    changes.note(documentOf(controlLayers(3), 1, plainHistory(1)));
+    changes.observe(statusOf(1, hostNames(1, 1)), milliseconds(0));
+    changes.observe(statusOf(1, hostNames(2, 2)), milliseconds(1000));
+    changes.tick(milliseconds(60000));
+    CHECK(changes.accepted() == 0);
+    CHECK_FALSE(changes.hasMajority(1));
+    changes.observe(statusOf(1, hostNames(2, 3)), milliseconds(60000));
+    changes.tick(milliseconds(64400));
+    CHECK(changes.accepted() == 1);
+}
+
 TEST_CASE("a shortened lease is not used before the longer one has run out")
 {
     acceptance changes;
