Relay over gRPC in the router, and measurements of the tree

Cause: routers read the store each for themselves and shared nothing.

The router uses it where peer_listen is set. A change now travels together with its freshness stamp.

--- a/cmake/adapters.cmake
+++ b/cmake/adapters.cmake
@@ -15,6 +15,8 @@
     src/peer_wire.cpp
     src/platform_client.cpp
     src/process_settings.cpp
+    src/relay_task.cpp
+    src/relay_task_core.cpp
     src/router_task.cpp
     src/store_ports.cpp
     src/upstream_client.cpp)
--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -4,6 +4,7 @@
     src/admin_json.cpp
     src/admission.cpp
     src/balancer.cpp
+    src/config_holder.cpp
     src/controller_lease.cpp
     src/evidence.cpp
     src/fleet.cpp
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -9,3 +9,7 @@
 add_executable(foxtaildyke-failure-tests tests/tests_main.cpp ${failure_tests})
 target_link_libraries(foxtaildyke-failure-tests PRIVATE foxtaildyke-core Threads::Threads)
 target_compile_definitions(foxtaildyke-failure-tests PRIVATE FOXTAILDYKE_BINARY_DIR="${CMAKE_BINARY_DIR}")
+
+# Measurement of the relay tree; see scripts/measure-relay.
+add_executable(foxtaildyke-measure-relay tests/measure_relay.cpp tests/relay_bus.cpp)
+target_link_libraries(foxtaildyke-measure-relay PRIVATE foxtaildyke-adapters)
--- a/src/ports_p.h
+++ b/src/ports_p.h
@@ -39,8 +39,12 @@
 public:
     virtual ~sharing_port() = default;
     virtual void share(const share_evidence &evidence) = 0;
+    virtual void share(const share_estimates &estimates) = 0;
     virtual void share(const share_halt &halt) = 0;
     virtual void share(const share_quarantine &entry) = 0;
+
+    /// Counts a request for the demand of its client account.
+    virtual void noteRequest(const std::string &apiKey) = 0;
 };
 
 } // namespace foxtaildyke
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -20,8 +20,17 @@
 /// Demand is sent when it changed by more than this part.
 constexpr std::uint64_t kDemandDivisor = 8;
 
+/// Stands for "not in this period".
+constexpr std::uint64_t kNoDemand = UINT64_MAX;
+
 /// What was held back is sent after this many periods, so that a sum that stopped growing becomes exact.
-constexpr std::uint64_t kFlushPeriods = 16;
+constexpr std::uint64_t kFlushPeriods = 64;
+
+/// Counts that change a sum by little go to the parent after this many periods.
+constexpr std::uint64_t kDeltaPeriods = 32;
+
+/// Demand is compared with what the other side knows in each of this many periods only.
+constexpr std::uint64_t kDemandPeriods = 8;
 
 /// After an answer that came early, because of news, the next call waits for this part of a period only: until then the
 /// parent has no call that it could answer with the next news.
@@ -32,6 +41,8 @@
 demand_map changedDemand(const demand_map &current, const demand_map &known, std::uint64_t divisor)
 {
     demand_map changed;
+    if (divisor == kNoDemand)
+        return changed;
     for (const auto &[account, demand] : current) {
         const auto found = known.find(account);
         const auto before = found == known.end() ? 0 : found->second;
@@ -48,6 +59,8 @@
 std::uint64_t relay::demandDivisor() const
 {
     // Two periods, so that each link has a call in this time.
+    if (m_ticks % kDemandPeriods >= 2)
+        return kNoDemand;
     return m_ticks % kFlushPeriods < 2 ? 0 : kDemandDivisor;
 }
 
@@ -212,7 +225,7 @@
 delta_queue::delta relay::nextDelta()
 {
     const auto hosts = m_members.hosts.size();
-    if (hosts <= kSmallFleet || m_ticks % (kFlushPeriods / 2) == 0)
+    if (hosts <= kSmallFleet || m_ticks % kDeltaPeriods == 0)
         return m_deltas.next([](const shared_count &) { return true; });
     // All hosts together may hold back one part in kDampingDivisor of a sum.
     const auto totals = m_shared.totals();
@@ -287,8 +300,9 @@
     m_nextCallAt = std::min(m_nextCallAt, now + period() / kEarlyCallDivisor);
     m_link.seenNews = std::max(m_link.seenNews, answer.news);
     m_link.generation = answer.generation;
-    takeConfig(answer.config, answer.generation);
+    // The stamp first: a host that adopts a generation passes it on at once, and dispatches under it from then on.
     takeStamp(sent, answer);
+    takeConfig(answer.config, answer.generation);
     takeAcknowledged(answer);
     if (m_shared.merge(answer.shared, m_link.number, now)) {
         m_urgentNews = m_shared.news();
@@ -306,7 +320,7 @@
 
 void relay::takeStamp(const outgoing_call &sent, const exchange_answer &answer)
 {
-    if (!answer.stampAge || answer.generation != m_fresh.generation())
+    if (!answer.stampAge)
         return;
     // The parent cannot have received the call before it was sent.
     m_fresh.stamp({answer.generation, sent.sentAt + answer.held - *answer.stampAge});
--- a/src/relay_children.cpp
+++ b/src/relay_children.cpp
@@ -130,13 +130,6 @@
     return reply;
 }
 
-void relay::dropCall(answer_token token)
-{
-    for (auto &[name, from] : m_children)
-        if (from.held == token)
-            from.held.reset();
-}
-
 void relay::driveChildren(instant now)
 {
     std::erase_if(m_children, [&](const auto &pair) {
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -135,9 +135,6 @@
     void takeCall(answer_token token, const exchange_call &call, instant now);
     void takeAnswer(call_token token, const result<exchange_answer> &answer, instant now);
 
-    /// A call whose caller has gone is not answered any more.
-    void dropCall(answer_token token);
-
     /// Drives the exchange; to be called at nextTimer() at the latest.
     void tick(instant now);
     [[nodiscard]] instant nextTimer() const;
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -28,6 +28,8 @@
         return;
     for (auto &delta : core.m_evidence.takeDeltas())
         core.m_actions.emplace_back(share_evidence{std::move(delta)});
+    if (auto delta = core.m_policy.takeDeltas(); !delta.empty())
+        core.m_actions.emplace_back(share_estimates{std::move(delta)});
 }
 
 std::vector<core_action> router_core::takeActions()
@@ -118,6 +120,11 @@
     pump();
 }
 
+void router_core::implementation::on(const estimates_update &input)
+{
+    m_policy.learnFromOthers(input.counts);
+}
+
 void router_core::implementation::on(const quarantine_update &input)
 {
     if (!m_config)
--- a/src/router_core_p.h
+++ b/src/router_core_p.h
@@ -100,6 +100,10 @@
     std::vector<std::string> haltedVersions;
     std::vector<version_evidence> ownPart; ///< what `totals` holds of this host's deltas
 };
+/// Rated answers of other hosts that are new since the last update, from the relay.
+struct estimates_update {
+    std::vector<estimate_counts> counts;
+};
 struct quarantine_update {
     std::vector<std::uint64_t> fingerprints;
 };
@@ -112,9 +116,10 @@
 struct drain_request {
 };
 
-using core_input = std::variant<caller_request, caller_gone, attempt_chunk, attempt_done, attempt_failed, ledger_reply,
-                                rating_reply, config_changed, lease_changed, upstreams_changed, load_report,
-                                evidence_update, quarantine_update, limit_shares, timer_tick, drain_request>;
+using core_input =
+    std::variant<caller_request, caller_gone, attempt_chunk, attempt_done, attempt_failed, ledger_reply, rating_reply,
+                 config_changed, lease_changed, upstreams_changed, load_report, evidence_update, estimates_update,
+                 quarantine_update, limit_shares, timer_tick, drain_request>;
 
 // Actions.
 
@@ -190,6 +195,10 @@
 struct share_evidence {
     version_evidence delta;
 };
+/// Rated answers to share with the other hosts.
+struct share_estimates {
+    std::vector<estimate_counts> delta;
+};
 struct share_halt {
     std::string version;
 };
@@ -209,8 +218,9 @@
     std::string reason; ///< why the core decided so
 };
 
-using core_action = std::variant<start_attempt, cancel_attempt, send_chunk, finish_request, write_claim, write_bill,
-                                 write_pin, ask_rating, share_evidence, share_halt, share_quarantine, record_event>;
+using core_action =
+    std::variant<start_attempt, cancel_attempt, send_chunk, finish_request, write_claim, write_bill, write_pin,
+                 ask_rating, share_evidence, share_estimates, share_halt, share_quarantine, record_event>;
 
 /// State machine over the requests in flight of one host.
 class router_core
--- a/src/router_core_state_p.h
+++ b/src/router_core_state_p.h
@@ -126,6 +126,7 @@
     void on(const upstreams_changed &input);
     void on(const load_report &input);
     void on(const evidence_update &input);
+    void on(const estimates_update &input);
     void on(const quarantine_update &input);
     void on(const limit_shares &input);
     void on(const timer_tick &input);
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -118,6 +118,8 @@
         noteAttemptEnd(failed->attempt, failed->failure);
     else if (const auto *changed = std::get_if<config_changed>(&input))
         m_metrics.setGeneration(changed->config->generation);
+    else if (const auto *request = std::get_if<caller_request>(&input))
+        m_ports.sharing->noteRequest(request->apiKey);
 }
 
 void router_task::noteAttemptEnd(attempt_token attempt, std::optional<attempt_failure> failure)
@@ -184,6 +186,11 @@
     m_ports.sharing->share(action);
 }
 
+void router_task::perform(const share_estimates &action)
+{
+    m_ports.sharing->share(action);
+}
+
 void router_task::perform(const share_halt &action)
 {
     m_ports.sharing->share(action);
--- a/src/router_task_p.h
+++ b/src/router_task_p.h
@@ -70,6 +70,7 @@
     void perform(const write_pin &action);
     void perform(const ask_rating &action);
     void perform(const share_evidence &action);
+    void perform(const share_estimates &action);
     void perform(const share_halt &action);
     void perform(const share_quarantine &action);
     void perform(const record_event &action);
--- a/src/store_ports_p.h
+++ b/src/store_ports_p.h
@@ -62,8 +62,10 @@
 {
 public:
     void share(const share_evidence &) override { }
+    void share(const share_estimates &) override { }
     void share(const share_halt &) override { }
     void share(const share_quarantine &) override { }
+    void noteRequest(const std::string &) override { }
 };
 
 } // namespace foxtaildyke
--- a/tests/test_transcript.cpp
+++ b/tests/test_transcript.cpp
@@ -107,6 +107,10 @@
     {
         return "evidence of other hosts, halted: " + joined(input.haltedVersions);
     }
+    std::string operator()(const estimates_update &input) const
+    {
+        return "estimates of other hosts: " + std::to_string(input.counts.size());
+    }
     std::string operator()(const quarantine_update &input) const
     {
         return "quarantine from other hosts: " + std::to_string(input.fingerprints.size()) + " requests";
@@ -160,6 +164,13 @@
         return "share evidence " + delta.version + field("dispatched", delta.dispatched) + field("passed", delta.passed)
             + field("failed", delta.failed) + field("settled", delta.settled);
     }
+    std::string operator()(const share_estimates &action) const
+    {
+        std::string text = "share estimates";
+        for (const auto &entry : action.delta)
+            text += " " + entry.kind + "/" + entry.version + field("met", entry.met) + field("missed", entry.missed);
+        return text;
+    }
     std::string operator()(const share_halt &action) const { return "share halt of " + action.version; }
     std::string operator()(const share_quarantine &) const { return "share quarantine"; }
     std::string operator()(const record_event &action) const
--- a/tools/router_main.cpp
+++ b/tools/router_main.cpp
@@ -1,4 +1,5 @@
 // foxtaildyke-router: callers' API, upstream calls and decision core of one entry host.
+#include "relay_task_p.h"
 #include "router_task_p.h"
 #include "store_ports_p.h"
 
@@ -41,6 +42,12 @@
     const auto note = [&task](std::string type, std::string reason, generation_number generation) {
         task.log().note(std::move(type), std::move(reason), generation);
     };
+    if (!task.settings().peerListen.address.empty()) {
+        const auto relay = std::make_shared<relay_task>(task.loop(), task.store(), task.settings(), task.sink(), note);
+        return {std::make_unique<relay_config>(relay),
+                std::make_unique<store_ledger>(task.store(), task.settings().host, task.sink()),
+                std::make_unique<relay_sharing>(relay)};
+    }
     return {std::make_unique<store_config>(task.loop(), task.store(), task.settings().failureDomain, task.sink(), note),
             std::make_unique<store_ledger>(task.store(), task.settings().host, task.sink()),
             std::make_unique<no_sharing>()};
