--- a/cmake/adapters.cmake
+++ b/cmake/adapters.cmake
@@ -19,4 +19,5 @@
     src/relay_task_core.cpp
     src/router_task.cpp
     src/store_ports.cpp
+    src/status_client.cpp
     src/upstream_client.cpp)
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -12,12 +12,15 @@
 
 constexpr std::uint32_t kFailuresToOpen = 3; ///< failures in a row that open the circuit
 constexpr std::chrono::seconds kOpenTime{5}; ///< before the first trial; doubles with each failed trial
-constexpr std::uint32_t kOpenDoublingsMost = 3;
-constexpr double kReportLifetimeSeconds = 2; ///< age at which a report of other hosts' load counts 1/e
+constexpr std::uint32_t kOpenDoublingsMost =
+    1; ///< a replica that came back waits for its trial as long as the circuit stays open
+constexpr double kReportFreshSeconds = 1; ///< a younger report counts in full: reports come several times a second
+constexpr double kReportLifetimeSeconds = 2; ///< later, the time in which an old report of others' load falls to 1/e
 constexpr double kDistancePenalty = 0.05; ///< of a full replica, for another failure domain
 constexpr double kAffinityBonus = 0.3; ///< of a full replica, for the one that likely holds the prompt's prefix
 constexpr double kAffinityLoadBound =
     1.25; ///< times the pool's mean load: more and a popular prefix would be a hot spot
+constexpr double kYieldShare = 0.1; ///< of a pool's slots, that a host above its even part leaves to others
 constexpr std::size_t kSubsetFar =
     16; ///< of a subset, kept for other failure domains, so that the loss of one is survived
 
@@ -100,6 +103,7 @@
     auto &entry = found->second;
     entry.reportedLoad = running + queued;
     entry.inFlightAtReport = entry.inFlight;
+    entry.startsSinceReport = 0;
     entry.reportedAt = measuredAt;
     if (slots > 0)
         entry.info.slots = slots;
@@ -112,7 +116,27 @@
         return candidate.inFlight;
     const auto age = std::max(0.0, std::chrono::duration<double>(now - candidate.reportedAt).count());
     const auto others = static_cast<double>(candidate.reportedLoad - candidate.inFlightAtReport);
-    return candidate.inFlight + others * std::exp(-age / kReportLifetimeSeconds);
+    return candidate.inFlight + others * std::exp(-std::max(0.0, age - kReportFreshSeconds) / kReportLifetimeSeconds);
+}
+
+double balancer::unseenStarts(const replica &candidate, std::size_t hosts, instant now)
+{
+    // Without reports the own starts would only add up, and in the end keep the host from a pool that is free.
+    const auto age = std::chrono::duration<double>(now - candidate.reportedAt).count();
+    if (candidate.reportedAt < instant{} || age > kReportFreshSeconds || hosts < 2)
+        return 0;
+    return candidate.startsSinceReport * static_cast<double>(hosts - 1);
+}
+
+bool balancer::isLastClosed(const replica &candidate, instant now) const
+{
+    return std::ranges::any_of(m_pools, [&](const auto &item) {
+        const auto &members = item.second;
+        const bool isMember = std::ranges::find(members, &candidate) != members.end();
+        return isMember && std::ranges::none_of(members, [&](const replica *other) {
+                   return other != &candidate && now >= other->openUntil;
+               });
+    });
 }
 
 bool balancer::isOpen(const replica &candidate, instant now)
@@ -151,21 +175,30 @@
     pool open;
     double slots = 0;
     double load = 0;
+    double unseen = 0;
+    double own = 0;
     for (auto *entry : *members) {
         if (isOpen(*entry, now))
             continue;
         const auto used = loadOf(*entry, now);
         slots += entry->info.slots;
         load += std::min<double>(used, entry->info.slots);
+        own += entry->inFlight;
+        unseen += unseenStarts(*entry, request.hosts, now);
         // A faded report leaves a small rest that must not close the last slot.
         if (used + 0.5 < entry->info.slots && entry->info.name != request.exclude)
             open.push_back(entry);
     }
-    // The reserve is counted over the pool: of a replica with few slots a part would be all or nothing.
-    const auto reserve = request.priority == request_class::interactive
-        ? 0.0
-        : std::min(slots - 1, std::ceil(slots * tune.interactiveReservePercent / 100));
-    if (open.empty() || slots - load < reserve + 0.5)
+    // The reserve is counted over the pool: of a replica with few slots a part would be all or nothing. The other hosts
+    // are taken to have started as much since the last reports as this one, or all would fill the same free slots.
+    const bool isInteractive = request.priority == request_class::interactive;
+    const auto reserve =
+        isInteractive ? 0.0 : std::min(slots - 1, std::ceil(slots * tune.interactiveReservePercent / 100));
+    const auto hosts = static_cast<double>(std::max<std::size_t>(1, request.hosts));
+    // A host whose attempts end sees the free slot first. Above its even part it leaves some for hosts below theirs.
+    const bool isAbovePart = !isInteractive && hosts > 1 && own * hosts >= slots - reserve;
+    const auto taken = isInteractive ? load : load + unseen + (isAbovePart ? kYieldShare * slots : 0);
+    if (open.empty() || slots - taken < reserve + 0.5)
         return nullptr;
     return &choose(open, request.prefixHash, load / static_cast<double>(members->size()), now)->info;
 }
@@ -186,8 +219,10 @@
 void balancer::noteStart(std::string_view upstream)
 {
     const auto found = m_replicas.find(std::string(upstream));
-    if (found != m_replicas.end())
-        ++found->second.inFlight;
+    if (found == m_replicas.end())
+        return;
+    ++found->second.inFlight;
+    ++found->second.startsSinceReport;
 }
 
 void balancer::noteEnd(std::string_view upstream, std::optional<attempt_failure> failure, instant now)
@@ -214,7 +249,12 @@
     // Attempts that began before the circuit opened say nothing new.
     if (now < entry.openUntil)
         return;
-    if (++entry.failuresInRow < kFailuresToOpen && !entry.isHalfOpen)
+    // A replica that takes no connection is gone, and looks idle: a second attempt would go there as well.
+    entry.failuresInRow += *failure == attempt_failure::not_sent ? kFailuresToOpen : 1;
+    if (entry.failuresInRow < kFailuresToOpen && !entry.isHalfOpen)
+        return;
+    // Timeouts of an overloaded pool must not close its last replica to everyone.
+    if (isLastClosed(entry, now))
         return;
     const auto doublings =
         std::min(kOpenDoublingsMost, entry.failuresInRow - std::min(entry.failuresInRow, kFailuresToOpen));
