--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -13,3 +13,6 @@
 # Measurements of the ledger for docs/MEASUREMENTS.md; not a test.
 add_executable(foxtaildyke-measure-ledger tests/measure_ledger.cpp)
 target_link_libraries(foxtaildyke-measure-ledger PRIVATE foxtaildyke-core)
+# Measurement of the relay tree; see scripts/measure-relay.
+add_executable(foxtaildyke-measure-relay tests/measure_relay.cpp tests/relay_bus.cpp)
+target_link_libraries(foxtaildyke-measure-relay PRIVATE foxtaildyke-adapters)
