Plug the ledger service into the router

Cause: the router wrote each claim, pin and bill as an object of its own, and stopped serving in a store outage, because bills could not be secured. Change: relay_ledger adapts the ledger service to the router's ledger port and the peer protocol (Append, CopyBills); seed addresses go before registered ones, so that a host reaches its peers through its own network.

--- a/cmake/adapters.cmake
+++ b/cmake/adapters.cmake
@@ -15,6 +15,7 @@
     src/peer_wire.cpp
     src/platform_client.cpp
     src/process_settings.cpp
+    src/relay_ledger.cpp
     src/relay_task.cpp
     src/relay_task_core.cpp
     src/router_task.cpp
--- /dev/null
+++ b/src/relay_ledger.cpp
@@ -0,0 +1,206 @@
+// Ledger port over the ledger service and the peer protocol; see relay_ledger_p.h.
+#include "relay_ledger_p.h"
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kAppendTimeout{2000}; ///< covers a batch that waits for a slow store
+constexpr std::chrono::milliseconds kCopyTimeout{500};
+constexpr std::chrono::milliseconds kIdlePeriod{100}; ///< between ticks while nothing is due
+
+std::int64_t unixSeconds()
+{
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(time).count();
+}
+
+append_response encodeReplies(const result<std::vector<append_reply>> &replies)
+{
+    // A failure is an answer without outcomes; the caller then reads the log.
+    append_response response;
+    if (replies.has_error())
+        return response;
+    for (const auto &reply : replies.value()) {
+        auto *outcome = response.add_outcomes();
+        outcome->set_status(static_cast<std::uint32_t>(reply.status));
+        outcome->set_answer(reply.answer);
+        for (const auto &pin : reply.pins)
+            outcome->add_pins(pin);
+    }
+    return response;
+}
+
+result<std::vector<append_reply>> decodeReplies(const append_response &response)
+{
+    const error failure{error_code::protocol_violation, "append"};
+    if (response.outcomes().empty())
+        return failure;
+    std::vector<append_reply> replies;
+    for (const auto &outcome : response.outcomes()) {
+        if (outcome.status() >= static_cast<std::uint32_t>(ledger_status::count))
+            return failure;
+        replies.push_back({static_cast<ledger_status>(outcome.status()),
+                           outcome.answer(),
+                           {outcome.pins().begin(), outcome.pins().end()}});
+    }
+    return replies;
+}
+
+} // namespace
+
+relay_ledger::relay_ledger(event_loop &loop, object_store &store, std::shared_ptr<relay_task> relay,
+                           const std::string &host, const std::string &run, core_sink deliver)
+    : m_relay(std::move(relay))
+    , m_deliver(std::move(deliver))
+    , m_service(host, run, store, *this)
+    , m_timer(loop, [this] { drive(); })
+{
+    m_relay->setLedger(makeHandlers());
+    schedule();
+}
+
+relay_task::ledger_handlers relay_ledger::makeHandlers()
+{
+    return {.append =
+                [this](const append_request &request, const peer_reply<append_response> &reply) {
+                    m_service.serveAppend(
+                        request.segment(), request.batch(),
+                        [reply](const result<std::vector<append_reply>> &replies) { reply(encodeReplies(replies)); });
+                    schedule();
+                },
+            .copyBills =
+                [this](const copy_bills_request &request, const peer_reply<copy_bills_reply> &reply) {
+                    const std::vector<std::string> release(request.release().begin(), request.release().end());
+                    copy_bills_reply answer;
+                    answer.set_kept(m_service.serveCopies(request.host(), request.batch(), release));
+                    reply(answer);
+                    schedule();
+                }};
+}
+
+append_done relay_ledger::replyTo(request_token request, ledger_step step)
+{
+    ++m_open;
+    return [this, request, step](append_reply reply) {
+        --m_open;
+        m_deliver(ledger_reply{.request = request,
+                               .step = step,
+                               .status = reply.status,
+                               .answer = std::move(reply.answer),
+                               .pins = std::move(reply.pins)});
+    };
+}
+
+void relay_ledger::claim(const write_claim &record)
+{
+    m_service.claim(record, replyTo(record.request, ledger_step::claim));
+    schedule();
+}
+
+void relay_ledger::pin(const write_pin &record)
+{
+    m_service.pin(record, replyTo(record.request, ledger_step::pin));
+    schedule();
+}
+
+void relay_ledger::bill(const write_bill &record)
+{
+    m_service.bill(record, replyTo(record.request, ledger_step::bill));
+    schedule();
+}
+
+bool relay_ledger::isIdle() const
+{
+    return m_open == 0 && m_service.unsecuredBills() == 0;
+}
+
+void relay_ledger::onConfig(const fleet_ptr &config)
+{
+    m_config = config;
+    m_service.configure(config);
+    updateGone();
+}
+
+void relay_ledger::onEntryHosts(const std::vector<listed_host> &hosts)
+{
+    m_listed = hosts;
+    updateGone();
+}
+
+void relay_ledger::onDrain()
+{
+    m_service.drain();
+    schedule();
+}
+
+void relay_ledger::updateGone()
+{
+    // A list without entry hosts says nothing about them.
+    if (!m_config || m_listed.empty())
+        return;
+    std::set<std::string> gone;
+    for (const auto &host : m_config->hosts) {
+        const auto listed = std::ranges::find(
+            m_listed, host.name, [](const listed_host &entry) -> const std::string & { return entry.info.name; });
+        if (listed == m_listed.end() || listed->info.state != host_state::live)
+            gone.insert(host.name);
+    }
+    m_service.setGone(std::move(gone));
+}
+
+void relay_ledger::append(const std::string &host, std::uint32_t segment, std::string batch, append_replies done)
+{
+    const auto endpoint = m_relay->endpointOf(host);
+    if (!endpoint)
+        return done(error{error_code::unavailable, host});
+    append_request request;
+    request.set_segment(segment);
+    request.set_batch(std::move(batch));
+    m_relay->peers().append(*endpoint, std::move(request), kAppendTimeout,
+                            [this, done = std::move(done)](const result<append_response> &response) {
+                                if (response.has_error())
+                                    done(response.error());
+                                else
+                                    done(decodeReplies(response.value()));
+                                schedule();
+                            });
+}
+
+void relay_ledger::copyBills(const std::string &host, std::string batch, std::vector<std::string> release,
+                             copy_done done)
+{
+    const auto endpoint = m_relay->endpointOf(host);
+    if (!endpoint)
+        return done(error{error_code::unavailable, host});
+    copy_bills_request request;
+    request.set_host(m_relay->host());
+    request.set_batch(std::move(batch));
+    for (auto &writer : release)
+        request.add_release(std::move(writer));
+    m_relay->peers().copyBills(*endpoint, std::move(request), kCopyTimeout,
+                               [this, done = std::move(done)](const result<copy_bills_reply> &reply) {
+                                   if (reply.has_error())
+                                       done(reply.error());
+                                   else
+                                       done(reply.value().kept());
+                                   schedule();
+                               });
+}
+
+void relay_ledger::drive()
+{
+    m_service.tick(event_loop::now(), unixSeconds());
+    schedule();
+}
+
+void relay_ledger::schedule()
+{
+    const auto now = event_loop::now();
+    const auto due = m_service.nextTick().value_or(now + kIdlePeriod);
+    m_timer.start(std::clamp<std::chrono::microseconds>(due - now, std::chrono::microseconds{0}, kIdlePeriod));
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/relay_ledger_p.h
@@ -0,0 +1,46 @@
+// Ledger port of the router over the ledger service: records go to segment owners through the peer protocol, and
+// batches to the object API.
+#pragma once
+
+#include "ledger_service_p.h"
+#include "relay_task_p.h"
+
+namespace foxtaildyke
+{
+
+class relay_ledger : public ledger_port, private ledger_peers
+{
+public:
+    /// @param run unique for this run of the process.
+    relay_ledger(event_loop &loop, object_store &store, std::shared_ptr<relay_task> relay, const std::string &host,
+                 const std::string &run, core_sink deliver);
+
+    void claim(const write_claim &record) override;
+    void pin(const write_pin &record) override;
+    void bill(const write_bill &record) override;
+    [[nodiscard]] bool isIdle() const override;
+
+    void onConfig(const fleet_ptr &config) override;
+    void onEntryHosts(const std::vector<listed_host> &hosts) override;
+    void onDrain() override;
+
+private:
+    void append(const std::string &host, std::uint32_t segment, std::string batch, append_replies done) override;
+    void copyBills(const std::string &host, std::string batch, std::vector<std::string> release,
+                   copy_done done) override;
+    [[nodiscard]] relay_task::ledger_handlers makeHandlers();
+    [[nodiscard]] append_done replyTo(request_token request, ledger_step step);
+    void updateGone();
+    void drive();
+    void schedule();
+
+    std::shared_ptr<relay_task> m_relay;
+    core_sink m_deliver;
+    ledger_service m_service;
+    loop_timer m_timer;
+    fleet_ptr m_config;
+    std::vector<listed_host> m_listed; ///< entry hosts on the platform's host list
+    std::size_t m_open = 0; ///< records without a reply
+};
+
+} // namespace foxtaildyke
--- a/src/relay_task.cpp
+++ b/src/relay_task.cpp
@@ -117,6 +117,10 @@
 
 std::optional<http_endpoint> relay_task::endpointOf(const std::string &host) const
 {
+    // A seed is the way to that host from this host's network, so it goes before the registered address.
+    const auto seed = std::ranges::find(m_settings.seeds, host, &seed_host::name);
+    if (seed != m_settings.seeds.end())
+        return seed->peer;
     if (!m_config.base())
         return std::nullopt;
     const auto handle = m_config.base()->hostByName(host);
@@ -190,7 +194,7 @@
         hosts[seed.name] = seed.peer;
     if (m_config.base())
         for (const auto &entry : m_config.base()->hosts)
-            hosts[entry.name] = {entry.address, entry.peerPort};
+            hosts.try_emplace(entry.name, http_endpoint{entry.address, entry.peerPort});
     hosts.erase(m_settings.host);
     recover_request request;
     request.set_host(m_settings.host);
--- a/src/relay_task_p.h
+++ b/src/relay_task_p.h
@@ -47,6 +47,8 @@
 
     /// @returns the peer address of a registered host, or nothing.
     [[nodiscard]] std::optional<http_endpoint> endpointOf(const std::string &host) const;
+    /// @returns the name of this host.
+    [[nodiscard]] const std::string &host() const { return m_settings.host; }
     [[nodiscard]] std::uint16_t peerPort() const { return m_peerPort; }
 
 private:
--- a/tools/router_main.cpp
+++ b/tools/router_main.cpp
@@ -1,9 +1,11 @@
 // foxtaildyke-router: callers' API, upstream calls and decision core of one entry host.
+#include "relay_ledger_p.h"
 #include "relay_task_p.h"
 #include "router_task_p.h"
 #include "store_ports_p.h"
 
 #include <csignal>
+#include <random>
 
 using namespace foxtaildyke;
 
@@ -37,6 +39,14 @@
     return settings;
 }
 
+/// @returns a name for this run of the process; writers of ledger records are told apart by it.
+std::string runName()
+{
+    std::random_device random;
+    const auto number = (std::uint64_t{random()} << 32U) | random();
+    return std::to_string(number);
+}
+
 router_ports makePorts(router_task &task)
 {
     const auto note = [&task](std::string type, std::string reason, generation_number generation) {
@@ -45,7 +55,8 @@
     if (!task.settings().peerListen.address.empty()) {
         const auto relay = std::make_shared<relay_task>(task.loop(), task.store(), task.settings(), task.sink(), note);
         return {std::make_unique<relay_config>(relay),
-                std::make_unique<store_ledger>(task.store(), task.settings().host, task.sink()),
+                std::make_unique<relay_ledger>(task.loop(), task.store(), relay, task.settings().host, runName(),
+                                               task.sink()),
                 std::make_unique<relay_sharing>(relay)};
     }
     return {std::make_unique<store_config>(task.loop(), task.store(), task.settings().failureDomain, task.sink(), note),
