Retry a bill without a copy holder before giving up on it

Cause: with two hosts, one of them dead, a bill on its way to the dead segment owner had no copy holder and was answered as unknown at once, so that the caller got 502 although the store was up. On a store that answers in 400 ms the first claim of a segment outlasted the call to its owner, and was refused as may_have_run. Change: such a bill is tried again for 5 s before it is answered as unknown; a call to a segment owner may take 5 s. The harness reads ledger objects with the ledger's own decoder.

--- a/src/ledger_service.cpp
+++ b/src/ledger_service.cpp
@@ -131,7 +131,7 @@
             bill.tried.size() < kMaxCopyTries ? m_router.hosts().copyHolder(writer, bill.tried) : std::string();
         if (holder.empty()) {
             // It is kept here and tried again, so it may still be written: not "unavailable".
-            if (bill.done)
+            if (bill.done && m_now - bill.since >= m_timing.billGiveUp)
                 std::exchange(bill.done, nullptr)({ledger_status::unknown, {}, {}});
             return;
         }
--- a/src/ledger_service_p.h
+++ b/src/ledger_service_p.h
@@ -30,6 +30,9 @@
 /// Timing of the service.
 struct ledger_service_timing {
     std::chrono::microseconds copyAfter{50000}; ///< a bill is copied when the store has not taken it by then
+    /// A bill that is neither written nor copied by then is answered as unknown. Covers the time in which a dead owner is
+    /// found and the segment is written directly.
+    std::chrono::microseconds billGiveUp{5000000};
     std::chrono::microseconds suspect{2000000}; ///< a host that did not answer is left out for this long
     std::chrono::microseconds retry{250000}; ///< between tries to write a kept bill or pin
     /// A copy is written by its holder after this long without a release; the host it came from usually does it first.
--- a/src/relay_ledger.cpp
+++ b/src/relay_ledger.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds kAppendTimeout{2000}; ///< covers a batch that waits for a slow store
+constexpr std::chrono::milliseconds kAppendTimeout{5000}; ///< covers loading a segment from a slow store
 constexpr std::chrono::milliseconds kCopyTimeout{500};
 constexpr std::chrono::milliseconds kIdlePeriod{100}; ///< between ticks while nothing is due
 
--- a/tests/failure_deployment.h
+++ b/tests/failure_deployment.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "failure_support.h"
+#include "ledger_p.h"
 #include "settings_p.h"
 
 #include <filesystem>
@@ -85,7 +86,7 @@
     /// @returns how often the upstreams ran a version, summed.
     [[nodiscard]] std::uint64_t runsOfVersion(const std::string &version) const;
     /// @returns how many records of a type the ledger objects in the store have for a request id.
-    [[nodiscard]] std::size_t ledgerRecords(const std::string &type, const std::string &id) const;
+    [[nodiscard]] std::size_t ledgerRecords(record_type type, const std::string &id) const;
 
     std::uint16_t platformPort = 0;
     std::unique_ptr<child_process> platform;
--- a/tests/failure_platform.cpp
+++ b/tests/failure_platform.cpp
@@ -97,9 +97,9 @@
     fleet.routers[0]->process->kill();
     CHECK(fleet.call(1, request).status == 200);
     fleet.setFaults(fleet.platformPort, {{"outage", false}});
-    REQUIRE(waitFor([&] { return fleet.ledgerRecords("bill", request.requestId) >= 1; }));
+    REQUIRE(waitFor([&] { return fleet.ledgerRecords(record_type::bill, request.requestId) >= 1; }));
     std::this_thread::sleep_for(kPastLease);
-    CHECK(fleet.ledgerRecords("bill", request.requestId) == 1);
+    CHECK(fleet.ledgerRecords(record_type::bill, request.requestId) == 1);
 }
 
 // Guards against a host that starts with nothing during an outage and serves an old or no generation.
@@ -170,8 +170,8 @@
         CHECK(fleet.runsOf(request.requestId) <= 1);
         if (response.status == 200) {
             CHECK(again.status == 200);
-            CHECK(fleet.ledgerRecords("claim", request.requestId) == 1);
-            CHECK(fleet.ledgerRecords("bill", request.requestId) == 1);
+            CHECK(fleet.ledgerRecords(record_type::claim, request.requestId) == 1);
+            CHECK(fleet.ledgerRecords(record_type::bill, request.requestId) == 1);
         }
     }
 }
--- a/tests/failure_requests.cpp
+++ b/tests/failure_requests.cpp
@@ -85,7 +85,7 @@
     again.stream = false;
     CHECK(fleet.resend(1, again).status == 200);
     CHECK(fleet.resend(1, again).status == 200);
-    CHECK(fleet.ledgerRecords("bill", request.requestId) == 1);
+    CHECK(fleet.ledgerRecords(record_type::bill, request.requestId) == 1);
 }
 
 // Guards against answers cut off by a planned stop.
