Read the store from every host now and then; let a claim wait for a slow store

Cause: (1) a root that was cut off from the store alone kept its lease by vouches, its children had no reason to read the store, and a withdrawal reached no host. (2) A store that answers in 400 ms needs about 2 s for the first batch of a segment; claims were given up as unknown after 0.5 s. Change: (1) each host samples config/current with a period that grows with the number of hosts, at least 1 s, and passes a newer generation up the tree. (2) A record is given up after 3 s. Ruled out for (1): a read by each host each second, because store reads would grow with the fleet.

--- a/src/ledger_p.h
+++ b/src/ledger_p.h
@@ -61,7 +61,9 @@
 /// Timing of a segment.
 struct ledger_timing {
     std::chrono::microseconds linger{2000}; ///< group commit: how long the first record of a batch waits for others
-    std::chrono::microseconds settle{500000}; ///< after this long without a settled write a record is answered
+    /// After this long without a settled write a record is answered. Loading a segment and writing its first batch
+    /// takes five calls in a row, which a slow store answers in half a second each.
+    std::chrono::microseconds settle{3000000};
     std::chrono::microseconds retry{50000}; ///< pause after a failed call of the store
     std::uint64_t snapshotBatches = 256;
     /// Pace of batches once `writeBurst` batches came faster: 16 segments then make 200 writes and 200 deletions a
--- a/src/ledger_service_p.h
+++ b/src/ledger_service_p.h
@@ -30,8 +30,8 @@
 /// Timing of the service.
 struct ledger_service_timing {
     std::chrono::microseconds copyAfter{50000}; ///< a bill is copied when the store has not taken it by then
-    /// A bill that is neither written nor copied by then is answered as unknown. Covers the time in which a dead owner is
-    /// found and the segment is written directly.
+    /// A bill that is neither written nor copied by then is answered as unknown. Covers the time in which a dead owner
+    /// is found and the segment is written directly.
     std::chrono::microseconds billGiveUp{5000000};
     std::chrono::microseconds suspect{2000000}; ///< a host that did not answer is left out for this long
     std::chrono::microseconds retry{250000}; ///< between tries to write a kept bill or pin
--- a/src/relay_task.cpp
+++ b/src/relay_task.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr std::chrono::milliseconds kRootReadPeriod{250};
+constexpr std::chrono::milliseconds kLeastSamplePeriod{1000};
 
 /// A host whose parent brings no fresh stamp reads the store as well; 350 such hosts must not exceed its rate.
 constexpr std::chrono::milliseconds kStarvingReadPeriod{1000};
@@ -130,12 +131,22 @@
     return http_endpoint{entry.address, entry.peerPort};
 }
 
+/// Every host reads the store now and then, so that a change also gets into the tree while the root's own way to the
+/// store is cut. The period grows with the number of hosts, so that the store sees the same rate for any fleet.
+std::chrono::milliseconds relay_task::samplePeriod() const
+{
+    const auto hosts = m_config.base() ? m_config.base()->hosts.size() : 1;
+    return std::max(kLeastSamplePeriod, static_cast<std::int64_t>(hosts) * kRootReadPeriod);
+}
+
 void relay_task::readStore(instant now)
 {
     const bool isRoot = m_relay.isRoot();
-    if (m_isReading || now < m_nextRead || !(isRoot || m_fresh.isRecovering() || m_relay.isStarving(now)))
+    const bool isNeeded = isRoot || m_fresh.isRecovering() || m_relay.isStarving(now);
+    if (m_isReading || now < m_nextRead || !(isNeeded || now >= m_nextSample))
         return;
     m_nextRead = now + (isRoot ? kRootReadPeriod : kStarvingReadPeriod);
+    m_nextSample = now + samplePeriod();
     m_isReading = true;
     m_store.read("config/current", [this, now](const result<stored_object> &object) {
         m_isReading = false;
--- a/src/relay_task_p.h
+++ b/src/relay_task_p.h
@@ -61,6 +61,7 @@
     void drive();
     void carryOut(relay_action &action);
     void carryOut(start_exchange &action);
+    [[nodiscard]] std::chrono::milliseconds samplePeriod() const;
     void readStore(instant now);
     void onRead(instant begun, const result<stored_object> &object);
     void adopt(const config_content &content, const char *source);
@@ -92,6 +93,7 @@
     bool m_isDriving = false;
 
     instant m_nextRead{};
+    instant m_nextSample{}; ///< read of a host that needs none; see samplePeriod()
     bool m_isReading = false;
     instant m_nextRecover{};
     std::string m_rejectedField; ///< of the last configuration that could not be used
--- a/tests/failure_deployment.cpp
+++ b/tests/failure_deployment.cpp
@@ -309,11 +309,14 @@
     const auto listed = bodyOf(send({.port = platformPort, .path = "/objects?prefix=ledger/&limit=10000"}));
     std::size_t records = 0;
     for (const auto &item : listed.value("items", nlohmann::json::array())) {
-        const auto batch = decodeRecords(send({.port = platformPort, .path = "/objects/" + item.value("key", "")}).body);
+        const auto batch =
+            decodeRecords(send({.port = platformPort, .path = "/objects/" + item.value("key", "")}).body);
         if (batch.has_error())
             throw std::runtime_error("a ledger object cannot be read: " + item.value("key", ""));
-        records += static_cast<std::size_t>(std::ranges::count_if(
-            batch.value().records, [&](const ledger_record &record) { return record.type == type && record.id == id; }));
+        records +=
+            static_cast<std::size_t>(std::ranges::count_if(batch.value().records, [&](const ledger_record &record) {
+                return record.type == type && record.id == id;
+            }));
     }
     return records;
 }
