--- a/tests/failure_platform.cpp
+++ b/tests/failure_platform.cpp
@@ -187,3 +187,20 @@
     CHECK(fleet.call(1, request).status == 200);
     CHECK(fleet.runsOf(request.requestId) == 1);
 }
+
+// Guards against "not run" for a request that runs elsewhere: a caller that trusts it files the request again.
+TEST_CASE("cut: a resend to a host that cannot read the ledger is not told that the request did not run")
+{
+    three_hosts fleet;
+    fleet.routers[2]->platformLink->cut();
+    fleet.cutPeers(2);
+    REQUIRE(fleet.refusesAsStale(2));
+    fleet.setFaults(fleet.upstreams[0]->port, {{"late_ms", 5000}});
+    fleet.setFaults(fleet.upstreams[1]->port, {{"late_ms", 5000}});
+    const caller_call request{.kind = "reminder-draft", .requestId = makeRequestId("elsewhere")};
+    http_task first(fleet.makeCall(0, request));
+    REQUIRE(waitFor([&] { return fleet.runsOf(request.requestId) == 1; }));
+    const auto again = fleet.call(2, request);
+    CHECK(bodyOf(again).value("outcome", "") != "not_run");
+    CHECK(first.get().status == 200);
+}
