--- a/cmake/adapters.cmake
+++ b/cmake/adapters.cmake
@@ -1,12 +1,8 @@
 add_library(foxtaildyke-adapters STATIC
     src/caller_api.cpp
     src/caller_protocol.cpp
-    src/command_line.cpp
     src/controller.cpp
     src/event_log.cpp
-    src/event_loop.cpp
-    src/http_client.cpp
-    src/http_server.cpp
     src/load_poller.cpp
     src/metrics.cpp
     src/object_store_http.cpp
@@ -14,7 +10,6 @@
     src/peer_service.cpp
     src/peer_wire.cpp
     src/platform_client.cpp
-    src/process_settings.cpp
     src/relay_ledger.cpp
     src/relay_task.cpp
     src/relay_task_core.cpp
--- /dev/null
+++ b/cmake/base.cmake
@@ -0,0 +1,10 @@
+# Tasks, HTTP client and server, command line: what every program needs.
+add_library(foxtaildyke-base STATIC
+    src/command_line.cpp
+    src/event_loop.cpp
+    src/http_client.cpp
+    src/http_server.cpp
+    src/process_settings.cpp)
+target_include_directories(foxtaildyke-base PUBLIC include src)
+target_link_libraries(foxtaildyke-base PUBLIC PkgConfig::EVENT PkgConfig::EVHTP PkgConfig::INIH PkgConfig::LOG4CXX
+    prometheus-cpp::core Threads::Threads xxhash)
--- a/cmake/binaries.cmake
+++ b/cmake/binaries.cmake
@@ -1,5 +1,6 @@
-# One binary for each tools/*_main.cpp: tools/router_main.cpp becomes foxtaildyke-router.
+# One binary for each tools/*_main.cpp: tools/router_main.cpp becomes foxtaildyke-router. The gateway has its own file.
 file(GLOB mains CONFIGURE_DEPENDS tools/*_main.cpp)
+list(FILTER mains EXCLUDE REGEX gateway_main)
 foreach(main ${mains})
     get_filename_component(name ${main} NAME_WE)
     string(REGEX REPLACE "_main$" "" name ${name})
--- /dev/null
+++ b/cmake/gateway.cmake
@@ -0,0 +1,28 @@
+# The gateway: what runs on the users' platform. It links neither gRPC nor the router's own API.
+add_library(foxtaildyke-gateway-lib STATIC
+    platform/decode.cpp
+    platform/store_feed.cpp
+    platform/wire_names.cpp
+    src/attempt_rules.cpp
+    src/caller_connection.cpp
+    src/decision_log.cpp
+    src/event_splitter.cpp
+    src/forwarding.cpp
+    src/gateway_exchange.cpp
+    src/gateway_exchange_answers.cpp
+    src/gateway_metrics.cpp
+    src/gateway_model.cpp
+    src/gateway_settings.cpp
+    src/gateway_task.cpp
+    src/http_parser.cpp
+    src/model_ladder.cpp
+    src/replica_registry.cpp
+    src/replica_table.cpp
+    src/retry_budget.cpp
+    src/rollout_policy.cpp
+    src/stream_socket.cpp
+    src/upstream_exchange.cpp)
+target_include_directories(foxtaildyke-gateway-lib PUBLIC include src platform)
+target_link_libraries(foxtaildyke-gateway-lib PUBLIC foxtaildyke-base)
+add_executable(foxtaildyke-gateway tools/gateway_main.cpp)
+target_link_libraries(foxtaildyke-gateway PRIVATE foxtaildyke-gateway-lib)
--- /dev/null
+++ b/src/attempt_rules.cpp
@@ -0,0 +1,31 @@
+// Rules for the end of an attempt; see attempt_rules_p.h.
+#include "attempt_rules_p.h"
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+bool canTryAgain(const attempt_facts &facts)
+{
+    const bool isAllowed = facts.mayRepeat || !facts.mayHaveRun;
+    return isAllowed && facts.sends < facts.maxSends && facts.left >= kLeastTimeForRepeat;
+}
+
+} // namespace
+
+next_step stepAfter(const attempt_facts &facts)
+{
+    if (facts.result == attempt_result::answered)
+        return next_step::pass_on;
+    if (canTryAgain(facts))
+        return next_step::try_again;
+    if (facts.hasCallerBytes)
+        return next_step::cut_off;
+    if (facts.result == attempt_result::server_error)
+        return next_step::pass_on;
+    return facts.mayHaveRun ? next_step::fail : next_step::refuse;
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/caller_connection.cpp
@@ -0,0 +1,289 @@
+// One caller's connection; see caller_connection_p.h.
+#include "caller_connection_p.h"
+
+#include <charconv>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+struct status_text {
+    int status;
+    std::string_view phrase;
+};
+
+constexpr std::array kStatusTexts{
+    status_text{200, "OK"},
+    status_text{400, "Bad Request"},
+    status_text{401, "Unauthorized"},
+    status_text{404, "Not Found"},
+    status_text{408, "Request Timeout"},
+    status_text{413, "Content Too Large"},
+    status_text{421, "Misdirected Request"},
+    status_text{429, "Too Many Requests"},
+    status_text{431, "Request Header Fields Too Large"},
+    status_text{500, "Internal Server Error"},
+    status_text{502, "Bad Gateway"},
+    status_text{503, "Service Unavailable"},
+    status_text{504, "Gateway Timeout"},
+};
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kContentTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+
+std::string chunk(std::string_view bytes)
+{
+    std::array<char, 16> digits{};
+    auto *end = std::to_chars(digits.begin(), digits.end(), bytes.size(), 16).ptr;
+    std::string text(digits.begin(), end);
+    text.append("\r\n").append(bytes).append("\r\n");
+    return text;
+}
+
+} // namespace
+
+std::string_view reasonPhrase(int status)
+{
+    const auto found = std::ranges::find(kStatusTexts, status, &status_text::status);
+    return found == kStatusTexts.end() ? "Status" : found->phrase;
+}
+
+caller_connection::caller_connection(event_loop &loop, int socket, caller_host &host)
+    : m_loop(loop)
+    , m_host(host)
+    , m_idleSince(suspendAwareNow())
+    , m_timer(loop, [this] { onTimer(); })
+{
+    m_socket = std::make_unique<stream_socket>(loop, socket,
+                                               stream_socket::handlers{.onConnected = {},
+                                                                       .onReadable = [this] { onReadable(); },
+                                                                       .onDrained = [this] { onDrained(); },
+                                                                       .onEnd =
+                                                                           [this](socket_end) {
+                                                                               onSocketEnd();
+                                                                           }});
+    restartTimer();
+}
+
+caller_connection::~caller_connection() = default;
+
+bool caller_connection::isIdle() const
+{
+    return m_phase == phase::reading && !m_parser.hasBegun();
+}
+
+void caller_connection::closeIfIdle()
+{
+    if (isIdle() && m_socket->received().empty())
+        end();
+}
+
+void caller_connection::onReadable()
+{
+    if (m_phase == phase::reading)
+        readOn();
+    else if (m_phase == phase::closing)
+        m_socket->drop(m_socket->received().size());
+}
+
+void caller_connection::readOn()
+{
+    const auto onBody = [this](std::string_view bytes) {
+        m_body.append(bytes);
+    };
+    while (m_phase == phase::reading) {
+        const auto bytes = m_socket->received();
+        if (bytes.empty())
+            return;
+        m_parser.setHeadLimit(m_host.limits().headBytes);
+        const bool wasHead = m_parser.state() == parse_state::head;
+        const bool isFirst = !m_parser.hasBegun();
+        m_socket->drop(m_parser.feed(bytes, onBody, wasHead));
+        if (isFirst) {
+            m_idleSince = suspendAwareNow();
+            restartTimer();
+        }
+        if (m_parser.state() == parse_state::malformed)
+            return reject(kBadRequest, "malformed");
+        if (m_parser.state() == parse_state::head_too_large)
+            return reject(kHeadTooLarge, "head_too_large");
+        if (wasHead && m_parser.state() != parse_state::head && !checkHead())
+            return;
+        if (m_body.size() > m_host.limits().bodyBytes)
+            return reject(kContentTooLarge, "body_too_large");
+        if (m_parser.state() == parse_state::complete)
+            serve();
+    }
+}
+
+/// Rejects what can be told from the head, and lets a caller go on that waits for leave to send its body.
+bool caller_connection::checkHead()
+{
+    const auto &head = m_parser.head();
+    m_isHeadRequest = head.method == "HEAD";
+    if (head.length.value_or(0) > m_host.limits().bodyBytes) {
+        reject(kContentTooLarge, "body_too_large");
+        return false;
+    }
+    if (m_parser.state() == parse_state::body && isSameHeader(head.header("Expect"), "100-continue"))
+        m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    return true;
+}
+
+void caller_connection::serve()
+{
+    m_phase = phase::serving;
+    m_timer.stop();
+    m_keepAlive = m_parser.head().keepAlive;
+    caller_request request{m_parser.head(), std::exchange(m_body, {}), suspendAwareNow()};
+    m_parser.reset();
+    auto work = m_host.serve(std::move(request), *this);
+    if (m_phase == phase::serving)
+        m_work = std::move(work);
+}
+
+void caller_connection::reject(int status, std::string_view reason)
+{
+    m_host.noteRejected(status, reason);
+    m_keepAlive = false;
+    m_phase = phase::serving;
+    replyWhole(status, {}, {});
+}
+
+void caller_connection::writeHead(int status, const http_headers &headers, std::string_view framing)
+{
+    m_keepAlive = m_keepAlive && !m_host.isDraining();
+    std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reasonPhrase(status)) + "\r\n";
+    for (const auto &[name, value] : headers)
+        text.append(name).append(": ").append(value).append("\r\n");
+    text.append(framing);
+    if (!m_keepAlive)
+        text.append("Connection: close\r\n");
+    text.append("\r\n");
+    m_socket->write(text);
+}
+
+void caller_connection::replyWhole(int status, const http_headers &headers, std::string_view body)
+{
+    if (m_phase != phase::serving)
+        return;
+    writeHead(status, headers, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    if (!m_isHeadRequest)
+        m_socket->write(body);
+    finishAnswer();
+}
+
+void caller_connection::startStream(int status, const http_headers &headers)
+{
+    if (m_phase == phase::serving)
+        writeHead(status, headers, "Transfer-Encoding: chunked\r\n");
+}
+
+void caller_connection::streamBytes(std::string_view bytes)
+{
+    if (m_phase == phase::serving && !bytes.empty())
+        m_socket->write(chunk(bytes));
+}
+
+void caller_connection::endStream()
+{
+    if (m_phase != phase::serving)
+        return;
+    m_socket->write("0\r\n\r\n");
+    finishAnswer();
+}
+
+void caller_connection::abort()
+{
+    if (m_phase == phase::serving)
+        end();
+}
+
+std::size_t caller_connection::pendingBytes() const
+{
+    return m_socket->pendingBytes();
+}
+
+void caller_connection::finishAnswer()
+{
+    m_finishedWork = std::move(m_work);
+    if (!m_keepAlive)
+        return beginClose();
+    m_phase = phase::reading;
+    m_idleSince = suspendAwareNow();
+    restartTimer();
+    // The next request may have arrived already; it is read on the next turn, when this answer's work has returned.
+    m_loop.after(std::chrono::microseconds{0}, [this, alive = std::weak_ptr<bool>(m_alive)] {
+        if (alive.expired())
+            return;
+        m_finishedWork.reset();
+        onReadable();
+    });
+}
+
+void caller_connection::beginClose()
+{
+    m_phase = phase::closing;
+    m_timer.start(kLingerLimit);
+    if (m_socket->pendingBytes() == 0)
+        m_socket->shutdownWrite();
+}
+
+void caller_connection::onDrained()
+{
+    if (m_phase == phase::closing)
+        m_socket->shutdownWrite();
+    else if (m_work)
+        m_work->onCallerDrained();
+}
+
+void caller_connection::onSocketEnd()
+{
+    if (m_work)
+        m_work->onCallerGone();
+    end();
+}
+
+/// Runs while reading: at the limit for a head, or for an idle connection, whichever applies.
+void caller_connection::onTimer()
+{
+    if (m_phase == phase::closing)
+        return end();
+    if (m_phase != phase::reading)
+        return;
+    if (suspendAwareNow() - m_idleSince < readLimit())
+        return restartTimer(); // a newer configuration allows more
+    if (m_parser.hasBegun() && m_parser.state() == parse_state::head)
+        return reject(kRequestTimeout, "head_timeout");
+    if (m_parser.hasBegun())
+        return reject(kRequestTimeout, "body_timeout");
+    end();
+}
+
+/// @returns how long the connection may stay in its present state of reading.
+std::chrono::milliseconds caller_connection::readLimit() const
+{
+    const bool isInHead = m_parser.hasBegun() && m_parser.state() == parse_state::head;
+    return isInHead ? m_host.limits().headTimeout : m_host.limits().idleTimeout;
+}
+
+void caller_connection::restartTimer()
+{
+    const auto left = std::chrono::microseconds(readLimit()) - (suspendAwareNow() - m_idleSince);
+    m_timer.start(std::max(left, std::chrono::microseconds{1000}));
+}
+
+void caller_connection::end()
+{
+    if (m_phase == phase::ended)
+        return;
+    m_phase = phase::ended;
+    m_timer.stop();
+    m_host.onConnectionEnd(*this);
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/caller_connection_p.h
@@ -0,0 +1,132 @@
+// One caller's connection: reads requests one after the other, hands each to a handler, and writes its answer whole, as
+// a stream, or visibly broken.
+#pragma once
+
+#include "gateway_clock_p.h"
+#include "gateway_model_p.h"
+#include "http_parser_p.h"
+#include "stream_socket_p.h"
+
+namespace foxtaildyke
+{
+
+/// A request as read from a caller.
+struct caller_request {
+    message_head head;
+    std::string body;
+    instant readAt{}; ///< when its head was complete
+};
+
+/// Where the answer to a request goes. Exactly one of replyWhole(), or startStream() and endStream() or abort(), or
+/// abort() alone.
+class caller_reply
+{
+public:
+    virtual ~caller_reply() = default;
+
+    /// Sends a complete answer.
+    virtual void replyWhole(int status, const http_headers &headers, std::string_view body) = 0;
+
+    virtual void startStream(int status, const http_headers &headers) = 0;
+    virtual void streamBytes(std::string_view bytes) = 0;
+    virtual void endStream() = 0;
+
+    /// Closes the connection, so that an answer begun is visibly incomplete.
+    virtual void abort() = 0;
+
+    /// @returns bytes that the caller has not taken yet.
+    [[nodiscard]] virtual std::size_t pendingBytes() const = 0;
+};
+
+/// Work on a request. Destroying it cancels it.
+class request_work
+{
+public:
+    virtual ~request_work() = default;
+
+    /// All bytes written so far have left.
+    virtual void onCallerDrained() = 0;
+
+    /// The caller closed its connection; the work is destroyed next.
+    virtual void onCallerGone() = 0;
+};
+
+class caller_connection;
+
+/// Owner of connections: gives limits and takes requests.
+class caller_host
+{
+public:
+    virtual ~caller_host() = default;
+    [[nodiscard]] virtual const caller_limits &limits() const = 0;
+    [[nodiscard]] virtual bool isDraining() const = 0;
+
+    /// Starts work on a request. The reply may be used until the work is destroyed, also before this returns.
+    [[nodiscard]] virtual std::unique_ptr<request_work> serve(caller_request request, caller_reply &reply) = 0;
+
+    /// Counts a request that was rejected for its form.
+    virtual void noteRejected(int status, std::string_view reason) = 0;
+
+    /// The connection has ended and is to be destroyed, outside of this call.
+    virtual void onConnectionEnd(caller_connection &connection) = 0;
+};
+
+class caller_connection : private caller_reply
+{
+public:
+    caller_connection(event_loop &loop, int socket, caller_host &host);
+    ~caller_connection() override;
+
+    /// @returns whether no request is being read or answered.
+    [[nodiscard]] bool isIdle() const;
+
+    /// Closes the connection where it is idle.
+    void closeIfIdle();
+
+private:
+    enum class phase : std::uint8_t { reading, serving, closing, ended, count };
+
+    void replyWhole(int status, const http_headers &headers, std::string_view body) override;
+    void startStream(int status, const http_headers &headers) override;
+    void streamBytes(std::string_view bytes) override;
+    void endStream() override;
+    void abort() override;
+    [[nodiscard]] std::size_t pendingBytes() const override;
+
+    void onReadable();
+    void onDrained();
+    void onSocketEnd();
+    void onTimer();
+    bool checkHead();
+    void readOn();
+    void serve();
+    void reject(int status, std::string_view reason);
+    void writeHead(int status, const http_headers &headers, std::string_view framing);
+    void finishAnswer();
+    [[nodiscard]] std::chrono::milliseconds readLimit() const;
+    void restartTimer();
+    void beginClose();
+    void end();
+
+    event_loop &m_loop;
+    caller_host &m_host;
+    std::unique_ptr<stream_socket> m_socket;
+    http_parser m_parser{message_type::request};
+    std::string m_body;
+    phase m_phase = phase::reading;
+    bool m_keepAlive = true; ///< of the request being answered
+    bool m_isHeadRequest = false;
+    instant m_idleSince{};
+    std::unique_ptr<request_work> m_work;
+    std::unique_ptr<request_work> m_finishedWork; ///< kept until its own call has returned
+    loop_timer m_timer;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< for calls that outlive this object
+
+    /// Time for a caller to take the rest of an answer and close, once no more requests are read.
+    static constexpr std::chrono::milliseconds kLingerLimit{1000};
+};
+
+/// @returns the standard reason phrase of a status.
+[[nodiscard]] std::string_view reasonPhrase(int status);
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/decision_log.cpp
@@ -0,0 +1,92 @@
+// Structured log of decisions; see decision_log_p.h.
+#include "decision_log_p.h"
+
+#include "gateway_clock_p.h"
+
+#include <log4cxx/asyncappender.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr int kQueuedLines = 512; ///< lines that wait for a slow reader; more are discarded and summed up by log4cxx
+
+log4cxx::AppenderPtr makeAppender(const std::string &path)
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+    if (path == "-")
+        return std::make_shared<log4cxx::ConsoleAppender>(layout);
+    return std::make_shared<log4cxx::FileAppender>(layout, path, true);
+}
+
+std::int64_t unixTimeUs()
+{
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+}
+
+} // namespace
+
+decision_log::decision_log(std::string host, const std::string &path, std::uint32_t linesPerSecond)
+    : m_host(std::move(host))
+    , m_loggerName("decisions." + m_host)
+    , m_linesPerSecond(linesPerSecond)
+    , m_tokens(linesPerSecond)
+    , m_refilledAt(suspendAwareNow())
+{
+    const auto logger = log4cxx::Logger::getLogger(m_loggerName);
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(kQueuedLines);
+    queue->setBlocking(false);
+    queue->addAppender(makeAppender(path));
+    logger->removeAllAppenders();
+    logger->setAdditivity(false);
+    logger->setLevel(log4cxx::Level::getInfo());
+    logger->addAppender(queue);
+}
+
+decision_log::~decision_log()
+{
+    const auto logger = log4cxx::Logger::getLogger(m_loggerName);
+    for (const auto &appender : logger->getAllAppenders())
+        appender->close();
+    logger->removeAllAppenders();
+}
+
+bool decision_log::takeToken(instant now)
+{
+    const double elapsed = std::chrono::duration<double>(now - m_refilledAt).count();
+    m_refilledAt = now;
+    m_tokens = std::min(m_linesPerSecond, m_tokens + elapsed * m_linesPerSecond);
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+void decision_log::write(std::string_view event, const nlohmann::ordered_json &fields)
+{
+    if (!takeToken(suspendAwareNow())) {
+        ++m_dropped;
+        ++m_droppedTotal;
+        return;
+    }
+    nlohmann::ordered_json line{
+        {"time_us", unixTimeUs()}, {"process", "gateway"}, {"host", m_host}, {"seq", m_next++}, {"event", event}};
+    if (m_dropped > 0)
+        line["dropped_before"] = std::exchange(m_dropped, 0);
+    line.update(fields);
+    static const auto s_info = log4cxx::Level::getInfo();
+    log4cxx::Logger::getLogger(m_loggerName)
+        ->log(s_info, line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace),
+              log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/decision_log_p.h
@@ -0,0 +1,40 @@
+// Structured log of the gateway's decisions: one JSON object a line through log4cxx, bounded in rate and never
+// blocking.
+#pragma once
+
+#include "foxtaildyke/foxtaildyke.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace foxtaildyke
+{
+
+class decision_log
+{
+public:
+    /// @param path file to append to, or "-" for standard output.
+    /// @param linesPerSecond lines beyond this are dropped; the next line that is written counts them.
+    decision_log(std::string host, const std::string &path, std::uint32_t linesPerSecond);
+    ~decision_log();
+    decision_log(const decision_log &) = delete;
+    decision_log &operator=(const decision_log &) = delete;
+
+    /// Writes a line with the keys time_us (wall clock, unix microseconds), process, host, seq, event, then the fields.
+    void write(std::string_view event, const nlohmann::ordered_json &fields);
+
+    [[nodiscard]] std::uint64_t dropped() const { return m_droppedTotal; }
+
+private:
+    [[nodiscard]] bool takeToken(instant now);
+
+    std::string m_host;
+    std::string m_loggerName;
+    double m_linesPerSecond;
+    double m_tokens;
+    instant m_refilledAt{};
+    std::uint64_t m_next = 1;
+    std::uint64_t m_dropped = 0; ///< since the last line written
+    std::uint64_t m_droppedTotal = 0;
+};
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/event_splitter.cpp
@@ -0,0 +1,55 @@
+// Splits an event stream; see event_splitter_p.h.
+#include "event_splitter_p.h"
+
+#include <charconv>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+    constexpr std::string_view kField = "id:";
+    std::size_t at = 0;
+    while (at < event.size()) {
+        auto line = event.substr(at, event.find('\n', at) - at);
+        at += line.size() + 1;
+        if (!line.starts_with(kField))
+            continue;
+        line.remove_prefix(kField.size());
+        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+        std::uint64_t id = 0;
+        const auto [end, failure] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (failure == std::errc{})
+            return id;
+    }
+    return std::nullopt;
+}
+
+/// @returns length of the first event with its blank line, or 0 where it is not complete.
+std::size_t eventLength(std::string_view text)
+{
+    const auto unixEnd = text.find("\n\n");
+    const auto netEnd = text.find("\r\n\r\n");
+    if (unixEnd != std::string_view::npos && unixEnd < netEnd)
+        return unixEnd + 2;
+    return netEnd == std::string_view::npos ? 0 : netEnd + 4;
+}
+
+} // namespace
+
+void event_splitter::feed(std::string_view bytes, const event_sink &onEvent)
+{
+    m_rest.append(bytes);
+    std::size_t used = 0;
+    while (const auto length = eventLength(std::string_view(m_rest).substr(used))) {
+        const auto event = std::string_view(m_rest).substr(used, length);
+        onEvent(event, idOf(event));
+        used += length;
+    }
+    m_rest.erase(0, used);
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/forwarding.cpp
@@ -0,0 +1,157 @@
+// Heads of forwarded messages; see forwarding_p.h.
+#include "forwarding_p.h"
+
+#include <charconv>
+#include <xxhash.h>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1), and those that the gateway writes itself.
+constexpr std::array<std::string_view, 11> kConnectionHeaders{
+    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+    "TE",         "Trailer",    "Upgrade",          "Transfer-Encoding",  "Content-Length",
+    "Expect"};
+
+constexpr std::uint32_t kLeastUrgent = 9;
+
+bool isConnectionHeader(std::string_view name)
+{
+    return std::ranges::any_of(kConnectionHeaders,
+                               [name](std::string_view other) { return isSameHeader(name, other); });
+}
+
+bool isOneOf(std::string_view name, const std::vector<std::string> &names)
+{
+    return std::ranges::any_of(names, [name](const std::string &other) { return isSameHeader(name, other); });
+}
+
+/// Parts of a list between commas, without surrounding spaces.
+std::vector<std::string> splitList(std::string_view list)
+{
+    std::vector<std::string> parts;
+    while (!list.empty()) {
+        const auto end = std::min(list.find(','), list.size());
+        auto part = list.substr(0, end);
+        list.remove_prefix(std::min(end + 1, list.size()));
+        const auto first = std::min(part.find_first_not_of(' '), part.size());
+        part.remove_prefix(first);
+        part = part.substr(0, part.find_last_not_of(' ') + 1);
+        if (!part.empty())
+            parts.emplace_back(part);
+    }
+    return parts;
+}
+
+std::optional<std::uint64_t> numberOf(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+std::uint64_t hashOf(std::string_view text)
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
+/// Reads "PROMPT,ANSWER" and the caller's own estimate of the answer.
+void readTokens(request_facts &facts, const message_head &head, const header_dialect &dialect)
+{
+    const auto counts = splitList(head.header(dialect.tokenCounts));
+    if (!counts.empty())
+        facts.promptTokens = numberOf(counts.front()).value_or(0);
+    if (counts.size() > 1)
+        facts.answerTokens = numberOf(counts[1]).value_or(0);
+    if (const auto hint = numberOf(head.header(dialect.lengthHint)))
+        facts.answerTokens = *hint;
+}
+
+/// Reads "ID:TOKENS,...": the last part is the request's own, those before it are shared.
+void readPrompt(request_facts &facts, const message_head &head, const header_dialect &dialect)
+{
+    const auto parts = splitList(head.header(dialect.promptParts));
+    if (parts.size() < 2)
+        return;
+    facts.sharedPrompt = hashOf(parts[parts.size() - 2]) | 1U;
+}
+
+} // namespace
+
+request_facts readFacts(const message_head &head, const header_dialect &dialect)
+{
+    request_facts facts;
+    facts.id = head.header(dialect.requestId);
+    facts.host = head.header("Host");
+    facts.model = head.header(dialect.model);
+    if (const auto deadline = numberOf(head.header(dialect.deadline)))
+        facts.deadline = std::chrono::milliseconds{*deadline};
+    facts.lastEventId = numberOf(head.header(dialect.lastEventId));
+    const auto authorization = head.header("Authorization");
+    const auto scheme = authorization.substr(0, authorization.find(' '));
+    if (isSameHeader(scheme, dialect.keyScheme) && scheme.size() < authorization.size())
+        facts.key = splitList(authorization.substr(scheme.size() + 1)).empty()
+            ? std::string()
+            : splitList(authorization.substr(scheme.size() + 1)).front();
+    const auto session = head.header(dialect.session);
+    facts.session = hashOf(session.empty() ? std::string_view(facts.id) : session);
+    readTokens(facts, head, dialect);
+    readPrompt(facts, head, dialect);
+    return facts;
+}
+
+std::string forwardedHead(const caller_request &request, const forward_fields &fields, const header_dialect &dialect)
+{
+    const auto &head = request.head;
+    const auto dropped = splitList(head.header("Connection"));
+    std::string text = head.method + ' ' + head.target + " HTTP/1.1\r\n";
+    const auto add = [&text](std::string_view name, std::string_view value) {
+        text.append(name).append(": ").append(value).append("\r\n");
+    };
+    const auto isReplaced = [&](std::string_view name) {
+        return (!fields.model.empty() && isSameHeader(name, dialect.model))
+            || (fields.lastEventId && isSameHeader(name, dialect.lastEventId)) || isSameHeader(name, dialect.deadline)
+            || isSameHeader(name, "Authorization");
+    };
+    const auto isOwn = [&](std::string_view name) {
+        return isSameHeader(name, "Host") || isSameHeader(name, dialect.requestId) || isSameHeader(name, dialect.model)
+            || isSameHeader(name, dialect.tokenCounts) || isSameHeader(name, dialect.promptParts)
+            || isSameHeader(name, dialect.lastEventId);
+    };
+    for (const auto &[name, value] : head.headers) {
+        const bool isNamedByConnection = isOneOf(name, dropped) && !isOwn(name);
+        if (!isConnectionHeader(name) && !isNamedByConnection && !isReplaced(name) && !isOneOf(name, dialect.reserved))
+            add(name, value);
+    }
+    add(dialect.deadline, std::to_string(fields.deadline.count()));
+    add(dialect.expectReplica, fields.replica);
+    if (!fields.account.empty())
+        add(dialect.account, fields.account);
+    if (!fields.model.empty())
+        add(dialect.model, fields.model);
+    if (fields.priority)
+        add(dialect.priority, std::to_string(std::min(*fields.priority, kLeastUrgent)));
+    if (fields.lastEventId)
+        add(dialect.lastEventId, std::to_string(*fields.lastEventId));
+    const bool hasBody = head.length || head.isChunked;
+    if (hasBody)
+        add("Content-Length", std::to_string(request.body.size()));
+    return text + "\r\n";
+}
+
+http_headers answerHeaders(const message_head &answer)
+{
+    const auto dropped = splitList(answer.header("Connection"));
+    http_headers kept;
+    std::ranges::copy_if(answer.headers, std::back_inserter(kept), [&](const auto &entry) {
+        return !isConnectionHeader(entry.first) && !isOneOf(entry.first, dropped);
+    });
+    return kept;
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/gateway_exchange.cpp
@@ -0,0 +1,246 @@
+// One request on its way: admission, choice of a replica, sending; see gateway_exchange_p.h. What follows an answer is
+// in gateway_exchange_answers.cpp.
+#include "gateway_exchange_p.h"
+
+#include <nlohmann/json.hpp>
+#include <ranges>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+/// Tokens that an engine reads in one ms, and the time that one more token of an answer takes in a full batch (ms):
+/// speeds of today's engines. Only the ratio matters, as the estimates are compared with each other.
+constexpr double kPromptTokensPerMs = 157;
+constexpr double kAnswerTokenMs = 0.1;
+constexpr double kPlainWorkMs = 15; ///< of a request to a plain service; equal for all
+
+/// Part of the key lease that is used: the rest covers a watch that misses changes for a second before it is cut.
+constexpr double kKeyLeaseShare = 0.8;
+
+} // namespace
+
+bool gateway_state::hasKeyLease(instant now) const
+{
+    const auto lease = kKeyLeaseShare * std::chrono::duration<double>(settings.keyLease);
+    return configConfirmedAt && std::chrono::duration<double>(now - *configConfirmedAt) < lease;
+}
+
+gateway_exchange::gateway_exchange(gateway_state &state, caller_request request, caller_reply &reply)
+    : m_state(state)
+    , m_request(std::move(request))
+    , m_reply(reply)
+    , m_facts(readFacts(m_request.head, state.dialect))
+    , m_config(state.config)
+    , m_lastEventId(m_facts.lastEventId)
+    , m_timer(state.loop, [this] { onDeadline(); })
+{
+}
+
+gateway_exchange::~gateway_exchange()
+{
+    if (m_upstream)
+        closeAttempt(std::nullopt);
+}
+
+void gateway_exchange::begin()
+{
+    if (const auto reason = check())
+        return refuse(*reason);
+    const auto wait = std::min(m_route->timeout, m_facts.deadline.value_or(m_route->timeout));
+    m_deadline = m_request.readAt + wait;
+    m_timer.start(left());
+    chooseService();
+    m_state.budget.noteRequest(m_service, m_request.readAt);
+    if (!m_route->models.empty()) {
+        ladder_step step;
+        step.models = m_route->models.size();
+        step.maxSends = m_route->maxAttempts;
+        m_model = firstModel(m_state.ladder, step);
+    }
+    attempt();
+}
+
+/// Checks the request against the configuration. @returns why it is refused, or nothing.
+std::optional<gateway_exchange::refusal> gateway_exchange::check()
+{
+    if (!m_config || !m_state.hasReplicas)
+        return refusal::no_config;
+    if (m_facts.id.empty())
+        return refusal::missing_id;
+    m_route = m_config->findRoute(m_facts.host, m_request.head.target);
+    const bool isStale = !m_state.hasKeyLease(suspendAwareNow());
+    // An old configuration says nothing about routes and keys that it lacks.
+    if (isStale && (!m_route || !m_route->isPublic))
+        return refusal::no_key_lease;
+    if (!m_route)
+        return refusal::unknown_route;
+    if (!m_config->needsKeys || m_route->isPublic)
+        return std::nullopt;
+    m_account = m_config->findAccount(m_facts.key);
+    return m_account ? std::nullopt : std::optional(refusal::unknown_key);
+}
+
+void gateway_exchange::chooseService()
+{
+    std::uint32_t total = 0;
+    for (const auto &target : m_route->targets)
+        total += target.weight;
+    auto draw = total > 0 ? static_cast<std::uint32_t>(m_state.random() % total) : 0U;
+    for (const auto &target : m_route->targets) {
+        m_service = target.service;
+        if (draw < target.weight)
+            return;
+        draw -= target.weight;
+    }
+}
+
+std::chrono::milliseconds gateway_exchange::left() const
+{
+    const auto remaining = m_deadline - suspendAwareNow();
+    return std::max(std::chrono::milliseconds{0}, std::chrono::duration_cast<std::chrono::milliseconds>(remaining));
+}
+
+double gateway_exchange::workEstimate() const
+{
+    const auto *service = m_config->findService(m_service);
+    if (!service || !service->engine)
+        return kPlainWorkMs;
+    const auto prompt = static_cast<double>(m_facts.promptTokens) / kPromptTokensPerMs;
+    const auto answer = static_cast<double>(m_facts.answerTokens) * kAnswerTokenMs;
+    const auto &costs = service->engine->modelCosts;
+    if (m_route->models.empty() || !costs.contains(m_route->models[m_model]))
+        return prompt + answer;
+    const auto largest = std::ranges::max(costs | std::views::values);
+    return (prompt + answer) * costs.at(m_route->models[m_model]) / std::max(largest, 1e-9);
+}
+
+const replica_entry *gateway_exchange::pickOf(const version_choice &choice, instant now)
+{
+    replica_query query;
+    query.service = m_service;
+    query.version = choice.version;
+    query.excludedVersion = choice.excluded;
+    query.affinity = m_facts.sharedPrompt;
+    query.tried = &m_tried;
+    return m_state.replicas.pick(query, now);
+}
+
+const replica_entry *gateway_exchange::pickReplica()
+{
+    const auto now = suspendAwareNow();
+    const auto choice = m_state.rollouts.choose(m_service, m_facts.session, now);
+    if (const auto *wanted = pickOf(choice, now))
+        return wanted;
+    // The new version may not be up yet, or its only replica has been tried.
+    if (!choice.version.empty())
+        return pickOf({{}, choice.version}, now);
+    return nullptr;
+}
+
+void gateway_exchange::attempt()
+{
+    const auto *replica = pickReplica();
+    if (!replica && !m_tried.empty() && m_sends < m_route->maxAttempts) {
+        m_tried.clear(); // all have been tried; one of them may have recovered
+        replica = pickReplica();
+    }
+    if (replica)
+        return send(*replica);
+    if (m_hasBegun)
+        return cutOff("no_replica");
+    refuse(m_mayHaveRun ? refusal::failed : refusal::no_replica);
+}
+
+upstream_request gateway_exchange::upstreamRequest(const replica_entry &replica) const
+{
+    forward_fields fields;
+    fields.replica = replica.id;
+    fields.account = m_account ? m_account->name : std::string();
+    fields.model = m_route->models.empty() ? std::string() : m_route->models[m_model];
+    fields.deadline = left();
+    const auto *service = m_config->findService(m_service);
+    if (service && service->engine)
+        fields.priority = m_account && m_account->priority ? *m_account->priority : m_route->priority;
+    if (m_hasBegun)
+        fields.lastEventId = m_lastEventId;
+    return {replica.address, replica.id, forwardedHead(m_request, fields, m_state.dialect) + m_request.body,
+            m_facts.id};
+}
+
+void gateway_exchange::send(const replica_entry &replica)
+{
+    m_replica = replica.id;
+    m_replicaVersion = replica.version;
+    m_tried.insert(replica.id);
+    ++m_sends;
+    m_workMs = workEstimate();
+    m_sentAt = suspendAwareNow();
+    m_firstByteAt.reset();
+    m_firstEventAt.reset();
+    m_eventCount = 0;
+    m_answer = {};
+    m_body.clear();
+    m_isStream = false;
+    m_events.reset();
+    m_state.replicas.noteStart(m_replica, m_workMs);
+    m_upstream = std::make_unique<upstream_exchange>(m_state.pool, upstreamRequest(replica),
+                                                     static_cast<upstream_listener &>(*this));
+}
+
+void gateway_exchange::onDeadline()
+{
+    if (m_isFinished)
+        return;
+    const bool wasSilent = m_upstream && !m_firstByteAt;
+    m_mayHaveRun = m_mayHaveRun || m_upstream != nullptr;
+    if (m_upstream)
+        closeAttempt(wasSilent ? std::optional(false) : std::nullopt);
+    if (m_hasBegun)
+        return cutOff("deadline");
+    refuse(m_mayHaveRun ? refusal::deadline : refusal::not_run);
+}
+
+void gateway_exchange::onCallerDrained()
+{
+    if (m_upstream)
+        m_upstream->setReading(true);
+}
+
+void gateway_exchange::onCallerGone()
+{
+    constexpr int kClientClosed = 499; // in logs only
+    if (m_upstream)
+        closeAttempt(std::nullopt);
+    finish(kClientClosed, "caller_gone");
+}
+
+void gateway_exchange::finish(int status, std::string_view reason)
+{
+    m_isFinished = true;
+    m_timer.stop();
+    const auto now = suspendAwareNow();
+    const auto duration = now - m_request.readAt;
+    const std::string_view route = m_route ? std::string_view(m_route->name) : std::string_view("none");
+    m_state.metrics.noteRequest(route, status, reason, duration);
+    nlohmann::ordered_json fields{
+        {"request_id", m_facts.id},      {"route", route},  {"status", status}, {"reason", reason},
+        {"ms", duration.count() / 1000}, {"sends", m_sends}};
+    if (m_account)
+        fields["account"] = m_account->name;
+    if (!m_replica.empty()) {
+        fields["replica"] = m_replica;
+        fields["version"] = m_replicaVersion;
+    }
+    if (m_route && !m_route->models.empty())
+        fields["model"] = m_route->models[m_model];
+    if (m_config)
+        fields["config"] = m_config->version;
+    if (m_state.configConfirmedAt)
+        fields["config_age_ms"] = (now - *m_state.configConfirmedAt).count() / 1000;
+    m_state.log.write("request_end", fields);
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/gateway_exchange_p.h
@@ -0,0 +1,141 @@
+// One caller's request on its way: checks it against the configuration, sends it to a replica, passes the answer on,
+// and follows the rules on repeats, escalation and resumption. The decisions themselves are in attempt_rules,
+// model_ladder, replica_table, retry_budget and rollout_policy.
+#pragma once
+
+#include "attempt_rules_p.h"
+#include "decision_log_p.h"
+#include "event_splitter_p.h"
+#include "forwarding_p.h"
+#include "gateway_metrics_p.h"
+#include "gateway_settings_p.h"
+#include "model_ladder_p.h"
+#include "replica_table_p.h"
+#include "retry_budget_p.h"
+#include "rollout_policy_p.h"
+#include "upstream_exchange_p.h"
+
+namespace foxtaildyke
+{
+
+/// What the requests of a host share. Owned by gateway_task.
+struct gateway_state {
+    event_loop &loop;
+    const gateway_settings &settings;
+    const header_dialect &dialect;
+    decision_log &log;
+    gateway_metrics &metrics;
+    gateway_config_ptr config; ///< null: none is known
+    std::optional<instant> configConfirmedAt; ///< when the configuration was last known to be the newest
+    bool hasReplicas = false; ///< the list of replicas has been read
+    replica_table replicas;
+    retry_budget budget;
+    rollout_policy rollouts;
+    ladder_settings ladder;
+    upstream_pool pool;
+    std::mt19937_64 random;
+
+    /// @returns whether keys may be accepted: none can have been withdrawn for longer than the bound allows.
+    [[nodiscard]] bool hasKeyLease(instant now) const;
+};
+
+class gateway_exchange : public request_work, private upstream_listener
+{
+public:
+    gateway_exchange(gateway_state &state, caller_request request, caller_reply &reply);
+    ~gateway_exchange() override;
+
+    /// Starts the work; it may be finished when this returns.
+    void begin();
+
+    void onCallerDrained() override;
+    void onCallerGone() override;
+
+private:
+    /// Why the gateway answers itself.
+    enum class refusal : std::uint8_t {
+        no_config,
+        no_key_lease,
+        unknown_route,
+        unknown_key,
+        missing_id,
+        no_replica,
+        not_run,
+        failed,
+        deadline,
+        count
+    };
+    struct refusal_row;
+    static const refusal_row &rowOf(refusal reason);
+
+    void onUpstreamHead(const message_head &head) override;
+    void onUpstreamBody(std::string_view bytes) override;
+    void onUpstreamEnd(upstream_end end) override;
+
+    [[nodiscard]] std::optional<refusal> check();
+    void chooseService();
+    void attempt();
+    [[nodiscard]] const replica_entry *pickReplica();
+    [[nodiscard]] const replica_entry *pickOf(const version_choice &choice, instant now);
+    void send(const replica_entry &replica);
+    [[nodiscard]] upstream_request upstreamRequest(const replica_entry &replica) const;
+    [[nodiscard]] std::optional<std::size_t> escalation(const message_head &head) const;
+    void escalate(std::size_t model);
+    void passEvent(std::string_view event, std::optional<std::uint64_t> id);
+    void beginStream();
+    [[nodiscard]] attempt_result classify(upstream_end end) const;
+    void noteAttempt(attempt_result result);
+    void noteVersionAnswer(attempt_result result);
+    void closeAttempt(std::optional<bool> isGood);
+    void follow(attempt_result result);
+    void repeat(attempt_result result, attempt_facts facts);
+    void passOn();
+    void refuse(refusal reason);
+    void cutOff(std::string_view reason);
+    void onDeadline();
+    void finish(int status, std::string_view reason);
+
+    [[nodiscard]] std::chrono::milliseconds left() const;
+    [[nodiscard]] double workEstimate() const;
+    [[nodiscard]] std::string retryAfter();
+
+    gateway_state &m_state;
+    caller_request m_request;
+    caller_reply &m_reply;
+    request_facts m_facts;
+    gateway_config_ptr m_config; ///< in force when the request came
+    const gateway_route *m_route = nullptr; ///< in m_config
+    const client_account *m_account = nullptr; ///< in m_config
+    std::string m_service;
+    instant m_deadline{};
+    std::size_t m_model = 0; ///< index into the route's models
+
+    std::unique_ptr<upstream_exchange> m_upstream; ///< null between attempts
+    std::string m_replica; ///< of the present or last attempt
+    std::string m_replicaVersion;
+    double m_workMs = 0; ///< estimate noted at the replica
+    instant m_sentAt{};
+    std::optional<instant> m_firstByteAt; ///< of the present attempt
+    std::optional<instant> m_firstEventAt; ///< of the present attempt
+    std::uint32_t m_eventCount = 0; ///< of the present attempt
+    message_head m_answer; ///< of the present or last attempt
+    std::string m_body; ///< of an answer that is not streamed
+    bool m_isStream = false; ///< the present answer is passed on event by event
+    event_splitter m_events;
+
+    std::set<std::string> m_tried;
+    std::uint32_t m_sends = 0;
+    std::uint32_t m_connectFailures = 0;
+    bool m_mayHaveRun = false; ///< a replica may have run the request
+    bool m_hasBegun = false; ///< part of a stream has gone to the caller
+    std::optional<std::uint64_t> m_lastEventId; ///< last event passed on
+    bool m_isFinished = false;
+    loop_timer m_timer;
+
+    /// Replicas that may be tried in vain, as none of these tries is an arrival.
+    static constexpr std::uint32_t kMostConnectFailures = 4;
+    /// Bytes of a stream that wait for a slow caller before the replica is slowed down.
+    static constexpr std::size_t kCallerBacklogBytes = 128U << 10U;
+};
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/gateway_metrics.cpp
@@ -0,0 +1,117 @@
+// Metrics of the gateway through prometheus-cpp; see gateway_metrics_p.h.
+#include "gateway_metrics_p.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+using prometheus::Registry;
+
+/// Bounds in seconds, from a plain call to the longest stream.
+const Histogram::BucketBoundaries kDurationBounds{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 25};
+
+Family<Counter> &counter(Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+Gauge &gauge(Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+Family<Histogram> &histogram(Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+double seconds(std::chrono::microseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+struct gateway_metrics::implementation {
+    Registry registry;
+    Family<Counter> &requests =
+        counter(registry, "foxtaildyke_gateway_requests_total", "Finished requests by route, status and reason");
+    Family<Counter> &attempts =
+        counter(registry, "foxtaildyke_gateway_attempts_total", "Ended attempts by service, version and result");
+    Family<Counter> &feed = counter(registry, "foxtaildyke_gateway_feed_events_total", "Events of the store by type");
+    Family<Histogram> &duration =
+        histogram(registry, "foxtaildyke_gateway_request_duration_seconds", "Time from arrival to the final answer");
+    Family<Histogram> &firstEvent =
+        histogram(registry, "foxtaildyke_gateway_first_event_seconds", "Time from arrival to a stream's first event");
+    Gauge &configVersion = gauge(registry, "foxtaildyke_gateway_config_version", "Configuration in force");
+    Gauge &configAge = gauge(registry, "foxtaildyke_gateway_config_age_seconds",
+                             "Time since the configuration was known to be the newest");
+    Gauge &replicas = gauge(registry, "foxtaildyke_gateway_replicas", "Registered replicas");
+};
+
+gateway_metrics::gateway_metrics()
+    : m_impl(std::make_unique<implementation>())
+{
+}
+
+gateway_metrics::~gateway_metrics() = default;
+
+void gateway_metrics::noteRequest(std::string_view route, int status, std::string_view reason,
+                                  std::chrono::microseconds duration)
+{
+    const std::string name(route);
+    m_impl->requests.Add({{"route", name}, {"status", std::to_string(status)}, {"reason", std::string(reason)}})
+        .Increment();
+    m_impl->duration.Add({{"route", name}}, kDurationBounds).Observe(seconds(duration));
+}
+
+void gateway_metrics::noteFirstEvent(std::string_view route, std::chrono::microseconds duration)
+{
+    m_impl->firstEvent.Add({{"route", std::string(route)}}, kDurationBounds).Observe(seconds(duration));
+}
+
+void gateway_metrics::noteAttempt(std::string_view service, std::string_view version, std::string_view result)
+{
+    m_impl->attempts
+        .Add({{"service", std::string(service)}, {"version", std::string(version)}, {"result", std::string(result)}})
+        .Increment();
+}
+
+void gateway_metrics::noteFeed(std::string_view type)
+{
+    m_impl->feed.Add({{"type", std::string(type)}}).Increment();
+}
+
+void gateway_metrics::setConfigVersion(generation_number version)
+{
+    m_impl->configVersion.Set(static_cast<double>(version));
+}
+
+void gateway_metrics::setConfigAge(std::chrono::microseconds age)
+{
+    m_impl->configAge.Set(seconds(age));
+}
+
+void gateway_metrics::setReplicas(std::size_t count)
+{
+    m_impl->replicas.Set(static_cast<double>(count));
+}
+
+std::string gateway_metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/gateway_task.cpp
@@ -0,0 +1,298 @@
+// The gateway of a host; see gateway_task_p.h.
+#include "gateway_task_p.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <nlohmann/json.hpp>
+#include <ranges>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr int kNotFound = 404;
+constexpr int kBacklog = 1024; ///< connections that wait to be accepted
+/// Pause between two looks at roll-outs; hosts are spread over as much again, so that few of them write the same state.
+constexpr std::chrono::milliseconds kRolloutPause{500};
+
+} // namespace
+
+gateway_task::gateway_task(event_loop &loop, gateway_settings settings, header_dialect dialect,
+                           std::string readinessPath)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_dialect(std::move(dialect))
+    , m_readinessPath(std::move(readinessPath))
+    , m_log(m_settings.host, m_settings.log, m_settings.logLinesPerSecond)
+    , m_state{.loop = loop,
+              .settings = m_settings,
+              .dialect = m_dialect,
+              .log = m_log,
+              .metrics = m_metrics,
+              .config = nullptr,
+              .configConfirmedAt = std::nullopt,
+              .hasReplicas = false,
+              .replicas = replica_table(m_settings.failureDomain, std::random_device{}()),
+              .budget = retry_budget({m_settings.retryRatio, m_settings.retryWindow, m_settings.retrySlack}),
+              .rollouts = rollout_policy(m_settings.sessionGap),
+              .ladder = {.confidenceToKeep = m_settings.confidenceToKeep, .startsSmall = m_settings.startsSmall},
+              .pool = {loop, m_dialect.requestId},
+              .random = std::mt19937_64{std::random_device{}()}}
+    , m_registry(m_settings.lapseGrace)
+    , m_readiness(loop, [this](const http_exchange_ptr &exchange) { serveReadiness(exchange); })
+    , m_metricsServer(loop, [this](const http_exchange_ptr &exchange) { serveMetrics(exchange); })
+    , m_tick(loop, [this] { tick(); })
+{
+}
+
+gateway_task::~gateway_task()
+{
+    closeListener();
+}
+
+result<void> gateway_task::start(fleet_feed &feed)
+{
+    m_feed = &feed;
+    const auto readiness = m_readiness.listen(m_settings.readiness);
+    if (readiness.has_error())
+        return readiness.error();
+    if (!m_settings.metrics.address.empty()) {
+        const auto metrics = m_metricsServer.listen(m_settings.metrics);
+        if (metrics.has_error())
+            return metrics.error();
+    }
+    const auto callers = listenForCallers();
+    if (callers.has_error())
+        return callers.error();
+    m_log.write("start", {{"failure_domain", m_settings.failureDomain}, {"build", FOXTAILDYKE_VERSION}});
+    feed.start(*this);
+    m_tick.start(kTick);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+result<void> gateway_task::listenForCallers()
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_settings.listen.port);
+    inet_pton(AF_INET, m_settings.listen.address.c_str(), &address.sin_addr);
+    const auto accept = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self) {
+        static_cast<gateway_task *>(self)->onAccept(socket);
+    };
+    m_listener = evconnlistener_new_bind(m_loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                         kBacklog, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    if (!m_listener)
+        return error{error_code::io_failure, m_settings.listen.address};
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void gateway_task::onAccept(int socket)
+{
+    auto connection = std::make_unique<caller_connection>(m_loop, socket, static_cast<caller_host &>(*this));
+    auto *key = connection.get();
+    m_connections.emplace(key, std::move(connection));
+}
+
+void gateway_task::onConnectionEnd(caller_connection &connection)
+{
+    const auto found = m_connections.find(&connection);
+    if (found == m_connections.end())
+        return;
+    // The connection calls from one of its own handlers; it is destroyed when that has returned.
+    auto owned = std::make_shared<std::unique_ptr<caller_connection>>(std::move(found->second));
+    m_connections.erase(found);
+    m_loop.after(std::chrono::microseconds{0}, [owned] { owned->reset(); });
+}
+
+const caller_limits &gateway_task::limits() const
+{
+    static const caller_limits s_default;
+    return m_state.config ? m_state.config->limits : s_default;
+}
+
+std::unique_ptr<request_work> gateway_task::serve(caller_request request, caller_reply &reply)
+{
+    auto work = std::make_unique<gateway_exchange>(m_state, std::move(request), reply);
+    work->begin();
+    return work;
+}
+
+void gateway_task::noteRejected(int status, std::string_view reason)
+{
+    m_metrics.noteRequest("none", status, reason, std::chrono::microseconds{0});
+    m_log.write("request_rejected", {{"status", status}, {"reason", reason}});
+}
+
+void gateway_task::onConfig(gateway_config_ptr config)
+{
+    if (m_state.config && m_state.config->version >= config->version)
+        return;
+    m_log.write("config_in_force",
+                {{"version", config->version},
+                 {"before", m_state.config ? m_state.config->version : 0},
+                 {"routes", config->routes.size()},
+                 {"keys", config->accountsByKey.size()}});
+    m_metrics.setConfigVersion(config->version);
+    m_state.config = std::move(config);
+}
+
+void gateway_task::onConfigConfirmed(instant at)
+{
+    m_state.configConfirmedAt = std::max(at, m_state.configConfirmedAt.value_or(at));
+}
+
+void gateway_task::onReplicaList(std::vector<replica_entry> replicas)
+{
+    m_log.write("replicas_listed", {{"count", replicas.size()}});
+    m_registry.replaceAll(std::move(replicas), suspendAwareNow());
+    m_state.hasReplicas = true;
+    applyReplicas();
+}
+
+void gateway_task::onReplicaChanged(replica_entry replica)
+{
+    m_log.write("replica_changed",
+                {{"replica", replica.id},
+                 {"version", replica.version},
+                 {"draining", replica.isDraining},
+                 {"address", replica.address.address + ':' + std::to_string(replica.address.port)}});
+    m_registry.change(std::move(replica));
+    applyReplicas();
+}
+
+void gateway_task::onReplicaRemoved(const std::string &id)
+{
+    m_log.write("replica_removed", {{"replica", id}});
+    m_registry.remove(id, suspendAwareNow());
+    applyReplicas();
+}
+
+void gateway_task::applyReplicas()
+{
+    m_state.replicas.setReplicas(m_registry.entries());
+    m_metrics.setReplicas(m_state.replicas.size());
+}
+
+void gateway_task::onRollouts(const std::vector<rollout_order> &orders)
+{
+    for (const auto &order : orders)
+        m_log.write("rollout_state",
+                    {{"service", order.service},
+                     {"target", order.target},
+                     {"state", nameOf(order.state)},
+                     {"stage", order.stage},
+                     {"revision", order.revision}});
+    m_state.rollouts.setOrders(orders, suspendAwareNow());
+}
+
+void gateway_task::onFeedReachable(bool isReachable)
+{
+    m_registry.noteReachable(isReachable, suspendAwareNow());
+}
+
+void gateway_task::onFeedNote(std::string_view type, const std::string &subject, const std::string &detail)
+{
+    m_metrics.noteFeed(type);
+    m_log.write(type, {{"subject", subject}, {"detail", detail}});
+}
+
+bool gateway_task::isReady() const
+{
+    return !m_isDraining && m_state.config && m_state.hasReplicas && m_state.hasKeyLease(suspendAwareNow());
+}
+
+void gateway_task::serveReadiness(const http_exchange_ptr &exchange)
+{
+    if (exchange->path != m_readinessPath)
+        return exchange->reply(kNotFound, {});
+    exchange->reply(isReady() ? kOk : kUnavailable, {});
+}
+
+void gateway_task::serveMetrics(const http_exchange_ptr &exchange)
+{
+    if (exchange->path != "/metrics")
+        return exchange->reply(kNotFound, {});
+    exchange->reply(kOk, m_metrics.text(), {{"Content-Type", "text/plain; version=0.0.4"}});
+}
+
+void gateway_task::tick()
+{
+    const auto now = suspendAwareNow();
+    if (m_registry.expire(now))
+        applyReplicas();
+    if (isReady() != m_wasReady) {
+        m_wasReady = !m_wasReady;
+        m_log.write(m_wasReady ? "ready" : "not_ready", {{"draining", m_isDraining}});
+    }
+    if (m_state.configConfirmedAt)
+        m_metrics.setConfigAge(now - *m_state.configConfirmedAt);
+    if (now >= m_nextRolloutCheck)
+        advanceRollouts();
+    if (m_isDraining)
+        finishStop();
+    m_tick.start(kTick);
+}
+
+void gateway_task::advanceRollouts()
+{
+    const auto now = suspendAwareNow();
+    std::uniform_int_distribution<std::int64_t> spread(0, kRolloutPause.count());
+    m_nextRolloutCheck = now + kRolloutPause + std::chrono::milliseconds{spread(m_state.random)};
+    const auto next = m_state.rollouts.nextState(now);
+    if (!next || !m_feed)
+        return;
+    m_log.write("rollout_decision",
+                {{"service", next->service},
+                 {"target", next->target},
+                 {"state", nameOf(next->state)},
+                 {"stage", next->stage},
+                 {"revision", next->revision}});
+    m_feed->writeRollout(*next);
+}
+
+void gateway_task::stop()
+{
+    if (m_isDraining)
+        return;
+    m_isDraining = true;
+    m_stopAt = suspendAwareNow();
+    m_log.write("stop_begun", {{"connections", m_connections.size()}});
+}
+
+void gateway_task::noteReload()
+{
+    m_log.write("reload", {{"detail", "the settings file has changed; it holds from the next start"}});
+}
+
+void gateway_task::closeListener()
+{
+    if (m_listener)
+        evconnlistener_free(std::exchange(m_listener, nullptr));
+}
+
+bool gateway_task::hasWork() const
+{
+    return std::ranges::any_of(m_connections, [](const auto &entry) { return !entry.first->isIdle(); });
+}
+
+void gateway_task::finishStop()
+{
+    const auto elapsed = suspendAwareNow() - m_stopAt;
+    if (elapsed < kListenAfterStop)
+        return;
+    closeListener();
+    std::vector<caller_connection *> open;
+    std::ranges::copy(m_connections | std::views::keys, std::back_inserter(open));
+    for (auto *connection : open)
+        connection->closeIfIdle();
+    if (hasWork() && elapsed < m_settings.grace - kStopMargin)
+        return;
+    m_log.write("stop", {{"open_connections", m_connections.size()}});
+    m_loop.stop();
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/http_parser.cpp
@@ -0,0 +1,230 @@
+// Incremental HTTP/1.1 parser; see http_parser_p.h.
+#include "http_parser_p.h"
+
+#include <cctype>
+#include <charconv>
+#include <cstdlib>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr int kLastInformational = 199;
+constexpr int kStopParsing = -1;
+
+std::string_view trimmed(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+message_head &headOf(htparser *parser)
+{
+    return *static_cast<message_head *>(htparser_get_userdata(parser));
+}
+
+bool hasToken(std::string_view list, std::string_view token)
+{
+    while (!list.empty()) {
+        const auto end = std::min(list.find(','), list.size());
+        if (isSameHeader(trimmed(list.substr(0, end)), token))
+            return true;
+        list.remove_prefix(std::min(end + 1, list.size()));
+    }
+    return false;
+}
+
+/// @returns the second word of a request line; the parser's own hooks leave out part of a target with a query.
+std::string_view targetOf(std::string_view head)
+{
+    const auto line = head.substr(0, head.find("\r\n"));
+    const auto start = line.find(' ');
+    if (start == std::string_view::npos)
+        return {};
+    return line.substr(start + 1, line.find(' ', start + 1) - start - 1);
+}
+
+std::optional<std::uint64_t> parseLength(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+bool isSameHeader(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right,
+                              [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
+std::string_view message_head::header(std::string_view name) const
+{
+    const auto found =
+        std::ranges::find_if(headers, [&](const auto &entry) { return isSameHeader(entry.first, name); });
+    return found == headers.end() ? std::string_view{} : std::string_view(found->second);
+}
+
+http_parser::http_parser(message_type type)
+    : m_type(type)
+    , m_parser(htparser_new(), std::free)
+{
+    reset();
+}
+
+void http_parser::reset()
+{
+    htparser_init(m_parser.get(), m_type == message_type::request ? htp_type_request : htp_type_response);
+    m_state = parse_state::head;
+    m_untilClose = false;
+    m_isDone = false;
+    m_headBytes.clear();
+    m_head = {};
+}
+
+htparse_hooks http_parser::hooks()
+{
+    htparse_hooks table{};
+    table.method = [](htparser *parser, const char *data, std::size_t size) {
+        headOf(parser).method.assign(data, size);
+        return 0;
+    };
+    table.hdr_key = [](htparser *parser, const char *data, std::size_t size) {
+        headOf(parser).headers.emplace_back(std::string(data, size), std::string());
+        return 0;
+    };
+    table.hdr_val = [](htparser *parser, const char *data, std::size_t size) {
+        headOf(parser).headers.back().second = trimmed({data, size});
+        return 0;
+    };
+    return table;
+}
+
+std::size_t http_parser::feed(std::string_view bytes, const body_sink &onBody, bool stopAfterHead)
+{
+    std::size_t used = 0;
+    if (m_state == parse_state::head) {
+        used = takeHead(bytes);
+        if (stopAfterHead || m_state != parse_state::body)
+            return used;
+    }
+    if (m_state == parse_state::body && used < bytes.size())
+        used += takeBody(bytes.substr(used), onBody);
+    return used;
+}
+
+std::size_t http_parser::takeHead(std::string_view bytes)
+{
+    const auto before = m_headBytes.size();
+    m_headBytes.append(bytes);
+    const auto searchFrom = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size();
+    const auto end = m_headBytes.find(kHeadEnd, searchFrom);
+    if (std::min(end, m_headBytes.size()) > m_headLimit) {
+        m_state = parse_state::head_too_large;
+        return bytes.size();
+    }
+    if (end == std::string::npos)
+        return bytes.size();
+    m_headBytes.resize(end + kHeadEnd.size());
+    parseHead();
+    return m_headBytes.size() - before;
+}
+
+void http_parser::parseHead()
+{
+    auto table = hooks();
+    table.on_hdrs_complete = [](htparser *) {
+        return 0;
+    };
+    // A message without a body ends with its head; the hook stops the parser before it looks for another one.
+    table.on_msg_complete = [](htparser *) {
+        return kStopParsing;
+    };
+    htparser_set_userdata(m_parser.get(), &m_head);
+    const auto used = htparser_run(m_parser.get(), &table, m_headBytes.data(), m_headBytes.size());
+    const auto failure = htparser_get_error(m_parser.get());
+    const bool hasEnded = failure == htparse_error_user;
+    if (m_type == message_type::request)
+        m_head.target = targetOf(m_headBytes);
+    if (used != m_headBytes.size() || (failure != htparse_error_none && !hasEnded) || !readFraming()) {
+        m_state = parse_state::malformed;
+        return;
+    }
+    m_head.status = m_type == message_type::response ? static_cast<int>(htparser_get_status(m_parser.get())) : 0;
+    m_head.keepAlive = htparser_get_minor(m_parser.get()) >= 1 ? !hasToken(m_head.header("Connection"), "close")
+                                                               : hasToken(m_head.header("Connection"), "keep-alive");
+    const bool hasNoBody = m_head.status == kNoContent || m_head.status == kNotModified
+        || (m_head.status > 0 && m_head.status <= kLastInformational);
+    m_untilClose = m_type == message_type::response && !hasNoBody && !m_head.length && !m_head.isChunked;
+    m_state = hasEnded && !m_untilClose ? parse_state::complete : parse_state::body;
+}
+
+/// Reads the length of the message from its headers. @returns whether it is unambiguous.
+bool http_parser::readFraming()
+{
+    for (const auto &[name, value] : m_head.headers) {
+        if (name.empty() || name.find_first_of(" \t") != std::string::npos)
+            return false;
+        if (isSameHeader(name, "Content-Length")) {
+            const auto length = parseLength(value);
+            if (!length || m_head.length)
+                return false;
+            m_head.length = length;
+        }
+        if (isSameHeader(name, "Transfer-Encoding")) {
+            if (m_head.isChunked || !isSameHeader(value, "chunked"))
+                return false;
+            m_head.isChunked = true;
+        }
+    }
+    return !(m_head.length && m_head.isChunked);
+}
+
+std::size_t http_parser::takeBody(std::string_view bytes, const body_sink &onBody)
+{
+    if (m_untilClose) {
+        onBody(bytes);
+        return bytes.size();
+    }
+    auto table = hooks();
+    table.hdr_key = [](htparser *, const char *, std::size_t) {
+        return 0;
+    }; // trailers are dropped
+    table.hdr_val = table.hdr_key;
+    table.body = [](htparser *parser, const char *data, std::size_t size) {
+        (*static_cast<http_parser *>(htparser_get_userdata(parser))->m_onBody)({data, size});
+        return 0;
+    };
+    table.on_msg_complete = [](htparser *parser) {
+        static_cast<http_parser *>(htparser_get_userdata(parser))->m_isDone = true;
+        return kStopParsing;
+    };
+    m_onBody = &onBody;
+    htparser_set_userdata(m_parser.get(), this);
+    const auto used = htparser_run(m_parser.get(), &table, bytes.data(), bytes.size());
+    m_onBody = nullptr;
+    if (m_isDone)
+        m_state = parse_state::complete;
+    else if (htparser_get_error(m_parser.get()) != htparse_error_none || used != bytes.size())
+        m_state = parse_state::malformed;
+    return used;
+}
+
+bool http_parser::finishAtClose()
+{
+    if (m_state == parse_state::body && m_untilClose)
+        m_state = parse_state::complete;
+    return m_state == parse_state::complete;
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/http_parser_p.h
@@ -0,0 +1,86 @@
+// Incremental HTTP/1.1 parser over the one that libevhtp ships: heads of requests and responses, and bodies by length,
+// in chunks or up to the end of the connection. Rejects messages whose length is ambiguous.
+#pragma once
+
+#include "http_client_p.h"
+
+#include <evhtp/parser.h>
+
+namespace foxtaildyke
+{
+
+enum class message_type : std::uint8_t { request, response, count };
+
+/// Start line and headers of a message.
+struct message_head {
+    std::string method; ///< of a request
+    std::string target; ///< of a request: path with query, as received
+    int status = 0; ///< of a response
+    http_headers headers; ///< in the order received
+    std::optional<std::uint64_t> length; ///< Content-Length
+    bool isChunked = false;
+    bool keepAlive = true; ///< version and Connection header allow another message on the connection
+
+    /// @returns the value of the first header with this name (ASCII case ignored), or empty.
+    [[nodiscard]] std::string_view header(std::string_view name) const;
+};
+
+/// @returns whether two header names are equal; ASCII case is ignored.
+[[nodiscard]] bool isSameHeader(std::string_view left, std::string_view right);
+
+enum class parse_state : std::uint8_t {
+    head, ///< the head is not complete
+    body,
+    complete, ///< whole message; bytes after it were not consumed
+    malformed,
+    head_too_large,
+    count
+};
+
+/// Parses one message at a time.
+class http_parser
+{
+public:
+    using body_sink = std::function<void(std::string_view)>;
+
+    explicit http_parser(message_type type);
+
+    /// Starts a new message.
+    void reset();
+
+    /// Largest head in bytes; beyond it the state becomes head_too_large.
+    void setHeadLimit(std::size_t bytes) { m_headLimit = bytes; }
+
+    /// Consumes bytes up to the end of the head, or of the message.
+    /// @param stopAfterHead returns as soon as the head is complete, so that the caller can look at it first.
+    /// @returns the number of bytes consumed.
+    std::size_t feed(std::string_view bytes, const body_sink &onBody, bool stopAfterHead = false);
+
+    /// Tells that the peer closed its side in order.
+    /// @returns whether that completes the message: a response that ends with its connection.
+    bool finishAtClose();
+
+    [[nodiscard]] parse_state state() const { return m_state; }
+    [[nodiscard]] const message_head &head() const { return m_head; }
+    [[nodiscard]] bool hasBegun() const { return !m_headBytes.empty() || m_state != parse_state::head; }
+    [[nodiscard]] bool endsWithConnection() const { return m_untilClose; }
+
+private:
+    std::size_t takeHead(std::string_view bytes);
+    void parseHead();
+    bool readFraming();
+    std::size_t takeBody(std::string_view bytes, const body_sink &onBody);
+    static htparse_hooks hooks();
+
+    message_type m_type;
+    std::unique_ptr<htparser, void (*)(void *)> m_parser;
+    std::size_t m_headLimit = 64U << 10U; ///< bytes
+    parse_state m_state = parse_state::head;
+    bool m_untilClose = false;
+    bool m_isDone = false; ///< the parser saw the end of the message
+    std::string m_headBytes;
+    message_head m_head;
+    const body_sink *m_onBody = nullptr; ///< only during feed()
+};
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/replica_table.cpp
@@ -0,0 +1,192 @@
+// Choice of a replica; see replica_table_p.h.
+#include "replica_table_p.h"
+
+#include <xxhash.h>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr double kFailureWeight = 0.1; ///< of the newest answer: about the last ten count
+constexpr double kOtherDomainPenalty = 0.25; ///< in requests: decides between equally loaded replicas
+constexpr double kColdPenalty = 2.0; ///< in requests: replicas that have just started get little
+/// At most this part of a service's replicas is out at a time; with more, the failures aren't the replicas'.
+constexpr double kMostEjected = 0.5;
+
+std::uint64_t hashOf(std::string_view text)
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
+/// Rendezvous hashing: the replica with the largest value is the preferred one, and few change when replicas come or
+/// go.
+std::uint64_t rendezvous(std::uint64_t affinity, std::uint64_t idHash)
+{
+    const std::array<std::uint64_t, 2> both{affinity, idHash};
+    return XXH64(both.data(), sizeof(both), 0);
+}
+
+} // namespace
+
+replica_table::replica_table(std::string failureDomain, std::uint64_t seed)
+    : m_failureDomain(std::move(failureDomain))
+    , m_random(seed)
+{
+}
+
+void replica_table::setReplicas(const std::vector<replica_entry> &replicas)
+{
+    std::unordered_map<std::string, replica> next;
+    m_order.clear();
+    for (const auto &entry : replicas) {
+        replica kept;
+        const auto known = m_replicas.find(entry.id);
+        if (known != m_replicas.end() && known->second.entry.startedAtMs == entry.startedAtMs
+            && known->second.entry.address == entry.address)
+            kept = known->second;
+        kept.entry = entry;
+        kept.idHash = hashOf(entry.id);
+        m_order.push_back(entry.id);
+        next.insert_or_assign(entry.id, std::move(kept));
+    }
+    std::ranges::sort(m_order);
+    m_replicas = std::move(next);
+}
+
+bool replica_table::fits(const replica &candidate, const replica_query &query)
+{
+    const auto &entry = candidate.entry;
+    const bool isWanted = query.version.empty() || entry.version == query.version;
+    const bool isExcluded = !query.excludedVersion.empty() && entry.version == query.excludedVersion;
+    return !entry.isDraining && entry.service == query.service && isWanted && !isExcluded;
+}
+
+bool replica_table::hasAny(const replica_query &query) const
+{
+    return std::ranges::any_of(m_replicas, [&](const auto &entry) { return fits(entry.second, query); });
+}
+
+replica_table::candidate_list replica_table::candidates(const replica_query &query, instant now)
+{
+    candidate_list all;
+    for (const auto &id : m_order) {
+        auto &candidate = m_replicas.at(id);
+        if (fits(candidate, query) && !(query.tried && query.tried->contains(id)))
+            all.push_back(&candidate);
+    }
+    candidate_list open;
+    std::ranges::copy_if(all, std::back_inserter(open),
+                         [now](const replica *candidate) { return candidate->ejectedUntil <= now; });
+    const auto out = static_cast<double>(all.size() - open.size());
+    return out > kMostEjected * static_cast<double>(all.size()) ? all : open;
+}
+
+replica_table::replica *replica_table::preferred(const candidate_list &open, std::uint64_t affinity) const
+{
+    double total = 0;
+    for (const auto *candidate : open)
+        total += candidate->workMs;
+    const double limit = kAffinityLoadFactor * total / static_cast<double>(open.size()) + kAffinitySlackMs;
+    replica *best = nullptr;
+    std::uint64_t bestValue = 0;
+    for (auto *candidate : open) {
+        const auto value = rendezvous(affinity, candidate->idHash);
+        if (candidate->workMs <= limit && (!best || value > bestValue)) {
+            best = candidate;
+            bestValue = value;
+        }
+    }
+    return best;
+}
+
+replica_table::replica *replica_table::leastLoaded(const candidate_list &open)
+{
+    const auto score = [this](const replica &candidate) {
+        const double tieBreak = std::uniform_real_distribution<double>(0, kOtherDomainPenalty)(m_random);
+        const bool isFar = candidate.entry.failureDomain != m_failureDomain;
+        const bool isCold = candidate.entry.coldRemaining.count() > 0;
+        return candidate.running + (isCold ? kColdPenalty : 0.0) + (isFar ? kOtherDomainPenalty : 0.0)
+            + candidate.failureRate + tieBreak;
+    };
+    replica *best = nullptr;
+    double bestScore = 0;
+    for (auto *candidate : open) {
+        const double value = score(*candidate);
+        if (!best || value < bestScore) {
+            best = candidate;
+            bestScore = value;
+        }
+    }
+    return best;
+}
+
+const replica_entry *replica_table::pick(const replica_query &query, instant now)
+{
+    const auto open = candidates(query, now);
+    if (open.empty())
+        return nullptr;
+    replica *chosen = query.affinity != 0 ? preferred(open, query.affinity) : nullptr;
+    if (!chosen)
+        chosen = leastLoaded(open);
+    return &chosen->entry;
+}
+
+void replica_table::noteStart(const std::string &id, double workMs)
+{
+    const auto found = m_replicas.find(id);
+    if (found == m_replicas.end())
+        return;
+    ++found->second.running;
+    found->second.workMs += workMs;
+}
+
+void replica_table::noteEnd(const std::string &id, double workMs, std::optional<bool> isGood, instant now)
+{
+    const auto found = m_replicas.find(id);
+    if (found == m_replicas.end())
+        return;
+    auto &target = found->second;
+    // A replica that started anew has forgotten the attempts that began before.
+    target.running = target.running > 0 ? target.running - 1 : 0;
+    target.workMs = std::max(0.0, target.workMs - workMs);
+    if (!isGood)
+        return;
+    target.failureRate += kFailureWeight * ((*isGood ? 0.0 : 1.0) - target.failureRate);
+    if (*isGood) {
+        target.failuresInRow = 0;
+        target.ejections = target.failureRate < kFailureRateToEject ? 0 : target.ejections;
+        return;
+    }
+    ++target.failuresInRow;
+    if (target.failuresInRow >= kFailuresToEject || target.failureRate >= kFailureRateToEject)
+        eject(target, now);
+}
+
+void replica_table::noteUnreachable(const std::string &id, instant now)
+{
+    const auto found = m_replicas.find(id);
+    if (found != m_replicas.end())
+        eject(found->second, now);
+}
+
+void replica_table::eject(replica &target, instant now)
+{
+    if (target.ejectedUntil > now)
+        return;
+    constexpr std::uint32_t kMostDoublings = 3;
+    const auto time = kFirstEjection * (1U << std::min(target.ejections, kMostDoublings));
+    target.ejectedUntil = now + std::min(std::chrono::milliseconds(time), kLongestEjection);
+    ++target.ejections;
+    target.failuresInRow = 0;
+    target.failureRate = 0; // judged anew by what it does after its return
+}
+
+std::uint32_t replica_table::running(const std::string &id) const
+{
+    const auto found = m_replicas.find(id);
+    return found == m_replicas.end() ? 0 : found->second.running;
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/retry_budget.cpp
@@ -0,0 +1,39 @@
+// Budget for repeats; see retry_budget_p.h.
+#include "retry_budget_p.h"
+
+namespace foxtaildyke
+{
+
+retry_budget::retry_budget(retry_budget_limits limits)
+    : m_limits(limits)
+{
+}
+
+void retry_budget::forget(std::deque<instant> &times, instant now) const
+{
+    while (!times.empty() && times.front() + m_limits.window <= now)
+        times.pop_front();
+}
+
+void retry_budget::noteRequest(const std::string &service, instant now)
+{
+    auto &entry = m_counts[service];
+    forget(entry.requests, now);
+    entry.requests.push_back(now);
+}
+
+bool retry_budget::takeRepeat(const std::string &service, repeat_reason reason, instant now)
+{
+    auto &entry = m_counts[service];
+    forget(entry.requests, now);
+    forget(entry.repeats, now);
+    const double share = reason == repeat_reason::escalation ? kEscalationShare : 1.0;
+    const double slack = reason == repeat_reason::escalation ? 0.0 : m_limits.slack * kSlackShare;
+    const double allowed = m_limits.ratio * kSafeShare * share * static_cast<double>(entry.requests.size()) + slack;
+    if (static_cast<double>(entry.repeats.size()) + 1 > allowed)
+        return false;
+    entry.repeats.push_back(now);
+    return true;
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/stream_socket.cpp
@@ -0,0 +1,141 @@
+// TCP connection over a bufferevent; see stream_socket_p.h.
+#include "stream_socket_p.h"
+
+#include "http_client_p.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/tcp.h>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+/// Bytes received and not yet handled at which reading pauses.
+constexpr std::size_t kReceiveLimitBytes = 256U << 10U;
+
+void setOption(int socket, int level, int name, int value)
+{
+    setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+} // namespace
+
+stream_socket::stream_socket(event_loop &loop, int socket, handlers handlers)
+    : m_loop(loop)
+    , m_handlers(std::move(handlers))
+{
+    open(socket);
+    tune(kCallerUnacknowledgedLimit);
+}
+
+stream_socket::stream_socket(event_loop &loop, const http_endpoint &peer, handlers handlers)
+    : m_loop(loop)
+    , m_handlers(std::move(handlers))
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    open(socket);
+    tune(kUnacknowledgedLimit);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(peer.port);
+    inet_pton(AF_INET, peer.address.c_str(), &address.sin_addr);
+    if (bufferevent_socket_connect(m_stream, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
+        // The owner must not be called back from its own call; the failure comes with the next turn of the loop.
+        bufferevent_trigger_event(m_stream, BEV_EVENT_ERROR, BEV_OPT_DEFER_CALLBACKS);
+    }
+}
+
+stream_socket::~stream_socket()
+{
+    bufferevent_free(m_stream);
+}
+
+void stream_socket::open(int socket)
+{
+    m_stream = bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(m_stream, onRead, onWrite, onEvent, this);
+    bufferevent_setwatermark(m_stream, EV_READ, 0, kReceiveLimitBytes);
+    bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+}
+
+void stream_socket::tune(std::chrono::milliseconds unacknowledgedLimit)
+{
+    const auto socket = bufferevent_getfd(m_stream);
+    setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unacknowledgedLimit.count()));
+    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(kProbeInterval.count()));
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(kProbeInterval.count()));
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+void stream_socket::write(std::string_view bytes)
+{
+    bufferevent_write(m_stream, bytes.data(), bytes.size());
+}
+
+std::string_view stream_socket::received()
+{
+    auto *input = bufferevent_get_input(m_stream);
+    const auto size = evbuffer_get_length(input);
+    if (size == 0)
+        return {};
+    return {reinterpret_cast<const char *>(evbuffer_pullup(input, -1)), size};
+}
+
+void stream_socket::drop(std::size_t bytes)
+{
+    evbuffer_drain(bufferevent_get_input(m_stream), bytes);
+}
+
+std::size_t stream_socket::pendingBytes() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_stream));
+}
+
+void stream_socket::setReading(bool isOn)
+{
+    if (isOn)
+        bufferevent_enable(m_stream, EV_READ);
+    else
+        bufferevent_disable(m_stream, EV_READ);
+}
+
+void stream_socket::shutdownWrite()
+{
+    ::shutdown(bufferevent_getfd(m_stream), SHUT_WR);
+}
+
+void stream_socket::onRead(bufferevent *, void *self)
+{
+    const auto handler = static_cast<stream_socket *>(self)->m_handlers.onReadable;
+    if (handler)
+        handler();
+}
+
+void stream_socket::onWrite(bufferevent *, void *self)
+{
+    const auto handler = static_cast<stream_socket *>(self)->m_handlers.onDrained;
+    if (handler)
+        handler();
+}
+
+void stream_socket::onEvent(bufferevent *, short what, void *self)
+{
+    const auto handlers = static_cast<stream_socket *>(self)->m_handlers;
+    if (what & BEV_EVENT_CONNECTED) {
+        if (handlers.onConnected)
+            handlers.onConnected();
+        return;
+    }
+    const auto end = (what & BEV_EVENT_EOF) ? socket_end::closed : socket_end::failed;
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) && handlers.onEnd)
+        handlers.onEnd(end);
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/src/upstream_exchange.cpp
@@ -0,0 +1,195 @@
+// One request to a replica over kept connections; see upstream_exchange_p.h.
+#include "upstream_exchange_p.h"
+
+#include <charconv>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr int kLastInformational = 199;
+
+/// Reads "timeout=SECONDS" of a Keep-Alive header. @returns 0 where it isn't there.
+std::chrono::milliseconds keepAliveTimeout(std::string_view value)
+{
+    constexpr std::string_view kKey = "timeout=";
+    const auto start = value.find(kKey);
+    if (start == std::string_view::npos)
+        return {};
+    const auto digits = value.substr(start + kKey.size());
+    unsigned seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds{seconds};
+}
+
+} // namespace
+
+upstream_pool::upstream_pool(event_loop &loop, std::string requestIdHeader)
+    : m_loop(loop)
+    , m_requestIdHeader(std::move(requestIdHeader))
+    , m_pruneTimer(loop, [this] { prune(); })
+{
+    m_pruneTimer.start(kPruneInterval);
+}
+
+std::unique_ptr<stream_socket> upstream_pool::take(const std::string &replica, const http_endpoint &address)
+{
+    auto &idle = m_idle[replica];
+    const auto now = suspendAwareNow();
+    while (!idle.empty()) {
+        auto last = std::move(idle.back());
+        idle.pop_back();
+        // Bytes on an idle connection belong to no request.
+        if (last.usableUntil > now && last.address == address && last.socket->received().empty())
+            return std::move(last.socket);
+    }
+    return nullptr;
+}
+
+void upstream_pool::keep(const std::string &replica, const http_endpoint &address,
+                         std::unique_ptr<stream_socket> socket, std::chrono::milliseconds idleLimit)
+{
+    const auto limit = (idleLimit.count() > 0 ? idleLimit : kDefaultIdleLimit) - kIdleMargin;
+    auto &idle = m_idle[replica];
+    if (limit.count() <= 0 || idle.size() >= kMostIdle)
+        return;
+    const auto *key = socket.get();
+    socket->setHandlers({.onConnected = {},
+                         .onReadable = [this, replica, key] { removeEnded(replica, key); },
+                         .onDrained = {},
+                         .onEnd =
+                             [this, replica, key](socket_end) {
+                                 removeEnded(replica, key);
+                             }});
+    idle.push_back({std::move(socket), address, suspendAwareNow() + limit});
+}
+
+void upstream_pool::removeEnded(const std::string &replica, const stream_socket *socket)
+{
+    std::erase_if(m_idle[replica], [socket](const idle_socket &entry) { return entry.socket.get() == socket; });
+}
+
+void upstream_pool::prune()
+{
+    const auto now = suspendAwareNow();
+    for (auto &[replica, idle] : m_idle)
+        std::erase_if(idle, [now](const idle_socket &entry) { return entry.usableUntil <= now; });
+    std::erase_if(m_idle, [](const auto &entry) { return entry.second.empty(); });
+    m_pruneTimer.start(kPruneInterval);
+}
+
+upstream_exchange::upstream_exchange(upstream_pool &pool, upstream_request request, upstream_listener &listener)
+    : m_pool(pool)
+    , m_request(std::move(request))
+    , m_listener(listener)
+    , m_connectTimer(pool.loop(), [this] { finish(upstream_end::not_connected); })
+{
+    const stream_socket::handlers handlers{.onConnected = [this] { send(); },
+                                           .onReadable = [this] { onReadable(); },
+                                           .onDrained = {},
+                                           .onEnd =
+                                               [this](socket_end end) {
+                                                   onSocketEnd(end);
+                                               }};
+    m_socket = pool.take(m_request.replica, m_request.address);
+    if (m_socket) {
+        m_isReused = true;
+        m_socket->setHandlers(handlers);
+        send();
+        return;
+    }
+    pool.noteOpened();
+    m_socket = std::make_unique<stream_socket>(pool.loop(), m_request.address, handlers);
+    m_connectTimer.start(upstream_pool::kConnectLimit);
+}
+
+upstream_exchange::~upstream_exchange()
+{
+    *m_alive = false;
+}
+
+void upstream_exchange::setReading(bool isOn)
+{
+    if (m_socket)
+        m_socket->setReading(isOn);
+}
+
+void upstream_exchange::send()
+{
+    m_connectTimer.stop();
+    m_isConnected = true;
+    m_socket->write(m_request.bytes);
+}
+
+/// @returns whether the answer's head has been read, and belongs to this request.
+bool upstream_exchange::takeHead()
+{
+    const auto &head = m_parser.head();
+    const auto echoed = head.header(m_pool.requestIdHeader());
+    m_isStray = !echoed.empty() && echoed != m_request.requestId;
+    if (m_isStray || head.status <= kLastInformational)
+        return false;
+    m_hasHead = true;
+    m_listener.onUpstreamHead(head);
+    return true;
+}
+
+void upstream_exchange::onReadable()
+{
+    const auto alive = m_alive;
+    const auto onBody = [this, alive](std::string_view bytes) {
+        if (*alive && !m_isStray)
+            m_listener.onUpstreamBody(bytes);
+    };
+    while (*alive && m_socket) {
+        const auto bytes = m_socket->received();
+        if (bytes.empty())
+            return;
+        const bool wasHead = m_parser.state() == parse_state::head;
+        // The view stays valid while the listener runs, unless it destroys this exchange and with it the socket.
+        const auto used = m_parser.feed(bytes, onBody, wasHead);
+        if (!*alive)
+            return;
+        m_socket->drop(used);
+        const auto state = m_parser.state();
+        if (state == parse_state::malformed || state == parse_state::head_too_large)
+            return finish(upstream_end::malformed);
+        if (wasHead && state != parse_state::head) {
+            takeHead();
+            if (!*alive)
+                return;
+        }
+        if (state != parse_state::complete)
+            continue;
+        if (m_hasHead)
+            return finish(upstream_end::complete);
+        m_isStray = false; // an answer of another request, or an informational one
+        m_parser.reset();
+    }
+}
+
+void upstream_exchange::onSocketEnd(socket_end end)
+{
+    if (!m_isConnected)
+        return finish(upstream_end::not_connected);
+    const bool isWhole = end == socket_end::closed && m_hasHead && m_parser.finishAtClose();
+    finish(isWhole ? upstream_end::complete : upstream_end::broken);
+}
+
+void upstream_exchange::finish(upstream_end end)
+{
+    m_connectTimer.stop();
+    auto socket = std::move(m_socket);
+    const auto &head = m_parser.head();
+    // A request that is still being written is due on the connection; other bytes must not take its place.
+    const bool isReusable = end == upstream_end::complete && head.keepAlive && !m_parser.endsWithConnection()
+        && socket->pendingBytes() == 0 && socket->received().empty();
+    if (isReusable)
+        m_pool.keep(m_request.replica, m_request.address, std::move(socket),
+                    keepAliveTimeout(head.header("Keep-Alive")));
+    m_listener.onUpstreamEnd(end);
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/tools/gateway_main.cpp
@@ -0,0 +1,79 @@
+// foxtaildyke-gateway: the router of a host on the users' platform.
+#include "gateway_task_p.h"
+#include "store_feed.h"
+#include "wire_names.h"
+
+#include <csignal>
+#include <iostream>
+
+using namespace foxtaildyke;
+
+namespace
+{
+
+/// Path of the settings where the command line names none.
+constexpr const char *kSettingsVariable = "FOXTAILDYKE_SETTINGS";
+
+const program_spec &program()
+{
+    static const std::string s_notes = "Settings, section [gateway]:\n" + gatewaySettingsReference();
+    static const program_spec s_program{"foxtaildyke-gateway",
+                                        "Routes callers' requests to the replicas that the platform's store lists.",
+                                        "",
+                                        {},
+                                        s_notes.c_str()};
+    return s_program;
+}
+
+int exitWith(exit_code code)
+{
+    return static_cast<int>(code);
+}
+
+result<gateway_settings> loadSettings(const command_line &line)
+{
+    const char *fromEnvironment = std::getenv(kSettingsVariable); // NOLINT(concurrency-mt-unsafe): before any thread
+    const std::string path = !line.configPath.empty() || !fromEnvironment ? line.configPath : fromEnvironment;
+    if (path.empty())
+        return error{error_code::missing_key, "--config"};
+    const auto sections = readIniFile(path);
+    if (sections.has_error())
+        return sections.error();
+    return checkGatewaySettings(sections.value());
+}
+
+int run(const gateway_settings &settings)
+{
+    event_loop loop;
+    platform::store_feed feed(loop, settings.platform, {settings.configWatch, settings.replicaWatch});
+    gateway_task task(loop, settings, platform::makeHeaderDialect(), platform::kReadinessPath);
+    loop.onSignal(SIGTERM, [&task] { task.stop(); });
+    loop.onSignal(SIGINT, [&task] { task.stop(); });
+    loop.onSignal(SIGHUP, [&task] { task.noteReload(); });
+    const auto started = task.start(feed);
+    if (started.has_error()) {
+        printError(program(), started.error());
+        return exitWith(exit_code::failure);
+    }
+    loop.run();
+    return exitWith(exit_code::success);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto parsed = parseCommandLine(program(), argc, argv);
+    if (const auto *code = std::get_if<exit_code>(&parsed))
+        return exitWith(*code);
+    const auto &line = std::get<command_line>(parsed);
+    const auto settings = loadSettings(line);
+    if (settings.has_error()) {
+        printError(program(), settings.error());
+        return exitWith(exit_code::invalid_settings);
+    }
+    if (line.checkOnly)
+        return exitWith(exit_code::success);
+    return run(settings.value());
+}
