Keep rejections whole, and close kept connections after a stop; tests of the whole path over loopback

(2) Found by a new test: a rejection (400, 413, 431) was lost where the drain callback of an earlier write shut the connection down first. Change: an answer that ends while the host drains closes the connection; the connection is shut down when its output is empty.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -211,7 +211,8 @@
 void caller_connection::finishAnswer()
 {
     m_finishedWork = std::move(m_work);
-    if (!m_keepAlive)
+    // The head of a stream may have gone out before the stop began, without "Connection: close".
+    if (!m_keepAlive || m_host.isDraining())
         return beginClose();
     m_phase = phase::reading;
     m_idleSince = suspendAwareNow();
@@ -235,7 +236,8 @@
 
 void caller_connection::onDrained()
 {
-    if (m_phase == phase::closing)
+    // The call may be from before the last write.
+    if (m_phase == phase::closing && m_socket->pendingBytes() == 0)
         m_socket->shutdownWrite();
     else if (m_work)
         m_work->onCallerDrained();
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -60,6 +60,7 @@
     const auto readiness = m_readiness.listen(m_settings.readiness);
     if (readiness.has_error())
         return readiness.error();
+    m_readinessPort = readiness.value();
     if (!m_settings.metrics.address.empty()) {
         const auto metrics = m_metricsServer.listen(m_settings.metrics);
         if (metrics.has_error())
@@ -90,6 +91,15 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+std::uint16_t gateway_task::callerPort() const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    if (!m_listener || getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&address), &size) != 0)
+        return 0;
+    return ntohs(address.sin_port);
+}
+
 void gateway_task::onAccept(int socket)
 {
     auto connection = std::make_unique<caller_connection>(m_loop, socket, static_cast<caller_host &>(*this));
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -27,6 +27,10 @@
     /// Begins a graceful stop; the loop ends when the last request has been answered.
     void stop();
 
+    /// @returns the port for callers, and that of the readiness checks; they differ from the settings where those say 0.
+    [[nodiscard]] std::uint16_t callerPort() const;
+    [[nodiscard]] std::uint16_t readinessPort() const { return m_readinessPort; }
+
     /// Notes that the settings file has changed; new settings hold from the next start.
     void noteReload();
 
@@ -79,6 +83,7 @@
     evconnlistener *m_listener = nullptr;
     std::unordered_map<caller_connection *, std::unique_ptr<caller_connection>> m_connections;
     loop_timer m_tick;
+    std::uint16_t m_readinessPort = 0;
     bool m_isDraining = false;
     bool m_wasReady = false;
     instant m_stopAt{}; ///< when the stop began
--- /dev/null
+++ b/tests/gateway_harness.cpp
@@ -0,0 +1,281 @@
+// Gateway between scripted replicas and callers; see gateway_harness.h.
+#include "gateway_harness.h"
+
+#include "wire_names.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <csignal>
+#include <event2/listener.h>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+constexpr const char *kLoopback = "127.0.0.1";
+constexpr std::chrono::seconds kHangLimit{20};
+
+http_endpoint anyPort()
+{
+    return {kLoopback, 0};
+}
+
+gateway_route makeRoute(const std::string &prefix, repeat_rule repeats, std::uint32_t attempts)
+{
+    gateway_route route;
+    route.name = prefix;
+    route.host = "h.example";
+    route.pathPrefix = prefix;
+    route.repeats = repeats;
+    route.isResumable = repeats == repeat_rule::stream;
+    route.timeout = std::chrono::milliseconds{1000};
+    route.objective = std::chrono::milliseconds{500};
+    route.maxAttempts = attempts;
+    route.targets.push_back({"s", 1});
+    return route;
+}
+
+std::string chunkText(const std::string &bytes)
+{
+    std::array<char, 16> digits{};
+    std::snprintf(digits.data(), digits.size(), "%zx", bytes.size());
+    return std::string(digits.data()) + "\r\n" + bytes + "\r\n";
+}
+
+} // namespace
+
+struct scripted_replica::connection {
+    connection(event_loop &loop, int socket, scripted_replica &owner)
+        : replica(owner)
+        , timer(loop, [this] { answer(); })
+        , stream(loop, socket,
+                 stream_socket::handlers{.onConnected = {},
+                                         .onReadable = [this] { onReadable(); },
+                                         .onDrained = [this] { onDrained(); },
+                                         .onEnd =
+                                             [this](socket_end) {
+                                                 if (isOpen)
+                                                     ++replica.connectionsLost;
+                                                 isOpen = false;
+                                             }})
+    {
+    }
+
+    void onReadable()
+    {
+        const auto onBody = [this](std::string_view bytes) { body.append(bytes); };
+        while (!stream.received().empty() && !isOpen) {
+            stream.drop(parser.feed(stream.received(), onBody));
+            if (parser.state() != parse_state::complete)
+                return;
+            isOpen = true;
+            replica.requests.push_back({parser.head(), std::exchange(body, {})});
+            parser.reset();
+            script = replica.m_answer(replica.requests.back());
+            timer.start(script.delay);
+        }
+    }
+
+    void answer()
+    {
+        if (!isOpen)
+            return;
+        stream.write(script.bytes);
+        isOpen = !script.closes && !script.resets && script.bytes.empty();
+        if (script.bytes.empty())
+            onDrained();
+    }
+
+    void onDrained()
+    {
+        if (script.resets)
+            replica.m_loop.after(std::chrono::milliseconds(5), [this] { reset(); });
+        else if (script.closes)
+            stream.shutdownWrite();
+    }
+
+    void reset()
+    {
+        std::erase_if(replica.m_connections, [this](const auto &entry) { return entry.get() == this; });
+    }
+
+    scripted_replica &replica;
+    http_parser parser{message_type::request};
+    std::string body;
+    replica_script script;
+    bool isOpen = false; ///< a request waits for its answer
+    loop_timer timer;
+    stream_socket stream;
+};
+
+scripted_replica::scripted_replica(event_loop &loop, std::string id, script answer)
+    : m_loop(loop)
+    , m_id(std::move(id))
+    , m_answer(std::move(answer))
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, kLoopback, &address.sin_addr);
+    const auto onAccept = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self) {
+        static_cast<scripted_replica *>(self)->accept(socket);
+    };
+    m_listener = evconnlistener_new_bind(loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                         reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    REQUIRE(m_listener);
+    socklen_t size = sizeof(address);
+    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&address), &size);
+    m_port = ntohs(address.sin_port);
+}
+
+scripted_replica::~scripted_replica()
+{
+    evconnlistener_free(m_listener);
+}
+
+void scripted_replica::accept(int socket)
+{
+    // With a linger time of zero, closing resets the connection.
+    const linger reset{1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    m_connections.push_back(std::make_unique<connection>(m_loop, socket, *this));
+}
+
+replica_entry scripted_replica::entry(const std::string &service, const std::string &version) const
+{
+    replica_entry entry;
+    entry.id = m_id;
+    entry.service = service;
+    entry.address = {kLoopback, m_port};
+    entry.failureDomain = "d1";
+    entry.version = version;
+    entry.slots = 8;
+    return entry;
+}
+
+scripted_caller::scripted_caller(event_loop &loop, std::uint16_t port)
+    : m_socket(std::make_unique<stream_socket>(
+          loop, http_endpoint{kLoopback, port},
+          stream_socket::handlers{.onConnected = {},
+                                  .onReadable = [this] { onReadable(); },
+                                  .onDrained = {},
+                                  .onEnd = [this](socket_end) { isClosed = true; }}))
+{
+}
+
+void scripted_caller::onReadable()
+{
+    const auto onBody = [this](std::string_view bytes) { answers.back().body.append(bytes); };
+    while (!m_socket->received().empty()) {
+        const bool wasHead = m_parser.state() == parse_state::head;
+        m_socket->drop(m_parser.feed(m_socket->received(), onBody, wasHead));
+        if (wasHead && m_parser.state() != parse_state::head)
+            answers.push_back({m_parser.head(), {}, false});
+        if (m_parser.state() != parse_state::complete)
+            continue;
+        answers.back().isWhole = true;
+        m_parser.reset();
+    }
+}
+
+gateway_settings gateway_harness::makeSettings()
+{
+    gateway_settings settings;
+    settings.host = "host-1";
+    settings.failureDomain = "d1";
+    settings.listen = anyPort();
+    settings.readiness = anyPort();
+    settings.log = "/dev/null";
+    settings.retrySlack = 160; // ten repeats for this host
+    return settings;
+}
+
+gateway_harness::gateway_harness(gateway_settings settings)
+    : task(loop, std::move(settings), platform::makeHeaderDialect(), platform::kReadinessPath)
+{
+    std::signal(SIGPIPE, SIG_IGN); // as in the programs
+    REQUIRE(task.start(feed).has_value());
+}
+
+std::shared_ptr<gateway_config> gateway_harness::makeConfig(generation_number version)
+{
+    auto config = std::make_shared<gateway_config>();
+    config->version = version;
+    config->routes = {makeRoute("/safe/", repeat_rule::safe, 2), makeRoute("/once/", repeat_rule::at_most_once, 2),
+                      makeRoute("/stream/", repeat_rule::stream, 3), makeRoute("/sized/", repeat_rule::stream, 3)};
+    config->routes.back().models = {"small", "medium", "large"};
+    config->services["s"].name = "s";
+    config->accountsByKey["key-1"] = {"account-1", std::nullopt};
+    config->needsKeys = true;
+    return config;
+}
+
+void gateway_harness::publish(const std::shared_ptr<gateway_config> &config)
+{
+    feed.listener->onConfig(config);
+    feed.listener->onConfigConfirmed(suspendAwareNow());
+}
+
+void gateway_harness::publishReplicas(std::vector<replica_entry> replicas)
+{
+    feed.listener->onReplicaList(std::move(replicas));
+}
+
+bool gateway_harness::runUntil(const std::function<bool()> &condition)
+{
+    const auto limit = suspendAwareNow() + kHangLimit;
+    loop_timer pulse(loop, [] {});
+    while (!condition()) {
+        if (suspendAwareNow() > limit)
+            return false;
+        pulse.start(std::chrono::milliseconds(5));
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    }
+    return true;
+}
+
+void gateway_harness::runFor(std::chrono::milliseconds time)
+{
+    const auto end = suspendAwareNow() + time;
+    runUntil([end] { return suspendAwareNow() >= end; });
+}
+
+std::string requestText(const std::string &method, const std::string &target, const std::string &id,
+                        const std::string &moreHeaders, const std::string &body)
+{
+    return method + ' ' + target + " HTTP/1.1\r\nHost: h.example\r\nFoxtaildyke-Request-Id: " + id
+        + "\r\nFoxtaildyke-Deadline-Ms: 5000\r\nAuthorization: Bearer key-1\r\n" + moreHeaders
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string answerText(int status, const std::string &id, const std::string &body, const std::string &moreHeaders)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nFoxtaildyke-Request-Id: " + id
+        + "\r\nFoxtaildyke-Server-Stamp: stamp\r\n" + moreHeaders + "Content-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+std::string notRunText(int status)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nFoxtaildyke-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string eventsText(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n";
+    return text;
+}
+
+std::string streamText(const std::string &id, int first, int last, bool isWhole, const std::string &moreHeaders)
+{
+    std::string text = "HTTP/1.1 200 OK\r\nFoxtaildyke-Request-Id: " + id + "\r\nFoxtaildyke-Server-Stamp: stamp-" + id
+        + "\r\nContent-Type: text/event-stream\r\n" + moreHeaders + "Transfer-Encoding: chunked\r\n\r\n";
+    for (int event = first; event <= last; ++event)
+        text += chunkText(eventsText(event, event));
+    return isWhole ? text + "0\r\n\r\n" : text;
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/tests/gateway_harness.h
@@ -0,0 +1,127 @@
+// A gateway on the loopback address between scripted replicas and scripted callers, with a feed that the test drives.
+#pragma once
+
+#include "gateway_task_p.h"
+
+#include <doctest/doctest.h>
+
+struct evconnlistener;
+
+namespace foxtaildyke
+{
+
+/// Feed whose content the test sets.
+struct scripted_feed : fleet_feed {
+    fleet_listener *listener = nullptr;
+    std::vector<rollout_order> written;
+
+    void start(fleet_listener &target) override { listener = &target; }
+    void writeRollout(const rollout_order &order) override { written.push_back(order); }
+};
+
+/// A request as a replica received it.
+struct received_request {
+    message_head head;
+    std::string body;
+};
+
+/// What a replica does with a request.
+struct replica_script {
+    std::string bytes; ///< answer as it goes on the wire
+    bool closes = false; ///< closes the connection in order after the bytes
+    bool resets = false; ///< resets it
+    std::chrono::milliseconds delay{0}; ///< before the bytes
+};
+
+/// A replica that answers each request by a script.
+class scripted_replica
+{
+public:
+    using script = std::function<replica_script(const received_request &)>;
+
+    scripted_replica(event_loop &loop, std::string id, script answer);
+    ~scripted_replica();
+
+    std::vector<received_request> requests; ///< all that were received
+    std::size_t connectionsLost = 0; ///< closed by the gateway while a request was open
+    [[nodiscard]] replica_entry entry(const std::string &service, const std::string &version = "v1") const;
+
+private:
+    struct connection;
+    void accept(int socket);
+    void serve(connection &open);
+
+    event_loop &m_loop;
+    std::string m_id;
+    script m_answer;
+    evconnlistener *m_listener = nullptr;
+    std::uint16_t m_port = 0;
+    std::vector<std::unique_ptr<connection>> m_connections;
+};
+
+/// An answer as a caller received it.
+struct received_answer {
+    message_head head;
+    std::string body;
+    bool isWhole = false;
+};
+
+/// A caller's connection.
+class scripted_caller
+{
+public:
+    scripted_caller(event_loop &loop, std::uint16_t port);
+
+    void send(std::string_view bytes) { m_socket->write(bytes); }
+    void close() { m_socket.reset(); }
+
+    std::vector<received_answer> answers; ///< the last one may be incomplete
+    bool isClosed = false; ///< by the gateway
+
+private:
+    void onReadable();
+
+    http_parser m_parser{message_type::response};
+    std::unique_ptr<stream_socket> m_socket;
+};
+
+struct gateway_harness {
+    explicit gateway_harness(gateway_settings settings = makeSettings());
+
+    event_loop loop;
+    scripted_feed feed;
+    gateway_task task;
+
+    static gateway_settings makeSettings();
+
+    /// Publishes a configuration with one route for each kind: /safe/, /once/, /stream/ and /sized/ to service "s".
+    static std::shared_ptr<gateway_config> makeConfig(generation_number version = 1);
+    void publish(const std::shared_ptr<gateway_config> &config);
+    void publishReplicas(std::vector<replica_entry> replicas);
+
+    /// Runs the loop until the condition holds. @returns false where it never does (the limit only ends a hanging test).
+    bool runUntil(const std::function<bool()> &condition);
+
+    /// Runs the loop for a time.
+    void runFor(std::chrono::milliseconds time);
+};
+
+/// @returns a request with key, id and deadline.
+[[nodiscard]] std::string requestText(const std::string &method, const std::string &target, const std::string &id,
+                                      const std::string &moreHeaders = {}, const std::string &body = {});
+
+/// @returns a stamped answer with a length.
+[[nodiscard]] std::string answerText(int status, const std::string &id, const std::string &body,
+                                     const std::string &moreHeaders = {});
+
+/// @returns a refusal that states that the request has not run.
+[[nodiscard]] std::string notRunText(int status = 503);
+
+/// @returns a stamped event stream in chunks, with the events first to last; without its end where not whole.
+[[nodiscard]] std::string streamText(const std::string &id, int first, int last, bool isWhole = true,
+                                     const std::string &moreHeaders = {});
+
+/// @returns the text of the events first to last.
+[[nodiscard]] std::string eventsText(int first, int last);
+
+} // namespace foxtaildyke
