Place prompts by estimated first token, short work first; try load reports between hosts

Change: the replica with the earliest first token by estimate (prompts sent and not read, shared parts that it has read); the priority header orders urgency first, short work before long within it.

--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -2,6 +2,7 @@
 #include "forwarding_p.h"
 
 #include <charconv>
+#include <ranges>
 #include <xxhash.h>
 
 namespace foxtaildyke
@@ -72,6 +73,12 @@
         facts.answerTokens = *hint;
 }
 
+std::uint64_t tokensOf(std::string_view part)
+{
+    const auto colon = part.find(':');
+    return colon == std::string_view::npos ? 0 : numberOf(part.substr(colon + 1)).value_or(0);
+}
+
 /// Reads "ID:TOKENS,...": the last part is the request's own, those before it are shared.
 void readPrompt(request_facts &facts, const message_head &head, const header_dialect &dialect)
 {
@@ -79,6 +86,9 @@
     if (parts.size() < 2)
         return;
     facts.sharedPrompt = hashOf(parts[parts.size() - 2]) | 1U;
+    for (const auto &part : parts | std::views::take(parts.size() - 1))
+        facts.sharedTokens += tokensOf(part);
+    facts.promptTokens = std::max(facts.promptTokens, facts.sharedTokens);
 }
 
 } // namespace
--- a/src/forwarding_p.h
+++ b/src/forwarding_p.h
@@ -18,7 +18,8 @@
     std::string model; ///< empty: not stated
     std::optional<std::chrono::milliseconds> deadline; ///< how long the caller waits
     std::optional<std::uint64_t> lastEventId; ///< the caller resumes a stream after this event
-    std::uint64_t promptTokens = 0;
+    std::uint64_t promptTokens = 0; ///< shared ones included
+    std::uint64_t sharedTokens = 0; ///< of the parts that other requests share
     std::uint64_t answerTokens = 0; ///< estimate, or the most
     std::uint64_t sharedPrompt = 0; ///< hash of the prompt's parts that other requests share; 0: none
     std::uint64_t session = 0; ///< hash of the session's name, or of the id where there is none
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -11,11 +11,9 @@
 namespace
 {
 
-/// Tokens that an engine reads in one ms, and the time that one more token of an answer takes in a full batch (ms):
-/// speeds of today's engines. Only the ratio matters, as the estimates are compared with each other.
-constexpr double kPromptTokensPerMs = 157;
-constexpr double kAnswerTokenMs = 0.1;
-constexpr double kPlainWorkMs = 15; ///< of a request to a plain service; equal for all
+/// Tokens of a prompt that an engine reads in one ms with the largest model: 157 by the sheet of today's engines, at a
+/// pace of 3.
+constexpr double kPromptTokensPerMs = 52;
 
 /// Part of the key lease that is used: the rest covers a watch that misses changes for a second before it is cut.
 constexpr double kKeyLeaseShare = 0.8;
@@ -103,18 +101,25 @@
     return std::max(std::chrono::milliseconds{0}, std::chrono::duration_cast<std::chrono::milliseconds>(remaining));
 }
 
-double gateway_exchange::workEstimate() const
+prompt_work gateway_exchange::promptWork() const
 {
     const auto *service = m_config->findService(m_service);
     if (!service || !service->engine)
-        return kPlainWorkMs;
-    const auto prompt = static_cast<double>(m_facts.promptTokens) / kPromptTokensPerMs;
-    const auto answer = static_cast<double>(m_facts.answerTokens) * kAnswerTokenMs;
+        return {};
     const auto &costs = service->engine->modelCosts;
-    if (m_route->models.empty() || !costs.contains(m_route->models[m_model]))
-        return prompt + answer;
-    const auto largest = std::ranges::max(costs | std::views::values);
-    return (prompt + answer) * costs.at(m_route->models[m_model]) / std::max(largest, 1e-9);
+    double pace = 1; // of the model, relative to the largest
+    if (!m_route->models.empty() && costs.contains(m_route->models[m_model]))
+        pace = costs.at(m_route->models[m_model]) / std::max(std::ranges::max(costs | std::views::values), 1e-9);
+    const auto msOf = [pace](std::uint64_t tokens) {
+        return pace * static_cast<double>(tokens) / kPromptTokensPerMs;
+    };
+    return {msOf(m_facts.sharedTokens), msOf(m_facts.promptTokens - m_facts.sharedTokens)};
+}
+
+/// @returns a key of the shared parts of the prompt for the present model, as engines keep them for each model apart.
+std::uint64_t gateway_exchange::promptKey() const
+{
+    return m_facts.sharedPrompt == 0 ? 0 : m_facts.sharedPrompt + m_model;
 }
 
 const replica_entry *gateway_exchange::pickOf(const version_choice &choice, instant now)
@@ -123,7 +128,8 @@
     query.service = m_service;
     query.version = choice.version;
     query.excludedVersion = choice.excluded;
-    query.affinity = m_facts.sharedPrompt;
+    query.sharedPrompt = promptKey();
+    query.work = promptWork();
     query.tried = &m_tried;
     return m_state.replicas.pick(query, now);
 }
@@ -154,6 +160,16 @@
     refuse(m_mayHaveRun ? refusal::failed : refusal::no_replica);
 }
 
+/// Urgency first; within it short work before long, so that a prompt of the smallest model doesn't wait for one of the
+/// largest, and streams that have paused already come last.
+std::uint32_t gateway_exchange::enginePriority() const
+{
+    constexpr std::uint32_t kLevels = 3;
+    const auto urgency = m_account && m_account->priority ? *m_account->priority : m_route->priority;
+    const bool isLarge = m_model > 0 && m_model + 1 == m_route->models.size();
+    return kLevels * urgency + (m_hasBegun ? 2 : isLarge ? 1 : 0);
+}
+
 upstream_request gateway_exchange::upstreamRequest(const replica_entry &replica) const
 {
     forward_fields fields;
@@ -163,7 +179,7 @@
     fields.deadline = left();
     const auto *service = m_config->findService(m_service);
     if (service && service->engine)
-        fields.priority = m_account && m_account->priority ? *m_account->priority : m_route->priority;
+        fields.priority = enginePriority();
     if (m_hasBegun)
         fields.lastEventId = m_lastEventId;
     return {replica.address, replica.id, forwardedHead(m_request, fields, m_state.dialect) + m_request.body,
@@ -176,7 +192,6 @@
     m_replicaVersion = replica.version;
     m_tried.insert(replica.id);
     ++m_sends;
-    m_workMs = workEstimate();
     m_sentAt = suspendAwareNow();
     m_firstByteAt.reset();
     m_firstEventAt.reset();
@@ -185,7 +200,7 @@
     m_body.clear();
     m_isStream = false;
     m_events.reset();
-    m_state.replicas.noteStart(m_replica, m_workMs);
+    m_promptMs = m_state.replicas.noteStart(m_replica, promptKey(), promptWork(), m_sentAt);
     m_upstream = std::make_unique<upstream_exchange>(m_state.pool, upstreamRequest(replica),
                                                      static_cast<upstream_listener &>(*this));
 }
--- a/src/gateway_exchange_answers.cpp
+++ b/src/gateway_exchange_answers.cpp
@@ -76,6 +76,7 @@
 {
     m_firstByteAt = suspendAwareNow();
     m_answer = head;
+    m_state.replicas.noteFirstByte(m_replica, std::exchange(m_promptMs, 0));
     const bool isUsable = !head.header(m_state.dialect.stamp).empty() && head.header("Content-Encoding").empty();
     if (!isSuccess(head.status) || !isUsable)
         return;
@@ -217,7 +218,7 @@
 
 void gateway_exchange::closeAttempt(std::optional<bool> isGood)
 {
-    m_state.replicas.noteEnd(m_replica, m_workMs, isGood, suspendAwareNow());
+    m_state.replicas.noteEnd(m_replica, std::exchange(m_promptMs, 0), isGood, suspendAwareNow());
     m_upstream.reset();
 }
 
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -96,7 +96,9 @@
     void finish(int status, std::string_view reason);
 
     [[nodiscard]] std::chrono::milliseconds left() const;
-    [[nodiscard]] double workEstimate() const;
+    [[nodiscard]] prompt_work promptWork() const;
+    [[nodiscard]] std::uint32_t enginePriority() const;
+    [[nodiscard]] std::uint64_t promptKey() const;
     [[nodiscard]] std::string retryAfter();
 
     gateway_state &m_state;
@@ -113,7 +115,7 @@
     std::unique_ptr<upstream_exchange> m_upstream; ///< null between attempts
     std::string m_replica; ///< of the present or last attempt
     std::string m_replicaVersion;
-    double m_workMs = 0; ///< estimate noted at the replica
+    double m_promptMs = 0; ///< noted at the replica until its first byte
     instant m_sentAt{};
     std::optional<instant> m_firstByteAt; ///< of the present attempt
     std::optional<instant> m_firstEventAt; ///< of the present attempt
--- a/src/gateway_settings_p.h
+++ b/src/gateway_settings_p.h
@@ -16,6 +16,8 @@
     http_endpoint readiness;
     http_endpoint metrics; ///< port 0 with an empty address: not served
     http_endpoint platform; ///< store
+    http_endpoint peers; ///< UDP address for load reports of other hosts; port 0 with an empty address: not used
+    std::string seeds; ///< hosts to send the first reports to: IP:port separated by commas; the port is not used
     std::string log = "-";
     std::uint32_t logLinesPerSecond = 400;
     std::chrono::milliseconds grace{8000}; ///< from SIGTERM to SIGKILL
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -1,6 +1,7 @@
 // Choice of a replica; see replica_table_p.h.
 #include "replica_table_p.h"
 
+#include <ranges>
 #include <xxhash.h>
 
 namespace foxtaildyke
@@ -15,21 +16,39 @@
 /// At most this part of a service's replicas is out at a time; with more, the failures aren't the replicas'.
 constexpr double kMostEjected = 0.5;
 
-std::uint64_t hashOf(std::string_view text)
-{
-    return XXH64(text.data(), text.size(), 0);
-}
-
 /// Rendezvous hashing: the replica with the largest value is the preferred one, and few change when replicas come or
 /// go.
-std::uint64_t rendezvous(std::uint64_t affinity, std::uint64_t idHash)
+std::uint64_t rendezvous(std::uint64_t prompt, std::uint64_t idHash)
 {
-    const std::array<std::uint64_t, 2> both{affinity, idHash};
+    const std::array<std::uint64_t, 2> both{prompt, idHash};
     return XXH64(both.data(), sizeof(both), 0);
 }
 
 } // namespace
 
+std::uint64_t replica_table::hashOf(std::string_view id)
+{
+    return XXH64(id.data(), id.size(), 0);
+}
+
+std::vector<replica_load> replica_table::ownLoads() const
+{
+    std::vector<replica_load> loads;
+    for (const auto &target : m_replicas | std::views::values)
+        if (target.running > 0)
+            loads.push_back({target.idHash, target.backlogMs, target.running});
+    return loads;
+}
+
+void replica_table::setPeerLoads(const std::vector<replica_load> &sums)
+{
+    for (auto &target : m_replicas | std::views::values) {
+        const auto found = std::ranges::find(sums, target.idHash, &replica_load::idHash);
+        target.peerBacklogMs = found == sums.end() ? 0 : found->backlogMs;
+        target.peerRunning = found == sums.end() ? 0 : found->running;
+    }
+}
+
 replica_table::replica_table(std::string failureDomain, std::uint64_t seed)
     : m_failureDomain(std::move(failureDomain))
     , m_random(seed)
@@ -83,22 +102,26 @@
     return out > kMostEjected * static_cast<double>(all.size()) ? all : open;
 }
 
-replica_table::replica *replica_table::preferred(const candidate_list &open, std::uint64_t affinity) const
+bool replica_table::hasRead(const replica &candidate, std::uint64_t sharedPrompt, instant now)
 {
-    double total = 0;
-    for (const auto *candidate : open)
-        total += candidate->workMs;
-    const double limit = kAffinityLoadFactor * total / static_cast<double>(open.size()) + kAffinitySlackMs;
-    replica *best = nullptr;
-    std::uint64_t bestValue = 0;
-    for (auto *candidate : open) {
-        const auto value = rendezvous(affinity, candidate->idHash);
-        if (candidate->workMs <= limit && (!best || value > bestValue)) {
-            best = candidate;
-            bestValue = value;
-        }
-    }
-    return best;
+    const auto sent = candidate.sentPrompts.find(sharedPrompt);
+    return sent != candidate.sentPrompts.end() && now - sent->second < kCacheMemory;
+}
+
+/// @returns the replica with the earliest first token by estimate.
+replica_table::replica *replica_table::soonest(const candidate_list &open, const replica_query &query, instant now)
+{
+    const auto home = std::ranges::max_element(
+        open, {}, [&](const replica *candidate) { return rendezvous(query.sharedPrompt, candidate->idHash); });
+    const auto delay = [&](const replica *candidate) {
+        // Other hosts send the same prompts to the same home.
+        const bool isCached =
+            query.sharedPrompt != 0 && (candidate == *home || hasRead(*candidate, query.sharedPrompt, now));
+        return candidate->backlogMs + candidate->peerBacklogMs
+            + (candidate->running + candidate->peerRunning) * kRunningMs + query.work.ownMs
+            + (isCached ? 0.0 : query.work.sharedMs) + std::uniform_real_distribution<double>(0, kRunningMs)(m_random);
+    };
+    return *std::ranges::min_element(open, {}, delay);
 }
 
 replica_table::replica *replica_table::leastLoaded(const candidate_list &open)
@@ -127,30 +150,43 @@
     const auto open = candidates(query, now);
     if (open.empty())
         return nullptr;
-    replica *chosen = query.affinity != 0 ? preferred(open, query.affinity) : nullptr;
-    if (!chosen)
-        chosen = leastLoaded(open);
-    return &chosen->entry;
+    const bool hasPrompt = query.work.sharedMs + query.work.ownMs > 0;
+    return &(hasPrompt ? soonest(open, query, now) : leastLoaded(open))->entry;
 }
 
-void replica_table::noteStart(const std::string &id, double workMs)
+double replica_table::noteStart(const std::string &id, std::uint64_t sharedPrompt, const prompt_work &work, instant now)
 {
     const auto found = m_replicas.find(id);
     if (found == m_replicas.end())
-        return;
-    ++found->second.running;
-    found->second.workMs += workMs;
+        return 0;
+    auto &target = found->second;
+    ++target.running;
+    const bool isCached = sharedPrompt != 0 && hasRead(target, sharedPrompt, now);
+    const double promptMs = work.ownMs + (isCached ? 0.0 : work.sharedMs);
+    target.backlogMs += promptMs;
+    if (sharedPrompt == 0)
+        return promptMs;
+    std::erase_if(target.sentPrompts, [now](const auto &entry) { return now - entry.second >= kCacheMemory; });
+    target.sentPrompts[sharedPrompt] = now;
+    return promptMs;
+}
+
+void replica_table::noteFirstByte(const std::string &id, double promptMs)
+{
+    const auto found = m_replicas.find(id);
+    if (found != m_replicas.end())
+        found->second.backlogMs = std::max(0.0, found->second.backlogMs - promptMs);
 }
 
-void replica_table::noteEnd(const std::string &id, double workMs, std::optional<bool> isGood, instant now)
+void replica_table::noteEnd(const std::string &id, double promptMs, std::optional<bool> isGood, instant now)
 {
+    noteFirstByte(id, promptMs);
     const auto found = m_replicas.find(id);
     if (found == m_replicas.end())
         return;
     auto &target = found->second;
     // A replica that started anew has forgotten the attempts that began before.
     target.running = target.running > 0 ? target.running - 1 : 0;
-    target.workMs = std::max(0.0, target.workMs - workMs);
     if (!isGood)
         return;
     target.failureRate += kFailureWeight * ((*isGood ? 0.0 : 1.0) - target.failureRate);
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -10,15 +10,29 @@
 namespace foxtaildyke
 {
 
+/// Time that a request's prompt takes of an engine, in ms; 0 for plain services.
+struct prompt_work {
+    double sharedMs = 0; ///< parts that the engine may have read for another request
+    double ownMs = 0;
+};
+
 /// What an attempt asks for.
 struct replica_query {
     std::string_view service;
     std::string_view version; ///< only this one; empty: any
     std::string_view excludedVersion; ///< not this one; empty: none is excluded
-    std::uint64_t affinity = 0; ///< equal values prefer the same replica, which has read the same prompt; 0: none
+    std::uint64_t sharedPrompt = 0; ///< equal values have the same shared parts and model; 0: none
+    prompt_work work;
     const std::set<std::string> *tried = nullptr; ///< replicas that this request has been sent to
 };
 
+/// Load that one host puts on a replica.
+struct replica_load {
+    std::uint64_t idHash = 0; ///< replica_table::hashOf() of the replica's id
+    double backlogMs = 0; ///< prompts sent and not read
+    std::uint32_t running = 0; ///< requests sent and not ended
+};
+
 class replica_table
 {
 public:
@@ -33,23 +47,36 @@
     /// @returns whether any replica is registered that may take requests of the service and version.
     [[nodiscard]] bool hasAny(const replica_query &query) const;
 
-    /// @param workMs estimated time that the request takes of the replica, for the comparison of loads.
-    void noteStart(const std::string &id, double workMs);
+    /// Counts an attempt that is sent.
+    /// @param sharedPrompt as in the query.
+    /// @returns the part of the prompt that the replica has to read, in ms.
+    double noteStart(const std::string &id, std::uint64_t sharedPrompt, const prompt_work &work, instant now);
 
+    /// The replica has read the prompt of an attempt. @param promptMs as noteStart() returned it.
+    void noteFirstByte(const std::string &id, double promptMs);
+
+    /// @param promptMs of an attempt whose prompt has not been read, otherwise 0.
     /// @param isGood nothing: the end tells nothing about the replica.
-    void noteEnd(const std::string &id, double workMs, std::optional<bool> isGood, instant now);
+    void noteEnd(const std::string &id, double promptMs, std::optional<bool> isGood, instant now);
 
     /// The replica answered under another id, or its address refuses connections.
     void noteUnreachable(const std::string &id, instant now);
 
+    /// @returns what this host puts on the replicas; those without load are left out.
+    [[nodiscard]] std::vector<replica_load> ownLoads() const;
+
+    /// Replaces the sums of what the other hosts put on the replicas.
+    void setPeerLoads(const std::vector<replica_load> &sums);
+
+    [[nodiscard]] static std::uint64_t hashOf(std::string_view id);
+
     [[nodiscard]] std::size_t size() const { return m_replicas.size(); }
     [[nodiscard]] std::uint32_t running(const std::string &id) const;
 
-    /// Load above the mean of its service at which a replica is passed over for its prompt cache: beyond this the wait
-    /// costs more than reading the shared parts again.
-    static constexpr double kAffinityLoadFactor = 1.5;
-    /// Load in ms of work that is no reason to leave the preferred replica: one long prompt.
-    static constexpr double kAffinitySlackMs = 150;
+    /// Time for which a replica is taken to keep the shared parts that this host sent there.
+    static constexpr std::chrono::seconds kCacheMemory{15};
+    /// Delay of a first token by each request that is running, in ms: a step takes 0.05 ms more for each.
+    static constexpr double kRunningMs = 0.5;
     /// Failures in a row that take a replica out.
     static constexpr std::uint32_t kFailuresToEject = 3;
     /// Failure rate over about the last ten answers that takes a replica out.
@@ -62,7 +89,11 @@
         replica_entry entry;
         std::uint64_t idHash = 0;
         std::uint32_t running = 0; ///< attempts of this host
-        double workMs = 0; ///< sum of their estimates
+        double backlogMs = 0; ///< prompts of them that have not been read
+        double peerBacklogMs = 0; ///< of the other hosts
+        std::uint32_t peerRunning = 0; ///< of the other hosts
+        std::unordered_map<std::uint64_t, instant>
+            sentPrompts; ///< shared parts, by when this host last sent them there
         double failureRate = 0; ///< exponentially weighted
         std::uint32_t failuresInRow = 0;
         std::uint32_t ejections = 0; ///< in a row; doubles the time out
@@ -72,7 +103,8 @@
 
     [[nodiscard]] static bool fits(const replica &candidate, const replica_query &query);
     [[nodiscard]] candidate_list candidates(const replica_query &query, instant now);
-    [[nodiscard]] replica *preferred(const candidate_list &open, std::uint64_t affinity) const;
+    [[nodiscard]] replica *soonest(const candidate_list &open, const replica_query &query, instant now);
+    [[nodiscard]] static bool hasRead(const replica &candidate, std::uint64_t sharedPrompt, instant now);
     [[nodiscard]] replica *leastLoaded(const candidate_list &open);
     void eject(replica &target, instant now);
 
