Take the load reports out again; longer watches; silent store connections are found

Change: load_exchange and peer_loads are gone. So that a connection that falls silent is still found, the store's connections get the keep-alive probes that replicas' have (socket_options, one copy for both).

--- a/cmake/base.cmake
+++ b/cmake/base.cmake
@@ -4,7 +4,8 @@
     src/event_loop.cpp
     src/http_client.cpp
     src/http_server.cpp
-    src/process_settings.cpp)
+    src/process_settings.cpp
+    src/socket_options.cpp)
 target_include_directories(foxtaildyke-base PUBLIC include src)
 target_link_libraries(foxtaildyke-base PUBLIC PkgConfig::EVENT PkgConfig::EVHTP PkgConfig::INIH PkgConfig::LOG4CXX
     prometheus-cpp::core Threads::Threads xxhash)
--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -15,9 +15,7 @@
     src/gateway_settings.cpp
     src/gateway_task.cpp
     src/http_parser.cpp
-    src/load_exchange.cpp
     src/model_ladder.cpp
-    src/peer_loads.cpp
     src/replica_registry.cpp
     src/replica_table.cpp
     src/retry_budget.cpp
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -32,8 +32,6 @@
     setting_key{"readiness", &g::readiness, "IP:port", 0, 0, true, "Address at which the balancer asks."},
     setting_key{"metrics", &g::metrics, "IP:port", 0, 0, false, "Address of /metrics."},
     setting_key{"platform", &g::platform, "IP:port", 0, 0, true, "Address of the store."},
-    setting_key{"peers", &g::peers, "IP:port", 0, 0, false, "UDP address for load reports between hosts."},
-    setting_key{"seeds", &g::seeds, "IP:port,...", 0, 4096, false, "Hosts that get the first load reports."},
     setting_key{"log", &g::log, "path", 1, 256, false, "File to append to, or - for standard output."},
     setting_key{"log_lines_per_second", &g::logLinesPerSecond, "lines/s", 1, 1e6, false,
                 "Lines beyond this are dropped and counted."},
--- a/src/gateway_settings_p.h
+++ b/src/gateway_settings_p.h
@@ -16,14 +16,12 @@
     http_endpoint readiness;
     http_endpoint metrics; ///< port 0 with an empty address: not served
     http_endpoint platform; ///< store
-    http_endpoint peers; ///< UDP address for load reports of other hosts; port 0 with an empty address: not used
-    std::string seeds; ///< hosts to send the first reports to: IP:port separated by commas; the port is not used
     std::string log = "-";
     std::uint32_t logLinesPerSecond = 400;
     std::chrono::milliseconds grace{8000}; ///< from SIGTERM to SIGKILL
     std::chrono::milliseconds keyLease{5000}; ///< longest age of the configuration under which a key is accepted
-    std::chrono::milliseconds configWatch{1500};
-    std::chrono::milliseconds replicaWatch{4000};
+    std::chrono::milliseconds configWatch{2000};
+    std::chrono::milliseconds replicaWatch{10000};
     std::chrono::milliseconds lapseGrace{1800};
     double retryRatio = 0.9;
     std::chrono::milliseconds retryWindow{10'000};
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -69,9 +69,6 @@
     const auto callers = listenForCallers();
     if (callers.has_error())
         return callers.error();
-    const auto reports = startLoadReports();
-    if (reports.has_error())
-        return reports.error();
     m_log.write("start", {{"failure_domain", m_settings.failureDomain}, {"build", FOXTAILDYKE_VERSION}});
     feed.start(*this);
     m_tick.start(kTick);
@@ -94,18 +91,6 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-result<void> gateway_task::startLoadReports()
-{
-    if (m_settings.peers.address.empty())
-        return BOOST_OUTCOME_V2_NAMESPACE::success();
-    std::vector<std::string> seeds;
-    for (const auto part : std::views::split(m_settings.seeds, ','))
-        if (const auto seed = parseEndpoint(std::string_view(part.begin(), part.end())))
-            seeds.push_back(seed->address);
-    m_loads = std::make_unique<load_exchange>(m_loop, m_settings.peers, std::move(seeds), m_state.replicas);
-    return m_loads->start();
-}
-
 std::uint16_t gateway_task::callerPort() const
 {
     sockaddr_in address{};
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -5,7 +5,6 @@
 #include "fleet_feed_p.h"
 #include "gateway_exchange_p.h"
 #include "http_server_p.h"
-#include "load_exchange_p.h"
 #include "replica_registry_p.h"
 
 struct evconnlistener;
@@ -53,7 +52,6 @@
     void onFeedNote(std::string_view type, const std::string &subject, const std::string &detail) override;
 
     [[nodiscard]] result<void> listenForCallers();
-    [[nodiscard]] result<void> startLoadReports();
     void onAccept(int socket);
     void serveReadiness(const http_exchange_ptr &exchange);
     void serveMetrics(const http_exchange_ptr &exchange);
@@ -80,7 +78,6 @@
     gateway_metrics m_metrics;
     gateway_state m_state;
     replica_registry m_registry;
-    std::unique_ptr<load_exchange> m_loads; ///< null where the settings name no address for it
     fleet_feed *m_feed = nullptr;
     http_server m_readiness;
     http_server m_metricsServer;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,13 +1,14 @@
 // HTTP client over evhttp; see http_client_p.h.
 #include "http_client_p.h"
 
+#include "socket_options_p.h"
+
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <netinet/tcp.h>
 #include <numeric>
 
 namespace foxtaildyke
@@ -121,11 +122,8 @@
         discard(connection, nullptr);
         return;
     }
-    // The last segment of a large body must not wait for an acknowledgement. evhttp offers no hook between connecting
-    // and the first request, so this counts from the second request on.
-    const int isOn = 1;
-    const auto socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof(isOn));
+    // evhttp offers no hook between connecting and the first request, so the options count from the second request on.
+    tuneSocket(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), kUnacknowledgedLimit);
     idle.push_back({connection, event_loop::now()});
 }
 
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -16,6 +16,11 @@
 /// At most this part of a service's replicas is out at a time; with more, the failures aren't the replicas'.
 constexpr double kMostEjected = 0.5;
 
+std::uint64_t hashOf(std::string_view text)
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
 /// Rendezvous hashing: the replica with the largest value is the preferred one, and few change when replicas come or
 /// go.
 std::uint64_t rendezvous(std::uint64_t prompt, std::uint64_t idHash)
@@ -26,29 +31,6 @@
 
 } // namespace
 
-std::uint64_t replica_table::hashOf(std::string_view id)
-{
-    return XXH64(id.data(), id.size(), 0);
-}
-
-std::vector<replica_load> replica_table::ownLoads() const
-{
-    std::vector<replica_load> loads;
-    for (const auto &target : m_replicas | std::views::values)
-        if (target.running > 0)
-            loads.push_back({target.idHash, target.backlogMs, target.running});
-    return loads;
-}
-
-void replica_table::setPeerLoads(const std::vector<replica_load> &sums)
-{
-    for (auto &target : m_replicas | std::views::values) {
-        const auto found = std::ranges::find(sums, target.idHash, &replica_load::idHash);
-        target.peerBacklogMs = found == sums.end() ? 0 : found->backlogMs;
-        target.peerRunning = found == sums.end() ? 0 : found->running;
-    }
-}
-
 replica_table::replica_table(std::string failureDomain, std::uint64_t seed)
     : m_failureDomain(std::move(failureDomain))
     , m_random(seed)
@@ -117,8 +99,7 @@
         // Other hosts send the same prompts to the same home.
         const bool isCached =
             query.sharedPrompt != 0 && (candidate == *home || hasRead(*candidate, query.sharedPrompt, now));
-        return candidate->backlogMs + candidate->peerBacklogMs
-            + (candidate->running + candidate->peerRunning) * kRunningMs + query.work.ownMs
+        return candidate->backlogMs + candidate->running * kRunningMs + query.work.ownMs
             + (isCached ? 0.0 : query.work.sharedMs) + std::uniform_real_distribution<double>(0, kRunningMs)(m_random);
     };
     return *std::ranges::min_element(open, {}, delay);
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -26,13 +26,6 @@
     const std::set<std::string> *tried = nullptr; ///< replicas that this request has been sent to
 };
 
-/// Load that one host puts on a replica.
-struct replica_load {
-    std::uint64_t idHash = 0; ///< replica_table::hashOf() of the replica's id
-    double backlogMs = 0; ///< prompts sent and not read
-    std::uint32_t running = 0; ///< requests sent and not ended
-};
-
 class replica_table
 {
 public:
@@ -62,14 +55,6 @@
     /// The replica answered under another id, or its address refuses connections.
     void noteUnreachable(const std::string &id, instant now);
 
-    /// @returns what this host puts on the replicas; those without load are left out.
-    [[nodiscard]] std::vector<replica_load> ownLoads() const;
-
-    /// Replaces the sums of what the other hosts put on the replicas.
-    void setPeerLoads(const std::vector<replica_load> &sums);
-
-    [[nodiscard]] static std::uint64_t hashOf(std::string_view id);
-
     [[nodiscard]] std::size_t size() const { return m_replicas.size(); }
     [[nodiscard]] std::uint32_t running(const std::string &id) const;
 
@@ -90,8 +75,6 @@
         std::uint64_t idHash = 0;
         std::uint32_t running = 0; ///< attempts of this host
         double backlogMs = 0; ///< prompts of them that have not been read
-        double peerBacklogMs = 0; ///< of the other hosts
-        std::uint32_t peerRunning = 0; ///< of the other hosts
         std::unordered_map<std::uint64_t, instant>
             sentPrompts; ///< shared parts, by when this host last sent them there
         double failureRate = 0; ///< exponentially weighted
--- /dev/null
+++ b/src/socket_options.cpp
@@ -0,0 +1,31 @@
+// Options of TCP connections; see socket_options_p.h.
+#include "socket_options_p.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+void setOption(int socket, int level, int name, int value)
+{
+    setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+} // namespace
+
+void tuneSocket(int socket, std::chrono::milliseconds unacknowledgedLimit)
+{
+    setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unacknowledgedLimit.count()));
+    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(kProbeInterval.count()));
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(kProbeInterval.count()));
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+} // namespace foxtaildyke
--- a/src/stream_socket.cpp
+++ b/src/stream_socket.cpp
@@ -2,12 +2,12 @@
 #include "stream_socket_p.h"
 
 #include "http_client_p.h"
+#include "socket_options_p.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <netinet/tcp.h>
 
 namespace foxtaildyke
 {
@@ -18,19 +18,13 @@
 /// Bytes received and not yet handled at which reading pauses.
 constexpr std::size_t kReceiveLimitBytes = 256U << 10U;
 
-void setOption(int socket, int level, int name, int value)
-{
-    setsockopt(socket, level, name, &value, sizeof(value));
-}
-
 } // namespace
 
 stream_socket::stream_socket(event_loop &loop, int socket, handlers handlers)
     : m_loop(loop)
     , m_handlers(std::move(handlers))
 {
-    open(socket);
-    tune(kCallerUnacknowledgedLimit);
+    open(socket, kCallerUnacknowledgedLimit);
 }
 
 stream_socket::stream_socket(event_loop &loop, const http_endpoint &peer, handlers handlers)
@@ -38,8 +32,7 @@
     , m_handlers(std::move(handlers))
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    open(socket);
-    tune(kUnacknowledgedLimit);
+    open(socket, kUnacknowledgedLimit);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(peer.port);
@@ -55,25 +48,15 @@
     bufferevent_free(m_stream);
 }
 
-void stream_socket::open(int socket)
+void stream_socket::open(int socket, std::chrono::milliseconds unacknowledgedLimit)
 {
+    tuneSocket(socket, unacknowledgedLimit);
     m_stream = bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(m_stream, onRead, onWrite, onEvent, this);
     bufferevent_setwatermark(m_stream, EV_READ, 0, kReceiveLimitBytes);
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
 }
 
-void stream_socket::tune(std::chrono::milliseconds unacknowledgedLimit)
-{
-    const auto socket = bufferevent_getfd(m_stream);
-    setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unacknowledgedLimit.count()));
-    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(kProbeInterval.count()));
-    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(kProbeInterval.count()));
-    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
-}
-
 void stream_socket::write(std::string_view bytes)
 {
     bufferevent_write(m_stream, bytes.data(), bytes.size());
--- a/src/stream_socket_p.h
+++ b/src/stream_socket_p.h
@@ -58,18 +58,8 @@
     /// Tells the peer that nothing more will be written.
     void shutdownWrite();
 
-    /// Time for which bytes written to a replica or the store may stay unacknowledged: seven times the first
-    /// retransmission time of TCP (200 ms), so that three losses in a row don't end the connection.
-    static constexpr std::chrono::milliseconds kUnacknowledgedLimit{1500};
-    /// The same for callers, who may be slow to read.
-    static constexpr std::chrono::milliseconds kCallerUnacknowledgedLimit{8000};
-    /// Idle time before the first keep-alive probe, and between probes; the kernel counts whole seconds.
-    static constexpr std::chrono::seconds kProbeInterval{1};
-    static constexpr int kProbes = 2; ///< probes without an answer until the connection fails
-
 private:
-    void open(int socket);
-    void tune(std::chrono::milliseconds unacknowledgedLimit);
+    void open(int socket, std::chrono::milliseconds unacknowledgedLimit);
     static void onRead(bufferevent *stream, void *self);
     static void onWrite(bufferevent *stream, void *self);
     static void onEvent(bufferevent *stream, short what, void *self);
