A host without a lease no longer tells a resend that it has not run

Change: without a lease the ledger may be out of reach too, so that the outcome for a request that is not idempotent is may_have_run; the same id may be sent again. Open: refusals with a lease but before the claim (rate limit, drain, deadline) still don't look the claim up (docs/PROOF.md).

--- a/src/router_core_intake.cpp
+++ b/src/router_core_intake.cpp
@@ -139,6 +139,15 @@
     return kAccepted;
 }
 
+/// A host without a lease may be cut off from the ledger as well, so it can't know whether another host runs this id.
+finish_request router_core::implementation::withoutLease(const open_request &request) const
+{
+    auto answer = notRun(reason_code::no_fresh_configuration, retryAfterOf(reason_code::no_fresh_configuration));
+    if (!request.idempotent)
+        answer.outcome = outcome_kind::may_have_run;
+    return answer;
+}
+
 finish_request router_core::implementation::checkAdmission(open_request &request)
 {
     if (m_keys.contains({request.account, request.requestId})) {
@@ -146,7 +155,7 @@
         return {.outcome = outcome_kind::may_have_run, .reason = reason_code::duplicate_in_progress};
     }
     if (!hasLease())
-        return notRun(reason_code::no_fresh_configuration, retryAfterOf(reason_code::no_fresh_configuration));
+        return withoutLease(request);
     const auto chosen = plan(request);
     if (chosen.reason == reason_code::quarantined && !request.idempotent) {
         // An earlier request with the same id may be what crashed the upstreams.
--- a/src/router_core_state_p.h
+++ b/src/router_core_state_p.h
@@ -142,6 +142,7 @@
     [[nodiscard]] finish_request checkIdentity(open_request &request) const;
     [[nodiscard]] finish_request checkRequestId(open_request &request);
     [[nodiscard]] finish_request checkSession(open_request &request) const;
+    [[nodiscard]] finish_request withoutLease(const open_request &request) const;
     [[nodiscard]] finish_request checkAdmission(open_request &request);
     void refuse(const open_request &request, finish_request answer);
 
