--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -2,7 +2,7 @@
 #include "forwarding_p.h"
 
 #include <charconv>
-#include <ranges>
+#include <numeric>
 #include <xxhash.h>
 
 namespace foxtaildyke
@@ -86,8 +86,8 @@
     if (parts.size() < 2)
         return;
     facts.sharedPrompt = hashOf(parts[parts.size() - 2]) | 1U;
-    for (const auto &part : parts | std::views::take(parts.size() - 1))
-        facts.sharedTokens += tokensOf(part);
+    facts.sharedTokens = std::accumulate(parts.begin(), parts.end() - 1, std::uint64_t{0},
+                                         [](std::uint64_t sum, const auto &part) { return sum + tokensOf(part); });
     facts.promptTokens = std::max(facts.promptTokens, facts.sharedTokens);
 }
 
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -3,7 +3,6 @@
 #include "gateway_exchange_p.h"
 
 #include <nlohmann/json.hpp>
-#include <ranges>
 
 namespace foxtaildyke
 {
@@ -108,8 +107,13 @@
         return {};
     const auto &costs = service->engine->modelCosts;
     double pace = 1; // of the model, relative to the largest
-    if (!m_route->models.empty() && costs.contains(m_route->models[m_model]))
-        pace = costs.at(m_route->models[m_model]) / std::max(std::ranges::max(costs | std::views::values), 1e-9);
+    if (!m_route->models.empty() && costs.contains(m_route->models[m_model])) {
+        const auto bySize = [](const auto &left, const auto &right) {
+            return left.second < right.second;
+        };
+        const auto largest = std::max_element(costs.begin(), costs.end(), bySize)->second;
+        pace = costs.at(m_route->models[m_model]) / std::max(largest, 1e-9);
+    }
     const auto msOf = [pace](std::uint64_t tokens) {
         return pace * static_cast<double>(tokens) / kPromptTokensPerMs;
     };
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -4,7 +4,6 @@
 #include <arpa/inet.h>
 #include <event2/listener.h>
 #include <nlohmann/json.hpp>
-#include <ranges>
 
 namespace foxtaildyke
 {
@@ -297,7 +296,7 @@
         return;
     closeListener();
     std::vector<caller_connection *> open;
-    std::ranges::copy(m_connections | std::views::keys, std::back_inserter(open));
+    std::ranges::transform(m_connections, std::back_inserter(open), [](const auto &entry) { return entry.first; });
     for (auto *connection : open)
         connection->closeIfIdle();
     if (hasWork() && elapsed < m_settings.grace - kStopMargin)
--- a/src/replica_registry.cpp
+++ b/src/replica_registry.cpp
@@ -1,8 +1,6 @@
 // Registered replicas; see replica_registry_p.h.
 #include "replica_registry_p.h"
 
-#include <ranges>
-
 namespace foxtaildyke
 {
 
@@ -65,7 +63,7 @@
 std::vector<replica_entry> replica_registry::entries() const
 {
     std::vector<replica_entry> all;
-    for (const auto &known : m_entries | std::views::values)
+    for (const auto &[id, known] : m_entries)
         all.push_back(known.entry);
     return all;
 }
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -1,7 +1,6 @@
 // Choice of a replica; see replica_table_p.h.
 #include "replica_table_p.h"
 
-#include <ranges>
 #include <xxhash.h>
 
 namespace foxtaildyke
--- /dev/null
+++ b/tests/test_gateway_decisions.cpp
@@ -0,0 +1,404 @@
+// Decisions of the gateway that need neither a network nor a clock: what follows an attempt, the retry budget, placing,
+// the model, roll-outs, and which replicas hold.
+#include "attempt_rules_p.h"
+#include "event_splitter_p.h"
+#include "gateway_settings_p.h"
+#include "model_ladder_p.h"
+#include "replica_registry_p.h"
+#include "replica_table_p.h"
+#include "retry_budget_p.h"
+#include "rollout_policy_p.h"
+
+#include <doctest/doctest.h>
+
+using namespace foxtaildyke;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+replica_entry makeEntry(const std::string &id, const std::string &version = "v1")
+{
+    replica_entry entry;
+    entry.id = id;
+    entry.service = "s";
+    entry.failureDomain = "d1";
+    entry.version = version;
+    entry.slots = 8;
+    return entry;
+}
+
+std::vector<replica_entry> makeEntries(int count)
+{
+    std::vector<replica_entry> entries;
+    entries.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i)
+        entries.push_back(makeEntry("r" + std::to_string(i)));
+    return entries;
+}
+
+attempt_facts makeFacts(attempt_result result, bool mayRepeat, bool mayHaveRun)
+{
+    attempt_facts facts;
+    facts.result = result;
+    facts.mayRepeat = mayRepeat;
+    facts.mayHaveRun = mayHaveRun;
+    facts.sends = 1;
+    facts.maxSends = 3;
+    facts.left = 1s;
+    return facts;
+}
+
+rollout_order makeOrder(rollout_state state = rollout_state::in_progress, std::uint32_t stage = 0)
+{
+    return {"s", "v2", 20s, state, stage, 5, 3};
+}
+
+version_answer makeAnswer(std::string_view version, std::string_view replica, bool isFailure,
+                          std::chrono::microseconds latency = 10ms)
+{
+    return {"s", version, "route", replica, isFailure, latency};
+}
+
+} // namespace
+
+TEST_CASE("attempt rules: what follows each end of an attempt")
+{
+    using result = attempt_result;
+    CHECK(stepAfter(makeFacts(result::answered, false, true)) == next_step::pass_on);
+    CHECK(stepAfter(makeFacts(result::broken, false, true)) == next_step::fail);
+    CHECK(stepAfter(makeFacts(result::broken, true, true)) == next_step::try_again);
+    CHECK(stepAfter(makeFacts(result::not_run, false, false)) == next_step::try_again);
+    CHECK(stepAfter(makeFacts(result::server_error, false, true)) == next_step::pass_on);
+    CHECK(stepAfter(makeFacts(result::server_error, true, true)) == next_step::try_again);
+
+    auto last = makeFacts(result::not_run, false, false);
+    last.sends = last.maxSends;
+    CHECK(stepAfter(last) == next_step::refuse);
+    last.mayHaveRun = true; // an attempt before this one may have run
+    CHECK(stepAfter(last) == next_step::fail);
+
+    auto begun = makeFacts(result::broken, true, true);
+    begun.hasCallerBytes = true;
+    CHECK(stepAfter(begun) == next_step::try_again);
+    begun.sends = begun.maxSends;
+    CHECK(stepAfter(begun) == next_step::cut_off);
+
+    auto late = makeFacts(result::broken, true, true);
+    late.left = 5ms;
+    CHECK(stepAfter(late) == next_step::fail);
+}
+
+TEST_CASE("attempt rules: no state promises that a request has not run which may have run")
+{
+    for (int result = 0; result < static_cast<int>(attempt_result::count); ++result)
+        for (const bool mayRepeat : {false, true})
+            for (const std::uint32_t sends : {1U, 3U}) {
+                auto facts = makeFacts(static_cast<attempt_result>(result), mayRepeat, true);
+                facts.sends = sends;
+                CHECK(stepAfter(facts) != next_step::refuse);
+            }
+}
+
+TEST_CASE("retry budget: the sum over hosts keeps the bound whatever share of the requests each takes")
+{
+    const retry_budget_limits limits{0.9, 10s, 52};
+    for (const auto &shares : {std::vector<int>{100, 0, 0, 0, 0, 0}, std::vector<int>{50, 30, 10, 5, 3, 2}}) {
+        int requests = 0;
+        int repeats = 0;
+        for (const int share : shares) {
+            retry_budget budget(limits);
+            for (int i = 0; i < share; ++i)
+                budget.noteRequest("s", 1s);
+            requests += share;
+            for (int i = 0; i < 500; ++i)
+                repeats += budget.takeRepeat("s", repeat_reason::failure, 2s) ? 1 : 0;
+        }
+        CHECK(repeats <= limits.ratio * requests + limits.slack);
+        CHECK(repeats >= limits.ratio * requests / 2);
+    }
+}
+
+TEST_CASE("retry budget: escalations leave room for failures, and the window slides")
+{
+    retry_budget budget({0.9, 10s, 0});
+    for (int i = 0; i < 100; ++i)
+        budget.noteRequest("s", 1s);
+    int escalations = 0;
+    while (budget.takeRepeat("s", repeat_reason::escalation, 2s))
+        ++escalations;
+    CHECK(escalations < 70);
+    CHECK(budget.takeRepeat("s", repeat_reason::failure, 2s));
+    CHECK_FALSE(budget.takeRepeat("s", repeat_reason::failure, 12s)); // the requests have left the window
+}
+
+TEST_CASE("replica table: requests with the same shared prompt go to the same replica until it is busy")
+{
+    replica_table table("d1", 1);
+    table.setReplicas(makeEntries(9));
+    replica_query query;
+    query.service = "s";
+    query.sharedPrompt = 77;
+    query.work = {100, 20};
+    const auto *home = table.pick(query, 1s);
+    REQUIRE(home);
+    const std::string homeId = home->id;
+    CHECK(table.pick(query, 1s)->id == homeId);
+    const double first = table.noteStart(homeId, 77, query.work, 1s);
+    CHECK(first == doctest::Approx(120));
+    CHECK(table.pick(query, 1s)->id != homeId); // waiting there takes longer than reading the prompt again elsewhere
+    table.noteFirstByte(homeId, first);
+    CHECK(table.pick(query, 1s)->id == homeId);
+    CHECK(table.noteStart(homeId, 77, query.work, 2s) == doctest::Approx(20)); // the shared part has been read
+}
+
+TEST_CASE("replica table: a burst of long prompts is spread over all replicas")
+{
+    replica_table table("d1", 1);
+    table.setReplicas(makeEntries(9));
+    std::map<std::string, int> sent;
+    for (std::uint64_t i = 1; i <= 90; ++i) {
+        replica_query query;
+        query.service = "s";
+        query.sharedPrompt = i % 3 + 1; // three hot prompts
+        query.work = {100, 50};
+        const auto *replica = table.pick(query, 1s);
+        REQUIRE(replica);
+        ++sent[replica->id];
+        table.noteStart(replica->id, query.sharedPrompt, query.work, 1s);
+    }
+    CHECK(sent.size() == 9);
+    for (const auto &[id, count] : sent)
+        CHECK(count <= 20);
+}
+
+TEST_CASE("replica table: a failing replica is left alone for a while, but never more than half of a service")
+{
+    replica_table table("d1", 1);
+    table.setReplicas(makeEntries(3));
+    replica_query query;
+    query.service = "s";
+    for (int i = 0; i < 3; ++i) {
+        table.noteStart("r0", 0, {}, 1s);
+        table.noteEnd("r0", 0, false, 1s);
+    }
+    for (int i = 0; i < 50; ++i)
+        CHECK(table.pick(query, 1500ms)->id != "r0");
+    table.noteUnreachable("r1", 1500ms);
+    table.noteUnreachable("r2", 1500ms);
+    CHECK(table.pick(query, 1600ms) != nullptr);
+}
+
+TEST_CASE("replica table: a replica that started anew under its id has nothing of before")
+{
+    replica_table table("d1", 1);
+    auto entries = makeEntries(2);
+    entries[0].startedAtMs = 1000;
+    table.setReplicas(entries);
+    for (int i = 0; i < 5; ++i)
+        table.noteStart("r0", 0, {}, 1s);
+    table.noteUnreachable("r0", 1s);
+    entries[0].startedAtMs = 2000;
+    table.setReplicas(entries);
+    CHECK(table.running("r0") == 0);
+    table.noteEnd("r0", 0, true, 1s); // of an attempt from before
+    CHECK(table.running("r0") == 0);
+}
+
+TEST_CASE("replica table: draining replicas and those of other services or versions get nothing")
+{
+    replica_table table("d1", 1);
+    auto entries = makeEntries(3);
+    entries[0].isDraining = true;
+    entries[1].service = "other";
+    entries[2].version = "v2";
+    table.setReplicas(entries);
+    replica_query query;
+    query.service = "s";
+    query.excludedVersion = "v2";
+    CHECK(table.pick(query, 1s) == nullptr);
+    query.excludedVersion = {};
+    CHECK(table.pick(query, 1s)->id == "r2");
+}
+
+TEST_CASE("registry: entries that lapsed while the store was away hold for the grace, and no longer")
+{
+    replica_registry registry(1800ms);
+    auto entries = makeEntries(3);
+    entries[2].isDraining = true;
+    registry.replaceAll(entries, 1s);
+    registry.noteReachable(false, 5s);
+    registry.noteReachable(true, 10s);
+    registry.replaceAll({}, 10s);
+    CHECK(registry.entries().size() == 2); // the draining one is gone
+    registry.change(makeEntry("r0"));
+    CHECK_FALSE(registry.expire(11s));
+    CHECK(registry.expire(11900ms));
+    REQUIRE(registry.entries().size() == 1);
+    CHECK(registry.entries()[0].id == "r0");
+}
+
+TEST_CASE("registry: a removal in calm times holds at once")
+{
+    replica_registry registry(1800ms);
+    registry.replaceAll(makeEntries(2), 1s);
+    registry.remove("r0", 20s);
+    CHECK(registry.entries().size() == 1);
+}
+
+TEST_CASE("model ladder: small first, the largest on low confidence, never beyond what is allowed")
+{
+    const ladder_settings settings;
+    ladder_step step;
+    step.models = 3;
+    step.maxSends = 3;
+    step.objective = 1000ms;
+    CHECK(firstModel(settings, step) == 0);
+    step.sends = 1;
+    step.confidence = settings.confidenceToKeep - 1;
+    CHECK(nextModel(settings, step) == 2);
+    step.confidence = settings.confidenceToKeep;
+    CHECK_FALSE(nextModel(settings, step));
+    step.confidence.reset();
+    CHECK_FALSE(nextModel(settings, step));
+    step.confidence = 0;
+    step.elapsed = 600ms; // the larger model would come too late
+    CHECK_FALSE(nextModel(settings, step));
+    step.elapsed = 0ms;
+    step.sends = 3;
+    CHECK_FALSE(nextModel(settings, step));
+    step.maxSends = 1;
+    CHECK(firstModel(settings, step) == 2);
+}
+
+TEST_CASE("roll-out: the share of the new version, and sessions that keep theirs")
+{
+    rollout_policy policy(5s);
+    std::vector<std::uint64_t> keys;
+    for (std::uint64_t i = 0; i < 4000; ++i)
+        keys.push_back(i * 0x9E3779B97F4A7C15ULL);
+    for (std::size_t i = 0; i < 2000; ++i)
+        CHECK(policy.choose("s", keys[i], 1s).version.empty());
+    policy.setOrders({makeOrder()}, 1s);
+    int newSessions = 0;
+    for (std::size_t i = 0; i < 2000; ++i)
+        CHECK(policy.choose("s", keys[i], 2s).excluded == "v2"); // began on the old version
+    for (std::size_t i = 2000; i < 4000; ++i)
+        newSessions += policy.choose("s", keys[i], 2s).version == "v2" ? 1 : 0;
+    CHECK(newSessions > 80);
+    CHECK(newSessions < 200);
+    policy.setOrders({makeOrder(rollout_state::in_progress, 3)}, 11s);
+    CHECK(policy.choose("s", keys[0], 11s).version == "v2");
+    policy.setOrders({makeOrder(rollout_state::rolled_back, 3)}, 12s);
+    CHECK(policy.choose("s", keys[0], 12s).excluded == "v2");
+}
+
+TEST_CASE("roll-out: a failing version is rejected within a few answers, and gets nothing more")
+{
+    rollout_policy policy(5s);
+    for (int i = 0; i < 50; ++i)
+        policy.noteAnswer(makeAnswer("v1", "r1", false));
+    policy.setOrders({makeOrder()}, 1s);
+    int answers = 0;
+    for (; answers < 40 && policy.nextState(2s) == std::nullopt; ++answers)
+        policy.noteAnswer(makeAnswer("v2", answers % 2 ? "n1" : "n2", answers % 2 == 0 || answers % 3 == 0));
+    CHECK(answers < 15);
+    REQUIRE(policy.nextState(2s));
+    CHECK(policy.nextState(2s)->state == rollout_state::rolled_back);
+    CHECK(policy.choose("s", 0, 2s).excluded == "v2"); // before the store has heard of it
+}
+
+TEST_CASE("roll-out: a slow version is rejected, one with cold caches or one bad replica is not")
+{
+    rollout_policy slow(5s);
+    rollout_policy cold(5s);
+    rollout_policy oneBad(5s);
+    for (auto *policy : {&slow, &cold, &oneBad}) {
+        for (int i = 0; i < 50; ++i)
+            policy->noteAnswer(makeAnswer("v1", "r1", false, 20ms));
+        policy->setOrders({makeOrder()}, 1s);
+    }
+    for (int i = 0; i < 40; ++i) {
+        slow.noteAnswer(makeAnswer("v2", i % 2 ? "n1" : "n2", false, 160ms));
+        cold.noteAnswer(makeAnswer("v2", i % 2 ? "n1" : "n2", false, 30ms));
+        oneBad.noteAnswer(makeAnswer("v2", i % 3 ? "n1" : "n2", i % 3 == 0));
+    }
+    CHECK(slow.nextState(2s));
+    CHECK_FALSE(cold.nextState(2s));
+    CHECK_FALSE(oneBad.nextState(2s));
+}
+
+TEST_CASE("roll-out: an impairment that hits both versions alike rejects neither")
+{
+    rollout_policy policy(5s);
+    for (int i = 0; i < 100; ++i)
+        policy.noteAnswer(makeAnswer("v1", "r1", i % 3 == 0));
+    policy.setOrders({makeOrder()}, 1s);
+    for (int i = 0; i < 30; ++i)
+        policy.noteAnswer(makeAnswer("v2", i % 2 ? "n1" : "n2", i % 3 == 0));
+    CHECK_FALSE(policy.nextState(2s));
+}
+
+TEST_CASE("roll-out: a good version goes through its stages to the end, and takes no evidence of an order before")
+{
+    rollout_policy policy(5s);
+    auto order = makeOrder(rollout_state::ordered);
+    instant now = 1s;
+    policy.setOrders({order}, now);
+    std::vector<std::uint32_t> stages;
+    while (order.state != rollout_state::completed && now < 60s) {
+        if (const auto next = policy.nextState(now)) {
+            order = *next;
+            order.revision += 1;
+            stages.push_back(order.stage);
+            policy.setOrders({order}, now);
+        }
+        now += 100ms;
+    }
+    CHECK(order.state == rollout_state::completed);
+    CHECK(now < 1s + order.duration);
+    CHECK(stages == std::vector<std::uint32_t>{0, 1, 2, 3, 3});
+}
+
+TEST_CASE("event splitter: whole events only, in pieces of any size")
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\ndata: cut";
+    for (std::size_t piece = 1; piece < 30; ++piece) {
+        event_splitter splitter;
+        std::string passed;
+        std::vector<std::optional<std::uint64_t>> ids;
+        for (std::size_t at = 0; at < text.size(); at += piece)
+            splitter.feed(std::string_view(text).substr(at, piece), [&](std::string_view event, auto id) {
+                passed.append(event);
+                ids.push_back(id);
+            });
+        CHECK(passed + std::string(splitter.rest()) == text);
+        CHECK(splitter.rest() == "id: 4\ndata: cut");
+        CHECK(ids == std::vector<std::optional<std::uint64_t>>{1, 2, std::nullopt});
+    }
+}
+
+TEST_CASE("gateway settings: required keys, ranges, and unknown keys")
+{
+    const std::map<std::string, std::string> valid{{"host", "h1"},
+                                                   {"failure_domain", "d1"},
+                                                   {"listen", "10.0.0.1:1"},
+                                                   {"readiness", "10.0.0.1:2"},
+                                                   {"platform", "10.0.0.9:3"},
+                                                   {"grace_s", "7.5"},
+                                                   {"key_of_a_later_version", "x"}};
+    const auto settings = checkGatewaySettings({{"gateway", valid}});
+    REQUIRE(settings.has_value());
+    CHECK(settings.value().grace == 7500ms);
+    auto missing = valid;
+    missing.erase("platform");
+    CHECK(checkGatewaySettings({{"gateway", missing}}).error().field == "gateway/platform");
+    for (const auto &[key, value] : {std::pair{"listen", "nowhere"}, std::pair{"grace_s", "-1"},
+                                     std::pair{"retry_ratio", "0.9x"}, std::pair{"starts_small", "yes"}}) {
+        auto wrong = valid;
+        wrong[key] = value;
+        const auto result = checkGatewaySettings({{"gateway", wrong}});
+        REQUIRE(result.has_error());
+        CHECK(result.error().field == std::string("gateway/") + key);
+    }
+}
--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -69,15 +69,15 @@
     const std::string longHead =
         "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX: " + std::string(20000, 'x') + "\r\n\r\n";
     const std::string longBody = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999\r\n\r\n";
-    for (const auto &[request, status] :
+    for (const auto &entry :
          {refused{requestText("GET", "/none/x", "id1"), 404}, refused{wrongKey, 401}, refused{noId, 400},
           refused{twoLengths, 400}, refused{smuggled, 400}, refused{longHead, 431}, refused{longBody, 413},
           refused{"no request at all\r\n\r\n", 400}}) {
         scripted_caller caller(net.loop, net.task.callerPort());
-        INFO(request.substr(0, 60));
-        caller.send(request);
+        INFO(entry.request.substr(0, 60));
+        caller.send(entry.request);
         REQUIRE(net.runUntil([&] { return hasWholeAnswers(caller, 1); }));
-        CHECK(caller.answers[0].head.status == status);
+        CHECK(caller.answers[0].head.status == entry.status);
     }
     CHECK(replica.requests.empty());
 }
@@ -217,9 +217,9 @@
     gateway_harness net;
     scripted_replica replica(net.loop, "r1", [](const received_request &request) {
         const bool isSmall = request.head.header("Foxtaildyke-Model") == "small";
+        const std::string confidence = isSmall ? "20" : "90";
         return replica_script{
-            .bytes = streamText(isSmall ? "id1" : "id1", isSmall ? 1 : 1, isSmall ? 1 : 2, !isSmall,
-                                isSmall ? "Foxtaildyke-Confidence: 20\r\n" : "Foxtaildyke-Confidence: 90\r\n")};
+            .bytes = streamText("id1", 1, isSmall ? 1 : 2, !isSmall, "Foxtaildyke-Confidence: " + confidence + "\r\n")};
     });
     net.publish(gateway_harness::makeConfig());
     net.publishReplicas({replica.entry("s")});
