After a failure ask the store with short calls

A watch that is sent to a silent store hangs until its own limit, 2.8 and 10.8 s. Ruled out: the pause between tries (0.4 s at most). Tests: tests/test_store_feed.cpp (7 cases against a scripted store); 'after a silent store' asked for the whole wait before.

--- /dev/null
+++ b/tests/test_store_feed.cpp
@@ -0,0 +1,221 @@
+// The adapter to the platform's store: lists, watches, entries of other writers, and a store that is away.
+#include "loopback_p.h"
+#include "store_feed.h"
+
+using namespace foxtaildyke;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct recorder : fleet_listener {
+    std::vector<gateway_config_ptr> configs;
+    int confirmed = 0;
+    std::vector<std::string> replicas; ///< ids that hold
+    std::vector<rollout_order> orders;
+    std::vector<std::string> notes;
+    bool isReachable = false;
+
+    void onConfig(gateway_config_ptr config) override { configs.push_back(std::move(config)); }
+    void onConfigConfirmed(instant) override { ++confirmed; }
+    void onReplicaList(std::vector<replica_entry> list) override
+    {
+        replicas.clear();
+        for (const auto &entry : list)
+            replicas.push_back(entry.id);
+    }
+    void onReplicaChanged(replica_entry replica) override
+    {
+        onReplicaRemoved(replica.id);
+        replicas.push_back(replica.id);
+    }
+    void onReplicaRemoved(const std::string &id) override { std::erase(replicas, id); }
+    void onRollouts(const std::vector<rollout_order> &all) override { orders = all; }
+    void onFeedReachable(bool isNow) override { isReachable = isNow; }
+    void onFeedNote(std::string_view type, const std::string &subject, const std::string &) override
+    {
+        notes.push_back(std::string(type) + ' ' + subject);
+    }
+    [[nodiscard]] bool hasNote(const std::string &note) const { return std::ranges::find(notes, note) != notes.end(); }
+};
+
+std::string object(const std::string &name, const std::string &spec, const std::string &status = "null")
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":7,"created":3},"spec":)" + spec + R"(,"status":)"
+        + status + "}";
+}
+
+std::string replicaSpec(const std::string &state = "ready")
+{
+    return R"({"service":"s","address":"10.0.0.1:80","zone":"d1","version":"v1","batch_slots":8,"state":")" + state
+        + R"(","born":1700000000000})";
+}
+
+std::string listOf(const std::string &items, bool isTruncated = false)
+{
+    return R"({"items":[)" + items + R"(],"truncated":)" + (isTruncated ? "true" : "false") + R"(,"at":10})";
+}
+
+std::string eventsOf(const std::string &events, int revision)
+{
+    return R"({"events":[)" + events + R"(],"at":)" + std::to_string(revision) + "}";
+}
+
+/// A store that answers lists by a table, and watches by a function.
+struct scripted_store : loopback {
+    std::map<std::string, std::string> lists{{"config", listOf("")}, {"servers", listOf("")}, {"rollouts", listOf("")}};
+    std::function<void(const std::string &kind, const http_exchange_ptr &)> onWatch;
+    std::vector<http_exchange_ptr> waiting; ///< watches without an answer
+    std::vector<std::string> waits; ///< wait_ms of each watch of the configuration
+    recorder seen;
+    platform::store_feed feed{loop, endpoint, {200ms, 200ms}};
+
+    scripted_store()
+    {
+        serve = [this](const http_exchange_ptr &exchange) {
+            const auto kind = exchange->path.substr(exchange->path.rfind('/') + 1);
+            if (!exchange->query.contains("watch"))
+                return exchange->reply(200, lists[exchange->query.contains("after") ? kind + " after" : kind]);
+            if (kind == "config")
+                waits.push_back(exchange->query["wait_ms"]);
+            if (onWatch)
+                return onWatch(kind, exchange);
+            waiting.push_back(exchange);
+        };
+    }
+
+    /// Runs until the condition holds; a test that hangs ends with false.
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        std::function<void()> look = [&] {
+            if (condition())
+                return loop.stop();
+            loop.after(5ms, look);
+        };
+        look();
+        return run();
+    }
+};
+
+} // namespace
+
+TEST_CASE("store feed: configuration, replicas and roll-outs are decoded once")
+{
+    scripted_store store;
+    store.lists["config"] =
+        listOf(object("main", R"({"version":9,"routes":[{"name":"r","hostname":"h","path_prefix":"/a/",
+        "route_type":"stream","resumable":true,"timeout_ms":25000,"target_latency_ms":1000,"priority":1,"max_attempts":3,
+        "sizes":["m0","m1"],"traffic_split":[{"service":"s","weight":9},{"service":"t","weight":1}]}],
+        "services":[{"name":"s","health_path":"/h","engine":{"batch_slots":8,"models":[{"name":"m0","cost":0.1}]}}],
+        "limits":{"max_header_bytes":1000},"tenants":[{"name":"a","api_keys":["k1","k2"],"priority":2}]})"));
+    store.lists["servers"] = listOf(object("i1", replicaSpec()));
+    store.lists["rollouts"] = listOf(object("s", R"({"service":"s","target":"v2","duration_s":12})",
+                                            R"({"state":"in_progress","target":"v2","stage":2})"));
+    store.feed.start(store.seen);
+    REQUIRE(store.runUntil(
+        [&] { return !store.seen.configs.empty() && !store.seen.orders.empty() && !store.seen.replicas.empty(); }));
+    const auto &config = *store.seen.configs[0];
+    CHECK(config.version == 9);
+    REQUIRE(config.routes.size() == 1);
+    CHECK(config.routes[0].repeats == repeat_rule::stream);
+    CHECK(config.routes[0].mayRepeat());
+    CHECK(config.routes[0].targets.size() == 2);
+    CHECK(config.routes[0].models == std::vector<std::string>{"m0", "m1"});
+    CHECK(config.limits.headBytes == 1000);
+    REQUIRE(config.findAccount("k2"));
+    CHECK(config.findAccount("k2")->name == "a");
+    CHECK(config.findService("s")->engine->modelCosts.at("m0") == doctest::Approx(0.1));
+    CHECK(store.seen.orders[0].state == rollout_state::in_progress);
+    CHECK(store.seen.orders[0].stage == 2);
+    CHECK(store.seen.orders[0].duration == 12s);
+}
+
+TEST_CASE("store feed: a status of an earlier order says nothing about a new one")
+{
+    platform::stored_item item;
+    item.name = "s";
+    item.spec = {{"service", "s"}, {"target", "v3"}, {"duration_s", 4.5}};
+    item.status = {{"state", "completed"}, {"target", "v2"}};
+    CHECK(platform::decodeRollout(item).value().state == rollout_state::ordered);
+}
+
+TEST_CASE("store feed: an entry that can't be used names no replica, and the others hold")
+{
+    scripted_store store;
+    store.lists["servers"] =
+        listOf(object("good", replicaSpec()) + "," + object("odd-state", replicaSpec("resting")) + ","
+               + object("no-address", R"({"service":"s","state":"ready","zone":"d","version":"v","batch_slots":1})")
+               + "," + object("wrong-type", R"({"service":5,"address":[],"state":"ready"})") + ","
+               + object("bytes", "\"\\u0001\"") + "," + object("null", "null") + ",17");
+    store.feed.start(store.seen);
+    REQUIRE(store.runUntil([&] { return !store.seen.replicas.empty(); }));
+    CHECK(store.seen.replicas == std::vector<std::string>{"good"});
+    CHECK(store.seen.hasNote("replica_unusable odd-state"));
+    CHECK(store.seen.hasNote("replica_unusable bytes"));
+}
+
+TEST_CASE("store feed: a long list is read in pages, and changes come by watch")
+{
+    scripted_store store;
+    store.lists["servers"] = listOf(object("i1", replicaSpec()), true);
+    store.lists["servers after"] = listOf(object("i2", replicaSpec()));
+    int watches = 0;
+    store.onWatch = [&](const std::string &kind, const http_exchange_ptr &exchange) {
+        if (kind != "servers" || ++watches > 1)
+            return store.waiting.push_back(exchange);
+        exchange->reply(200,
+                        eventsOf(R"({"removed":true,"object":)" + object("i1", replicaSpec()) + "},"
+                                     + R"({"removed":false,"object":)" + object("i3", replicaSpec()) + "}",
+                                 11));
+    };
+    store.feed.start(store.seen);
+    REQUIRE(store.runUntil([&] { return store.seen.replicas == std::vector<std::string>{"i2", "i3"}; }));
+}
+
+TEST_CASE("store feed: where the history is gone, the list is read again")
+{
+    scripted_store store;
+    store.lists["servers"] = listOf(object("i1", replicaSpec()));
+    bool isGone = true;
+    store.onWatch = [&](const std::string &kind, const http_exchange_ptr &exchange) {
+        if (kind != "servers" || !std::exchange(isGone, false))
+            return store.waiting.push_back(exchange);
+        store.lists["servers"] = listOf(object("i2", replicaSpec()));
+        exchange->reply(410, {});
+    };
+    store.feed.start(store.seen);
+    CHECK(store.runUntil([&] { return store.seen.replicas == std::vector<std::string>{"i2"}; }));
+}
+
+TEST_CASE("store feed: after a silent store the next calls are short, so that its return is noticed soon")
+{
+    scripted_store store;
+    store.feed.start(store.seen); // watches get no answer
+    REQUIRE(store.runUntil([&] { return store.waits.size() >= 2; }));
+    CHECK(store.waits[0] == "200");
+    CHECK(store.waits[1] == "100");
+    CHECK(store.seen.hasNote("store_lost config"));
+    store.onWatch = [](const std::string &, const http_exchange_ptr &exchange) {
+        exchange->reply(200, eventsOf("", 10));
+    };
+    CHECK(store.runUntil([&] { return store.seen.hasNote("store_regained config") && store.seen.isReachable; }));
+}
+
+TEST_CASE("store feed: the state of a roll-out is written under its revision")
+{
+    scripted_store store;
+    std::string path;
+    std::string body;
+    store.serve = [&](const http_exchange_ptr &exchange) {
+        path = exchange->path;
+        body = exchange->body;
+        exchange->reply(409, {});
+    };
+    store.feed.start(store.seen);
+    store.feed.writeRollout({"s", "v2", 12s, rollout_state::rolled_back, 1, 41, 3});
+    REQUIRE(store.runUntil([&] { return store.seen.hasNote("rollout_not_written s"); }));
+    const auto written = nlohmann::json::parse(body, nullptr, false);
+    CHECK(written["metadata"]["revision"] == 41);
+    CHECK(written["status"]["state"] == "rolled_back");
+    CHECK(written["status"]["target"] == "v2");
+}
