--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -14,6 +14,7 @@
     src/gateway_model.cpp
     src/gateway_settings.cpp
     src/gateway_task.cpp
+    src/header_text.cpp
     src/http_parser.cpp
     src/model_ladder.cpp
     src/replica_registry.cpp
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -1,7 +1,6 @@
 // Heads of forwarded messages; see forwarding_p.h.
 #include "forwarding_p.h"
 
-#include <charconv>
 #include <numeric>
 #include <xxhash.h>
 
@@ -30,32 +29,6 @@
     return std::ranges::any_of(names, [name](const std::string &other) { return isSameHeader(name, other); });
 }
 
-/// Parts of a list between commas, without surrounding spaces.
-std::vector<std::string> splitList(std::string_view list)
-{
-    std::vector<std::string> parts;
-    while (!list.empty()) {
-        const auto end = std::min(list.find(','), list.size());
-        auto part = list.substr(0, end);
-        list.remove_prefix(std::min(end + 1, list.size()));
-        const auto first = std::min(part.find_first_not_of(' '), part.size());
-        part.remove_prefix(first);
-        part = part.substr(0, part.find_last_not_of(' ') + 1);
-        if (!part.empty())
-            parts.emplace_back(part);
-    }
-    return parts;
-}
-
-std::optional<std::uint64_t> numberOf(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (failure != std::errc{} || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
 std::uint64_t hashOf(std::string_view text)
 {
     return XXH64(text.data(), text.size(), 0);
@@ -66,17 +39,17 @@
 {
     const auto counts = splitList(head.header(dialect.tokenCounts));
     if (!counts.empty())
-        facts.promptTokens = numberOf(counts.front()).value_or(0);
+        facts.promptTokens = parseNumber(counts.front()).value_or(0);
     if (counts.size() > 1)
-        facts.answerTokens = numberOf(counts[1]).value_or(0);
-    if (const auto hint = numberOf(head.header(dialect.lengthHint)))
+        facts.answerTokens = parseNumber(counts[1]).value_or(0);
+    if (const auto hint = parseNumber(head.header(dialect.lengthHint)))
         facts.answerTokens = *hint;
 }
 
 std::uint64_t tokensOf(std::string_view part)
 {
     const auto colon = part.find(':');
-    return colon == std::string_view::npos ? 0 : numberOf(part.substr(colon + 1)).value_or(0);
+    return colon == std::string_view::npos ? 0 : parseNumber(part.substr(colon + 1)).value_or(0);
 }
 
 /// Reads "ID:TOKENS,...": the last part is the request's own, those before it are shared.
@@ -99,15 +72,13 @@
     facts.id = head.header(dialect.requestId);
     facts.host = head.header("Host");
     facts.model = head.header(dialect.model);
-    if (const auto deadline = numberOf(head.header(dialect.deadline)))
+    if (const auto deadline = parseNumber(head.header(dialect.deadline)))
         facts.deadline = std::chrono::milliseconds{*deadline};
-    facts.lastEventId = numberOf(head.header(dialect.lastEventId));
+    facts.lastEventId = parseNumber(head.header(dialect.lastEventId));
     const auto authorization = head.header("Authorization");
     const auto scheme = authorization.substr(0, authorization.find(' '));
     if (isSameHeader(scheme, dialect.keyScheme) && scheme.size() < authorization.size())
-        facts.key = splitList(authorization.substr(scheme.size() + 1)).empty()
-            ? std::string()
-            : splitList(authorization.substr(scheme.size() + 1)).front();
+        facts.key = trimmed(authorization.substr(scheme.size() + 1));
     const auto session = head.header(dialect.session);
     facts.session = hashOf(session.empty() ? std::string_view(facts.id) : session);
     readTokens(facts, head, dialect);
--- a/src/gateway_exchange_answers.cpp
+++ b/src/gateway_exchange_answers.cpp
@@ -36,21 +36,6 @@
     return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests || status == kUnavailable;
 }
 
-std::optional<std::uint32_t> percentOf(std::string_view text)
-{
-    std::uint32_t value = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (failure != std::errc{} || end == text.data())
-        return std::nullopt;
-    return value;
-}
-
-/// @returns whether an end of an attempt speaks for the replica, or nothing where it tells nothing.
-std::optional<bool> healthOf(attempt_result result)
-{
-    return result == attempt_result::answered;
-}
-
 } // namespace
 
 struct gateway_exchange::refusal_row {
@@ -94,7 +79,7 @@
     step.current = m_model;
     step.sends = m_sends;
     step.maxSends = m_route->maxAttempts;
-    step.confidence = percentOf(head.header(m_state.dialect.confidence));
+    step.confidence = parseNumber(head.header(m_state.dialect.confidence));
     step.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(suspendAwareNow() - m_request.readAt);
     step.objective = m_route->objective;
     const auto next = nextModel(m_state.ladder, step);
@@ -174,7 +159,7 @@
     noteAttempt(result);
     if (result == attempt_result::wrong_replica || result == attempt_result::not_connected)
         m_state.replicas.noteUnreachable(m_replica, suspendAwareNow());
-    closeAttempt(healthOf(result));
+    closeAttempt(result == attempt_result::answered);
     follow(result);
 }
 
--- /dev/null
+++ b/src/header_text.cpp
@@ -0,0 +1,47 @@
+// Text of HTTP headers; see header_text_p.h.
+#include "header_text_p.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace foxtaildyke
+{
+
+bool isSameHeader(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right,
+                              [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+std::vector<std::string> splitList(std::string_view list)
+{
+    std::vector<std::string> entries;
+    while (!list.empty()) {
+        const auto end = std::min(list.find(','), list.size());
+        const auto entry = trimmed(list.substr(0, end));
+        list.remove_prefix(std::min(end + 1, list.size()));
+        if (!entry.empty())
+            entries.emplace_back(entry);
+    }
+    return entries;
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace foxtaildyke
--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -1,8 +1,6 @@
 // Incremental HTTP/1.1 parser; see http_parser_p.h.
 #include "http_parser_p.h"
 
-#include <cctype>
-#include <charconv>
 #include <cstdlib>
 
 namespace foxtaildyke
@@ -17,14 +15,6 @@
 constexpr int kLastInformational = 199;
 constexpr int kStopParsing = -1;
 
-std::string_view trimmed(std::string_view text)
-{
-    const auto first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 message_head &headOf(htparser *parser)
 {
     return *static_cast<message_head *>(htparser_get_userdata(parser));
@@ -32,13 +22,8 @@
 
 bool hasToken(std::string_view list, std::string_view token)
 {
-    while (!list.empty()) {
-        const auto end = std::min(list.find(','), list.size());
-        if (isSameHeader(trimmed(list.substr(0, end)), token))
-            return true;
-        list.remove_prefix(std::min(end + 1, list.size()));
-    }
-    return false;
+    return std::ranges::any_of(splitList(list),
+                               [token](const std::string &entry) { return isSameHeader(entry, token); });
 }
 
 /// @returns the second word of a request line; the parser's own hooks leave out part of a target with a query.
@@ -51,23 +36,8 @@
     return line.substr(start + 1, line.find(' ', start + 1) - start - 1);
 }
 
-std::optional<std::uint64_t> parseLength(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (failure != std::errc{} || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
 } // namespace
 
-bool isSameHeader(std::string_view left, std::string_view right)
-{
-    return std::ranges::equal(left, right,
-                              [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
-}
-
 std::string_view message_head::header(std::string_view name) const
 {
     const auto found =
@@ -179,7 +149,7 @@
         if (name.empty() || name.find_first_of(" \t") != std::string::npos)
             return false;
         if (isSameHeader(name, "Content-Length")) {
-            const auto length = parseLength(value);
+            const auto length = parseNumber(value);
             if (!length || m_head.length)
                 return false;
             m_head.length = length;
--- a/src/http_parser_p.h
+++ b/src/http_parser_p.h
@@ -2,6 +2,7 @@
 // in chunks or up to the end of the connection. Rejects messages whose length is ambiguous.
 #pragma once
 
+#include "header_text_p.h"
 #include "http_client_p.h"
 
 #include <evhtp/parser.h>
@@ -25,9 +26,6 @@
     [[nodiscard]] std::string_view header(std::string_view name) const;
 };
 
-/// @returns whether two header names are equal; ASCII case is ignored.
-[[nodiscard]] bool isSameHeader(std::string_view left, std::string_view right);
-
 enum class parse_state : std::uint8_t {
     head, ///< the head is not complete
     body,
--- a/src/model_ladder_p.h
+++ b/src/model_ladder_p.h
@@ -24,7 +24,7 @@
     std::size_t current = 0;
     std::uint32_t sends = 0; ///< replicas to which the request was sent
     std::uint32_t maxSends = 1;
-    std::optional<std::uint32_t> confidence; ///< of the answer that has begun, in percent; nothing: not stated
+    std::optional<std::uint64_t> confidence; ///< of the answer that has begun, in percent; nothing: not stated
     std::chrono::milliseconds elapsed{};
     std::chrono::milliseconds objective{};
 };
--- a/src/process_settings_p.h
+++ b/src/process_settings_p.h
@@ -3,6 +3,7 @@
 
 #include "http_client_p.h"
 
+#include <csignal>
 #include <map>
 #include <variant>
 
@@ -90,4 +91,31 @@
 /// Prints an error as "program: code: field" to standard error.
 void printError(const program_spec &program, const error &failure);
 
+/// Runs a program that needs settings: parses the command line, loads and checks the settings, then runs.
+/// @param load result<settings>(const command_line &); a missing settings file is error_code::missing_key with an
+/// option.
+/// @param run exit_code(const settings &).
+/// @returns the exit status of the process.
+template <typename load_function, typename run_function>
+int runProgram(const program_spec &program, int argc, char **argv, load_function load, run_function run)
+{
+    const auto exitWith = [](exit_code code) {
+        return static_cast<int>(code);
+    };
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto parsed = parseCommandLine(program, argc, argv);
+    if (const auto *code = std::get_if<exit_code>(&parsed))
+        return exitWith(*code);
+    const auto &line = std::get<command_line>(parsed);
+    const auto settings = load(line);
+    if (settings.has_error()) {
+        printError(program, settings.error());
+        const bool hasNoFile = settings.error().field.starts_with("--");
+        return exitWith(hasNoFile ? exit_code::usage : exit_code::invalid_settings);
+    }
+    if (line.checkOnly)
+        return exitWith(exit_code::success);
+    return exitWith(run(settings.value()));
+}
+
 } // namespace foxtaildyke
--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -338,3 +338,39 @@
     CHECK(caller.answers[0].head.status == 200);
     CHECK(caller.answers[0].head.header("Connection") == "close");
 }
+
+TEST_CASE("gateway: the deadline handed on is what is left of the caller's and the route's")
+{
+    gateway_harness net;
+    std::vector<int> deadlines;
+    scripted_replica replica(net.loop, "r1", [&](const received_request &request) {
+        deadlines.push_back(std::stoi(std::string(request.head.header("Foxtaildyke-Deadline-Ms"))));
+        return deadlines.size() == 1 ? replica_script{.bytes = notRunText(), .delay = std::chrono::milliseconds(300)}
+                                     : replica_script{answerText(200, "id1", "")};
+    });
+    net.publish(gateway_harness::makeConfig());
+    net.publishReplicas({replica.entry("s")});
+    scripted_caller caller(net.loop, net.task.callerPort());
+    caller.send(requestText("POST", "/once/x", "id1")); // waits for 5,000 ms; the route for 1,000 ms
+    REQUIRE(net.runUntil([&] { return hasWholeAnswers(caller, 1); }));
+    REQUIRE(deadlines.size() == 2);
+    CHECK(deadlines[0] <= 1000);
+    CHECK(deadlines[1] <= 700);
+}
+
+TEST_CASE("gateway: a replica that answers for another one at its address gets nothing more, and the request goes on")
+{
+    gateway_harness net;
+    scripted_replica wrong(net.loop, "r1", [](const received_request &) { return replica_script{notRunText(421)}; });
+    scripted_replica right(net.loop, "r2", echoAnswer);
+    net.publish(gateway_harness::makeConfig());
+    net.publishReplicas({wrong.entry("s"), right.entry("s")});
+    scripted_caller caller(net.loop, net.task.callerPort());
+    for (std::size_t i = 1; i <= 8; ++i) {
+        caller.send(requestText("POST", "/once/x", "id" + std::to_string(i)));
+        REQUIRE(net.runUntil([&] { return hasWholeAnswers(caller, i); }));
+        CHECK(caller.answers[i - 1].head.status == 200);
+    }
+    CHECK(wrong.requests.size() <= 1);
+    CHECK(right.requests.size() == 8);
+}
--- a/tools/control_main.cpp
+++ b/tools/control_main.cpp
@@ -18,12 +18,14 @@
     "(of the router of this host) and optionally log, and sections [operator NAME] with key= and role=viewer|editor.\n"
     "SIGTERM and SIGINT stop the process."};
 
-int exitWith(exit_code code)
+result<control_settings> loadSettings(const command_line &line)
 {
-    return static_cast<int>(code);
+    if (line.configPath.empty())
+        return error{error_code::missing_key, "--config"};
+    return loadControlSettings(line.configPath);
 }
 
-int runControl(const control_settings &settings)
+exit_code runControl(const control_settings &settings)
 {
     event_loop loop;
     status_client router(loop, settings.process.peerListen);
@@ -31,28 +33,15 @@
     const auto started = process.start();
     if (started.has_error()) {
         printError(kProgram, started.error());
-        return exitWith(exit_code::failure);
+        return exit_code::failure;
     }
     loop.run();
-    return exitWith(exit_code::success);
+    return exit_code::success;
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    std::signal(SIGPIPE, SIG_IGN);
-    const auto parsed = parseCommandLine(kProgram, argc, argv);
-    if (const auto *code = std::get_if<exit_code>(&parsed))
-        return exitWith(*code);
-    const auto &line = std::get<command_line>(parsed);
-    const auto settings = line.configPath.empty() ? result<control_settings>(error{error_code::missing_key, "--config"})
-                                                  : loadControlSettings(line.configPath);
-    if (settings.has_error()) {
-        printError(kProgram, settings.error());
-        return exitWith(line.configPath.empty() ? exit_code::usage : exit_code::invalid_settings);
-    }
-    if (line.checkOnly)
-        return exitWith(exit_code::success);
-    return runControl(settings.value());
+    return runProgram(kProgram, argc, argv, loadSettings, runControl);
 }
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -25,11 +25,6 @@
     return s_program;
 }
 
-int exitWith(exit_code code)
-{
-    return static_cast<int>(code);
-}
-
 result<gateway_settings> loadSettings(const command_line &line)
 {
     const char *fromEnvironment = std::getenv(kSettingsVariable); // NOLINT(concurrency-mt-unsafe): before any thread
@@ -42,7 +37,7 @@
     return checkGatewaySettings(sections.value());
 }
 
-int run(const gateway_settings &settings)
+exit_code run(const gateway_settings &settings)
 {
     event_loop loop;
     platform::store_feed feed(loop, settings.platform, {settings.configWatch, settings.replicaWatch});
@@ -53,27 +48,15 @@
     const auto started = task.start(feed);
     if (started.has_error()) {
         printError(program(), started.error());
-        return exitWith(exit_code::failure);
+        return exit_code::failure;
     }
     loop.run();
-    return exitWith(exit_code::success);
+    return exit_code::success;
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    std::signal(SIGPIPE, SIG_IGN);
-    const auto parsed = parseCommandLine(program(), argc, argv);
-    if (const auto *code = std::get_if<exit_code>(&parsed))
-        return exitWith(*code);
-    const auto &line = std::get<command_line>(parsed);
-    const auto settings = loadSettings(line);
-    if (settings.has_error()) {
-        printError(program(), settings.error());
-        return exitWith(exit_code::invalid_settings);
-    }
-    if (line.checkOnly)
-        return exitWith(exit_code::success);
-    return run(settings.value());
+    return runProgram(program(), argc, argv, loadSettings, run);
 }
--- a/tools/router_main.cpp
+++ b/tools/router_main.cpp
@@ -21,11 +21,6 @@
     "peer_listen, admin_listen and log, and sections [seed NAME] with peer=IP:port.\n"
     "SIGTERM stops the process after all open requests have finished."};
 
-int exitWith(exit_code code)
-{
-    return static_cast<int>(code);
-}
-
 result<process_settings> loadSettings(const command_line &line)
 {
     if (line.configPath.empty())
@@ -64,34 +59,22 @@
             std::make_unique<no_sharing>()};
 }
 
-int runRouter(const process_settings &settings)
+exit_code runRouter(const process_settings &settings)
 {
     router_task task(settings);
     task.setPorts(makePorts(task));
     const auto started = task.start();
     if (started.has_error()) {
         printError(kProgram, started.error());
-        return exitWith(exit_code::failure);
+        return exit_code::failure;
     }
     task.run();
-    return exitWith(exit_code::success);
+    return exit_code::success;
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    std::signal(SIGPIPE, SIG_IGN);
-    const auto parsed = parseCommandLine(kProgram, argc, argv);
-    if (const auto *code = std::get_if<exit_code>(&parsed))
-        return exitWith(*code);
-    const auto &line = std::get<command_line>(parsed);
-    const auto settings = loadSettings(line);
-    if (settings.has_error()) {
-        printError(kProgram, settings.error());
-        return exitWith(line.configPath.empty() ? exit_code::usage : exit_code::invalid_settings);
-    }
-    if (line.checkOnly)
-        return exitWith(exit_code::success);
-    return runRouter(settings.value());
+    return runProgram(kProgram, argc, argv, loadSettings, runRouter);
 }
