--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -255,13 +255,13 @@
     if (m_account)
         fields["account"] = m_account->name;
     if (!m_replica.empty()) {
-        fields["replica"] = m_replica;
+        fields["upstream"] = m_replica;
         fields["version"] = m_replicaVersion;
     }
     if (m_route && !m_route->models.empty())
         fields["model"] = m_route->models[m_model];
     if (m_config)
-        fields["config"] = m_config->version;
+        fields["generation"] = m_config->version;
     if (m_state.configConfirmedAt)
         fields["config_age_ms"] = (now - *m_state.configConfirmedAt).count() / 1000;
     m_state.log.write("request_end", fields);
--- a/src/gateway_exchange_answers.cpp
+++ b/src/gateway_exchange_answers.cpp
@@ -172,7 +172,7 @@
         return;
     m_state.log.write("attempt_failed",
                       {{"request_id", m_facts.id},
-                       {"replica", m_replica},
+                       {"upstream", m_replica},
                        {"version", m_replicaVersion},
                        {"result", nameOf(result)},
                        {"status", m_answer.status},
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -142,7 +142,7 @@
     if (m_state.config && m_state.config->version >= config->version)
         return;
     m_log.write("config_in_force",
-                {{"version", config->version},
+                {{"generation", config->version},
                  {"before", m_state.config ? m_state.config->version : 0},
                  {"routes", config->routes.size()},
                  {"keys", config->accountsByKey.size()}});
@@ -166,7 +166,7 @@
 void gateway_task::onReplicaChanged(replica_entry replica)
 {
     m_log.write("replica_changed",
-                {{"replica", replica.id},
+                {{"upstream", replica.id},
                  {"version", replica.version},
                  {"draining", replica.isDraining},
                  {"address", replica.address.address + ':' + std::to_string(replica.address.port)}});
@@ -176,7 +176,7 @@
 
 void gateway_task::onReplicaRemoved(const std::string &id)
 {
-    m_log.write("replica_removed", {{"replica", id}});
+    m_log.write("replica_removed", {{"upstream", id}});
     m_registry.remove(id, suspendAwareNow());
     applyReplicas();
 }
--- a/src/timeline.cpp
+++ b/src/timeline.cpp
@@ -30,6 +30,14 @@
 constexpr std::string_view kDispatched = "dispatched";
 constexpr std::string_view kFinished = "finished";
 
+bool isKnownKey(std::string_view key)
+{
+    constexpr std::array<std::string_view, 3> kNumbers{"time_us", "seq", "generation"};
+    return std::ranges::find(kNumbers, key) != kNumbers.end()
+        || std::ranges::find(kTextFields, key, [](const text_field &field) { return std::string_view(field.key); })
+        != kTextFields.end();
+}
+
 timeline_event readEvent(const json &line)
 {
     timeline_event event;
@@ -38,6 +46,9 @@
     event.generation = line.value("generation", generation_number{0});
     for (const auto &field : kTextFields)
         event.*field.member = line.value(field.key, "");
+    for (const auto &[key, value] : line.items())
+        if (!isKnownKey(key) && value.is_primitive())
+            event.details.emplace_back(key, value.dump());
     return event;
 }
 
@@ -235,7 +246,7 @@
         if (line.find_first_not_of(" \t\r") == std::string_view::npos)
             continue;
         try {
-            input.events.push_back(readEvent(json::parse(line)));
+            input.events.push_back(readEvent(json::parse(line.substr(std::min(line.find('{'), line.size())))));
         } catch (const json::exception &) {
             ++input.damagedLines;
         }
@@ -281,6 +292,8 @@
     }
     if (event.generation > 0)
         text += " generation=" + std::to_string(event.generation);
+    for (const auto &[key, value] : event.details)
+        text.append(" ").append(key).append("=").append(value);
     if (event.orderUs != event.timeUs)
         text += " clock=" + timeText(event.timeUs);
     return text;
@@ -295,6 +308,8 @@
     }
     if (event.generation > 0)
         line["generation"] = event.generation;
+    for (const auto &[key, value] : event.details)
+        line[key] = json::parse(value);
     return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
--- a/src/timeline_p.h
+++ b/src/timeline_p.h
@@ -25,6 +25,7 @@
     std::string upstream;
     generation_number generation = 0;
     std::string reason;
+    std::vector<std::pair<std::string, std::string>> details; ///< other fields of the line, values as JSON
 };
 
 /// What an event must match; empty fields match all.
@@ -42,7 +43,8 @@
     std::size_t damagedLines = 0; ///< for example the last line of a killed process
 };
 
-/// Adds the lines of one log.
+/// Adds the lines of one log. What stands before the JSON object of a line, as a time of the one who collected it, is
+/// left out.
 void readLog(std::string_view text, timeline_input &input);
 
 /// Orders events by time, then host and sequence number; events of one process keep their order, and an effect never
--- a/tests/test_timeline.cpp
+++ b/tests/test_timeline.cpp
@@ -121,3 +121,18 @@
     REQUIRE(input.events.size() == 1);
     CHECK(input.events[0].reason == event.reason);
 }
+
+TEST_CASE("a line of the gateway's log keeps all its fields, also behind a prefix")
+{
+    timeline_input input;
+    readLog(R"(   2.0153 edge-1 {"time_us":5,"process":"gateway","host":"edge-1","seq":7,"event":"request_end",)"
+            R"("request_id":"ab","status":502,"reason":"failed","upstream":"i-1","generation":3,"sends":1})",
+            input);
+    REQUIRE(input.events.size() == 1);
+    CHECK(input.damagedLines == 0);
+    const auto text = formatEventText(input.events[0]);
+    CHECK(text.find("status=502") != std::string::npos);
+    CHECK(text.find("generation=3") != std::string::npos);
+    CHECK(text.find("upstream=\"i-1\"") != std::string::npos);
+    CHECK(formatEventJson(input.events[0]).find("\"sends\":1") != std::string::npos);
+}
