--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -52,9 +52,9 @@
     return found == kStatusTexts.end() ? "Status" : found->phrase;
 }
 
-caller_connection::caller_connection(event_loop &loop, int socket, caller_host &host)
+caller_connection::caller_connection(event_loop &loop, int socket, connection_owner &owner)
     : m_loop(loop)
-    , m_host(host)
+    , m_owner(owner)
     , m_idleSince(suspendAwareNow())
     , m_timer(loop, [this] { onTimer(); })
 {
@@ -99,7 +99,7 @@
         const auto bytes = m_socket->received();
         if (bytes.empty())
             return;
-        m_parser.setHeadLimit(m_host.limits().headBytes);
+        m_parser.setHeadLimit(m_owner.limits().headBytes);
         const bool wasHead = m_parser.state() == parse_state::head;
         const bool isFirst = !m_parser.hasBegun();
         m_socket->drop(m_parser.feed(bytes, onBody, wasHead));
@@ -113,7 +113,7 @@
             return reject(kHeadTooLarge, "head_too_large");
         if (wasHead && m_parser.state() != parse_state::head && !checkHead())
             return;
-        if (m_body.size() > m_host.limits().bodyBytes)
+        if (m_body.size() > m_owner.limits().bodyBytes)
             return reject(kContentTooLarge, "body_too_large");
         if (m_parser.state() == parse_state::complete)
             serve();
@@ -125,7 +125,7 @@
 {
     const auto &head = m_parser.head();
     m_isHeadRequest = head.method == "HEAD";
-    if (head.length.value_or(0) > m_host.limits().bodyBytes) {
+    if (head.length.value_or(0) > m_owner.limits().bodyBytes) {
         reject(kContentTooLarge, "body_too_large");
         return false;
     }
@@ -141,14 +141,14 @@
     m_keepAlive = m_parser.head().keepAlive;
     caller_request request{m_parser.head(), std::exchange(m_body, {}), suspendAwareNow()};
     m_parser.reset();
-    auto work = m_host.serve(std::move(request), *this);
+    auto work = m_owner.serve(std::move(request), *this);
     if (m_phase == phase::serving)
         m_work = std::move(work);
 }
 
 void caller_connection::reject(int status, std::string_view reason)
 {
-    m_host.noteRejected(status, reason);
+    m_owner.noteRejected(status, reason);
     m_keepAlive = false;
     m_phase = phase::serving;
     replyWhole(status, {}, {});
@@ -156,7 +156,7 @@
 
 void caller_connection::writeHead(int status, const http_headers &headers, std::string_view framing)
 {
-    m_keepAlive = m_keepAlive && !m_host.isDraining();
+    m_keepAlive = m_keepAlive && !m_owner.isDraining();
     std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reasonPhrase(status)) + "\r\n";
     for (const auto &[name, value] : headers)
         text.append(name).append(": ").append(value).append("\r\n");
@@ -212,7 +212,7 @@
 {
     m_finishedWork = std::move(m_work);
     // The head of a stream may have gone out before the stop began, without "Connection: close".
-    if (!m_keepAlive || m_host.isDraining())
+    if (!m_keepAlive || m_owner.isDraining())
         return beginClose();
     m_phase = phase::reading;
     m_idleSince = suspendAwareNow();
@@ -270,7 +270,7 @@
 std::chrono::milliseconds caller_connection::readLimit() const
 {
     const bool isInHead = m_parser.hasBegun() && m_parser.state() == parse_state::head;
-    return isInHead ? m_host.limits().headTimeout : m_host.limits().idleTimeout;
+    return isInHead ? m_owner.limits().headTimeout : m_owner.limits().idleTimeout;
 }
 
 void caller_connection::restartTimer()
@@ -285,7 +285,7 @@
         return;
     m_phase = phase::ended;
     m_timer.stop();
-    m_host.onConnectionEnd(*this);
+    m_owner.onConnectionEnd(*this);
 }
 
 } // namespace foxtaildyke
--- a/src/caller_connection_p.h
+++ b/src/caller_connection_p.h
@@ -54,10 +54,10 @@
 class caller_connection;
 
 /// Owner of connections: gives limits and takes requests.
-class caller_host
+class connection_owner
 {
 public:
-    virtual ~caller_host() = default;
+    virtual ~connection_owner() = default;
     [[nodiscard]] virtual const caller_limits &limits() const = 0;
     [[nodiscard]] virtual bool isDraining() const = 0;
 
@@ -74,7 +74,7 @@
 class caller_connection : private caller_reply
 {
 public:
-    caller_connection(event_loop &loop, int socket, caller_host &host);
+    caller_connection(event_loop &loop, int socket, connection_owner &owner);
     ~caller_connection() override;
 
     /// @returns whether no request is being read or answered.
@@ -109,7 +109,7 @@
     void end();
 
     event_loop &m_loop;
-    caller_host &m_host;
+    connection_owner &m_owner;
     std::unique_ptr<stream_socket> m_socket;
     http_parser m_parser{message_type::request};
     std::string m_body;
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -102,7 +102,7 @@
 
 void gateway_task::onAccept(int socket)
 {
-    auto connection = std::make_unique<caller_connection>(m_loop, socket, static_cast<caller_host &>(*this));
+    auto connection = std::make_unique<caller_connection>(m_loop, socket, static_cast<connection_owner &>(*this));
     auto *key = connection.get();
     m_connections.emplace(key, std::move(connection));
 }
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -12,7 +12,7 @@
 namespace foxtaildyke
 {
 
-class gateway_task : private caller_host, private fleet_listener
+class gateway_task : private connection_owner, private fleet_listener
 {
 public:
     gateway_task(event_loop &loop, gateway_settings settings, header_dialect dialect, std::string readinessPath);
--- a/src/header_dialect_p.h
+++ b/src/header_dialect_p.h
@@ -27,9 +27,4 @@
     std::vector<std::string> reserved; ///< headers that only the gateway may send to a replica
 };
 
-/// Paths that the platform calls on a host.
-struct platform_paths {
-    std::string readiness;
-};
-
 } // namespace foxtaildyke
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -95,12 +95,10 @@
                                                }};
     m_socket = pool.take(m_request.replica, m_request.address);
     if (m_socket) {
-        m_isReused = true;
         m_socket->setHandlers(handlers);
         send();
         return;
     }
-    pool.noteOpened();
     m_socket = std::make_unique<stream_socket>(pool.loop(), m_request.address, handlers);
     m_connectTimer.start(upstream_pool::kConnectLimit);
 }
@@ -123,17 +121,16 @@
     m_socket->write(m_request.bytes);
 }
 
-/// @returns whether the answer's head has been read, and belongs to this request.
-bool upstream_exchange::takeHead()
+/// Hands on the head that has been read, unless it is informational or belongs to another request.
+void upstream_exchange::takeHead()
 {
     const auto &head = m_parser.head();
     const auto echoed = head.header(m_pool.requestIdHeader());
     m_isStray = !echoed.empty() && echoed != m_request.requestId;
     if (m_isStray || head.status <= kLastInformational)
-        return false;
+        return;
     m_hasHead = true;
     m_listener.onUpstreamHead(head);
-    return true;
 }
 
 void upstream_exchange::onReadable()
--- a/src/upstream_exchange_p.h
+++ b/src/upstream_exchange_p.h
@@ -56,13 +56,11 @@
     /// Stops or resumes reading, while the caller is slower than the replica.
     void setReading(bool isOn);
 
-    [[nodiscard]] bool isReused() const { return m_isReused; }
-
 private:
     void send();
     void onReadable();
     void onSocketEnd(socket_end end);
-    bool takeHead();
+    void takeHead();
     void finish(upstream_end end);
 
     upstream_pool &m_pool;
@@ -72,7 +70,6 @@
     http_parser m_parser{message_type::response};
     loop_timer m_connectTimer;
     bool m_isConnected = false;
-    bool m_isReused = false;
     bool m_hasHead = false; ///< the head of this request's answer has been handed on
     bool m_isStray = false; ///< the answer being read belongs to another request
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
@@ -91,8 +88,6 @@
 
     [[nodiscard]] event_loop &loop() { return m_loop; }
     [[nodiscard]] const std::string &requestIdHeader() const { return m_requestIdHeader; }
-    [[nodiscard]] std::uint64_t connectionsOpened() const { return m_opened; }
-    void noteOpened() { ++m_opened; }
 
     /// Time in which a connection comes up: the largest round trip between failure domains (3 ms) and one lost packet
     /// (a retransmission after 1 s would be too late for plain calls) lie within it.
@@ -121,7 +116,6 @@
     std::string m_requestIdHeader;
     std::unordered_map<std::string, idle_list> m_idle; ///< by replica id
     loop_timer m_pruneTimer;
-    std::uint64_t m_opened = 0;
 };
 
 } // namespace foxtaildyke
