Cut a stream off that can't be resumed by a stream

Cause: found by reading. A resumed stream that a replica answered with another status (a 404, say) was followed by a second head in the middle of the caller's chunked answer. Change: once part of a stream has gone out, any other answer counts as unusable. The scripted caller of the tests no longer loops on bytes that are no HTTP.

--- a/src/gateway_exchange_answers.cpp
+++ b/src/gateway_exchange_answers.cpp
@@ -145,6 +145,9 @@
         return attempt_result::not_run;
     if (m_answer.status >= kServerError)
         return attempt_result::server_error;
+    // The caller has the beginning of a stream; nothing else can follow it.
+    if (m_hasBegun && !m_isStream)
+        return attempt_result::unusable;
     const bool isWhole = m_body.size() <= kMostBodyBytes && m_answer.header("Content-Encoding").empty();
     const bool isStamped = !m_answer.header(m_state.dialect.stamp).empty();
     if (!isWhole || (isSuccess(m_answer.status) && !isStamped) || promisesNotRun(m_answer.status))
--- a/tests/gateway_harness.cpp
+++ b/tests/gateway_harness.cpp
@@ -173,7 +173,8 @@
     const auto onBody = [this](std::string_view bytes) {
         answers.back().body.append(bytes);
     };
-    while (!m_socket->received().empty()) {
+    // Bytes that are no HTTP stay where they are; the last answer is then not whole.
+    while (!m_socket->received().empty() && m_parser.state() != parse_state::malformed) {
         const bool wasHead = m_parser.state() == parse_state::head;
         m_socket->drop(m_parser.feed(m_socket->received(), onBody, wasHead));
         if (wasHead && m_parser.state() != parse_state::head)
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -77,6 +77,7 @@
 
     std::vector<received_answer> answers; ///< the last one may be incomplete
     bool isClosed = false; ///< by the gateway
+    [[nodiscard]] bool hasMalformed() const { return m_parser.state() == parse_state::malformed; }
 
 private:
     void onReadable();
--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -374,3 +374,24 @@
     CHECK(wrong.requests.size() <= 1);
     CHECK(right.requests.size() == 8);
 }
+
+TEST_CASE("gateway: a resumed stream that is answered with something else than a stream is cut off, not mixed")
+{
+    gateway_harness net;
+    const auto script = [](const received_request &request) {
+        if (request.head.header("Last-Event-Id").empty())
+            return replica_script{.bytes = streamText("id1", 1, 3, false), .resets = true};
+        return replica_script{answerText(404, "id1", "not a stream")};
+    };
+    scripted_replica one(net.loop, "r1", script);
+    scripted_replica two(net.loop, "r2", script);
+    net.publish(gateway_harness::makeConfig());
+    net.publishReplicas({one.entry("s"), two.entry("s")});
+    scripted_caller caller(net.loop, net.task.callerPort());
+    caller.send(requestText("POST", "/stream/x", "id1"));
+    REQUIRE(net.runUntil([&] { return caller.isClosed || caller.hasMalformed(); }));
+    CHECK_FALSE(caller.hasMalformed());
+    REQUIRE(caller.answers.size() == 1);
+    CHECK_FALSE(caller.answers[0].isWhole);
+    CHECK(caller.answers[0].body == eventsText(1, 3));
+}
