One copy of the logs' appender and wall clock

Cause: decision_log wrote again what event_log had: the choice of the appender and the time in unix microseconds. Change: log_output has both; event_log's own are gone. Behaviour is the same.

--- a/cmake/base.cmake
+++ b/cmake/base.cmake
@@ -4,6 +4,7 @@
     src/event_loop.cpp
     src/http_client.cpp
     src/http_server.cpp
+    src/log_output.cpp
     src/process_settings.cpp
     src/socket_options.cpp)
 target_include_directories(foxtaildyke-base PUBLIC include src)
--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -2,12 +2,10 @@
 #include "decision_log_p.h"
 
 #include "gateway_clock_p.h"
+#include "log_output_p.h"
 
 #include <log4cxx/asyncappender.h>
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
 #include <nlohmann/json.hpp>
 
 namespace foxtaildyke
@@ -18,20 +16,6 @@
 
 constexpr int kQueuedLines = 512; ///< lines that wait for a slow reader; more are discarded and summed up by log4cxx
 
-log4cxx::AppenderPtr makeAppender(const std::string &path)
-{
-    const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-    if (path == "-")
-        return std::make_shared<log4cxx::ConsoleAppender>(layout);
-    return std::make_shared<log4cxx::FileAppender>(layout, path, true);
-}
-
-std::int64_t unixTimeUs()
-{
-    const auto time = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
-}
-
 } // namespace
 
 decision_log::decision_log(std::string host, const std::string &path, std::uint32_t linesPerSecond)
@@ -45,7 +29,7 @@
     const auto queue = std::make_shared<log4cxx::AsyncAppender>();
     queue->setBufferSize(kQueuedLines);
     queue->setBlocking(false);
-    queue->addAppender(makeAppender(path));
+    queue->addAppender(makeLineAppender(path));
     logger->removeAllAppenders();
     logger->setAdditivity(false);
     logger->setLevel(log4cxx::Level::getInfo());
@@ -79,7 +63,7 @@
         return;
     }
     nlohmann::ordered_json line{
-        {"time_us", unixTimeUs()}, {"process", "gateway"}, {"host", m_host}, {"seq", m_next++}, {"event", event}};
+        {"time_us", unixMicroseconds()}, {"process", "gateway"}, {"host", m_host}, {"seq", m_next++}, {"event", event}};
     if (m_dropped > 0)
         line["dropped_before"] = std::exchange(m_dropped, 0);
     line.update(fields);
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -1,10 +1,9 @@
 // Event log through log4cxx; see event_log_p.h.
 #include "event_log_p.h"
 
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/fileappender.h>
+#include "log_output_p.h"
+
 #include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
 #include <nlohmann/json.hpp>
 
 namespace foxtaildyke
@@ -13,14 +12,6 @@
 namespace
 {
 
-log4cxx::AppenderPtr makeAppender(const std::string &path)
-{
-    const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-    if (path == "-")
-        return std::make_shared<log4cxx::ConsoleAppender>(layout);
-    return std::make_shared<log4cxx::FileAppender>(layout, path, true);
-}
-
 struct text_field {
     const char *key;
     std::string record_event::*member;
@@ -47,12 +38,6 @@
     return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-std::int64_t unixMicroseconds()
-{
-    const auto time = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
-}
-
 event_log::event_log(std::string process, std::string host, const std::string &path)
     : m_process(std::move(process))
     , m_host(std::move(host))
@@ -62,7 +47,7 @@
     logger->removeAllAppenders();
     logger->setAdditivity(false);
     logger->setLevel(log4cxx::Level::getInfo());
-    logger->addAppender(makeAppender(path));
+    logger->addAppender(makeLineAppender(path));
 }
 
 void event_log::write(const record_event &event)
--- a/src/event_log_p.h
+++ b/src/event_log_p.h
@@ -34,7 +34,4 @@
 [[nodiscard]] std::string formatEvent(const record_event &event, std::string_view process, std::string_view host,
                                       std::uint64_t sequence, std::int64_t unixMicroseconds);
 
-/// @returns wall-clock time in unix microseconds.
-[[nodiscard]] std::int64_t unixMicroseconds();
-
 } // namespace foxtaildyke
--- a/tools/control_process.cpp
+++ b/tools/control_process.cpp
@@ -1,5 +1,6 @@
 // Control process; see control_p.h.
 #include "control_p.h"
+#include "log_output_p.h"
 
 #include <csignal>
 #include <nlohmann/json.hpp>
