Test the gateway's program over loopback, and keep log lines on beliefs under load

Cause: no test ran the gateway's program as a process; the parts were tested in the test's process only.

Found by them: under a flood of requests the line on a rolled back version was dropped, since all lines shared one rate limit ('rollout_state ... rolled_back' never came within 20 s).

Found in the harness: a scripted replica that closes after its answer closed before it (a write callback comes once before anything was written), and its listening socket was inherited by the program under test. Both looked like faults of the gateway (502, 504) and were ruled out by printing the order of the callbacks.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -7,8 +7,9 @@
 target_compile_definitions(foxtaildyke-tests PRIVATE FOXTAILDYKE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
 
 file(GLOB failure_tests CONFIGURE_DEPENDS tests/failure_*.cpp)
-add_executable(foxtaildyke-failure-tests tests/tests_main.cpp ${failure_tests})
-target_link_libraries(foxtaildyke-failure-tests PRIVATE foxtaildyke-core Threads::Threads)
+add_executable(foxtaildyke-failure-tests tests/tests_main.cpp tests/gateway_harness.cpp tests/gateway_process.cpp
+    tests/standin_store.cpp ${failure_tests})
+target_link_libraries(foxtaildyke-failure-tests PRIVATE foxtaildyke-core foxtaildyke-gateway-lib Threads::Threads)
 target_compile_definitions(foxtaildyke-failure-tests PRIVATE FOXTAILDYKE_BINARY_DIR="${CMAKE_BINARY_DIR}")
 
 # Measurements of the ledger for docs/MEASUREMENTS.md; not a test.
--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -44,20 +44,21 @@
     logger->removeAllAppenders();
 }
 
-bool decision_log::takeToken(instant now)
+bool decision_log::takeToken(instant now, log_subject subject)
 {
     const double elapsed = std::chrono::duration<double>(now - m_refilledAt).count();
     m_refilledAt = now;
     m_tokens = std::min(m_linesPerSecond, m_tokens + elapsed * m_linesPerSecond);
-    if (m_tokens < 1)
+    const double reserve = subject == log_subject::request ? kProcessShare * m_linesPerSecond : 0;
+    if (m_tokens < reserve + 1)
         return false;
     m_tokens -= 1;
     return true;
 }
 
-void decision_log::write(std::string_view event, const nlohmann::ordered_json &fields)
+void decision_log::write(std::string_view event, const nlohmann::ordered_json &fields, log_subject subject)
 {
-    if (!takeToken(suspendAwareNow())) {
+    if (!takeToken(suspendAwareNow(), subject)) {
         ++m_dropped;
         ++m_droppedTotal;
         return;
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -264,7 +264,7 @@
         fields["generation"] = m_config->version;
     if (m_state.configConfirmedAt)
         fields["config_age_ms"] = (now - *m_state.configConfirmedAt).count() / 1000;
-    m_state.log.write("request_end", fields);
+    m_state.log.write("request_end", fields, log_subject::request);
 }
 
 } // namespace foxtaildyke
--- a/src/gateway_exchange_answers.cpp
+++ b/src/gateway_exchange_answers.cpp
@@ -180,7 +180,8 @@
                        {"result", nameOf(result)},
                        {"status", m_answer.status},
                        {"ms", (now - m_sentAt).count() / 1000},
-                       {"sends", m_sends}});
+                       {"sends", m_sends}},
+                      log_subject::request);
 }
 
 void gateway_exchange::noteVersionAnswer(attempt_result result)
--- /dev/null
+++ b/tests/failure_gateway.cpp
@@ -0,0 +1,354 @@
+// Sessions with the gateway's program over loopback: what callers, replicas and the store see of it.
+#include "gateway_process.h"
+
+#include <csignal>
+
+using namespace foxtaildyke;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string idOf(const received_request &request)
+{
+    return std::string(request.head.header("Foxtaildyke-Request-Id"));
+}
+
+replica_script echoAnswer(const received_request &request)
+{
+    return {answerText(200, idOf(request), "whole body")};
+}
+
+std::string once(const std::string &id)
+{
+    return requestText("POST", "/once/x", id, {}, "the body");
+}
+
+std::string safe(const std::string &id)
+{
+    return requestText("GET", "/safe/x", id);
+}
+
+/// @returns the recorded state of the roll-out of service "s", or empty.
+std::string rolloutState(const gateway_process &gateway)
+{
+    const auto status = gateway.store.statusOf("rollouts", "s");
+    return status.is_object() ? status.value("state", "") : std::string();
+}
+
+/// A started gateway with a configuration and one replica.
+struct small_site : gateway_process {
+    explicit small_site(std::string settings = {}, scripted_replica::script answer = echoAnswer)
+        : gateway_process(std::move(settings))
+        , replica(loop, "r1", std::move(answer))
+    {
+        publish(1);
+        registerReplica(replica);
+        REQUIRE(startReady());
+    }
+
+    scripted_replica replica;
+};
+
+} // namespace
+
+TEST_CASE("gateway process: it takes requests once it knows configuration and replicas")
+{
+    gateway_process gateway;
+    scripted_replica replica(gateway.loop, "r1", echoAnswer);
+    gateway.store.setMood(store_mood::refusing);
+    gateway.start();
+    REQUIRE(gateway.waitForLog("store_lost", "config"));
+    CHECK(gateway.readiness() == 503);
+    CHECK(gateway.ask(safe("early")).head.status == 503); // not 401 or 404: it knows no route and no key
+    gateway.publish(1);
+    gateway.registerReplica(replica);
+    gateway.store.setMood(store_mood::serving);
+    REQUIRE(gateway.runUntil([&] { return gateway.readiness() == 200; }));
+    const auto answer = gateway.ask(once("id-1"));
+    CHECK(answer.head.status == 200);
+    CHECK(answer.body == "whole body");
+    CHECK(replica.requests.size() == 1);
+    CHECK(gateway.waitForLog("\"request_id\":\"id-1\"", "\"event\":\"request_end\""));
+    CHECK(gateway.metrics().find("account") == std::string::npos); // no label per caller
+    CHECK(gateway.metrics().find("status=\"200\"") != std::string::npos);
+}
+
+TEST_CASE("gateway process: bad requests get the status that says what is wrong with them")
+{
+    small_site site;
+    CHECK(site.ask(requestText("GET", "/none/x", "id-1")).head.status == 404);
+    CHECK(site.ask("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nFoxtaildyke-Request-Id: i\r\n\r\n").head.status == 401);
+    CHECK(site.ask("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\n\r\n").head.status
+          == 400);
+    CHECK(site.ask("not HTTP\r\n\r\n").head.status == 400);
+    CHECK(site.ask(requestText("GET", "/safe/x", "id-2", "X: " + std::string(5000, 'x') + "\r\n")).head.status == 431);
+    CHECK(site.ask(requestText("POST", "/once/x", "id-3", {}, std::string(100'001, 'x'))).head.status == 413);
+    CHECK(site.ask("GET /safe/x HTTP/1.1\r\nHost: h.exa").head.status == 408); // its head never ends
+    CHECK(site.replica.requests.empty());
+}
+
+TEST_CASE("gateway process: pages, lost history and entries of other writers")
+{
+    gateway_process gateway;
+    gateway.store.pageItems = 2;
+    gateway.publish(1);
+    std::vector<std::unique_ptr<scripted_replica>> replicas;
+    for (int i = 1; i <= 5; ++i) {
+        replicas.push_back(std::make_unique<scripted_replica>(gateway.loop, "r" + std::to_string(i), echoAnswer));
+        gateway.registerReplica(*replicas.back());
+    }
+    gateway.store.put("servers", "r0", {{"service", 7}, {"address", "nowhere"}});
+    gateway.store.put("servers", "r6", {{"service", "s"}, {"address", "127.0.0.1:1"}, {"state", "asleep"}});
+    REQUIRE(gateway.startReady());
+    CHECK(gateway.waitForLog("replicas_listed", "\"count\":5"));
+    CHECK(gateway.waitForLog("replica_unusable", "r6"));
+    for (int i = 0; i < 40; ++i)
+        CHECK(gateway.ask(once("id-" + std::to_string(i))).head.status == 200);
+    CHECK(std::ranges::all_of(replicas, [](const auto &replica) { return !replica->requests.empty(); }));
+
+    gateway.store.remove("servers", "r1");
+    gateway.store.forgetHistory();
+    REQUIRE(gateway.waitForLog("store_history_gone", "servers"));
+    REQUIRE(gateway.runUntil([&] { return gateway.metrics().find("replicas 4") != std::string::npos; }));
+    const auto before = replicas[0]->requests.size();
+    for (int i = 40; i < 60; ++i)
+        CHECK(gateway.ask(once("id-" + std::to_string(i))).head.status == 200);
+    CHECK(replicas[0]->requests.size() == before);
+}
+
+TEST_CASE("gateway process: a configuration is in force without a restart, and never goes back")
+{
+    small_site site;
+    CHECK(site.ask(safe("id-1")).head.status == 200);
+    site.publishWithoutSafe(5);
+    REQUIRE(site.waitForLog("config_in_force", "\"generation\":5"));
+    CHECK(site.ask(safe("id-2")).head.status == 404);
+    site.publish(3);
+    site.runFor(600ms);
+    CHECK(site.ask(safe("id-3")).head.status == 404);
+    CHECK(site.ask(once("id-4")).head.status == 200);
+}
+
+TEST_CASE("gateway process: a key that was withdrawn while the process stood still opens nothing")
+{
+    small_site site("key_lease_ms = 1000\n");
+    CHECK(site.ask(once("id-1")).head.status == 200);
+    site.signal(SIGSTOP);
+    site.publish(2, {"key-2"});
+    site.store.setMood(store_mood::silent);
+    site.runFor(1200ms); // longer than the lease
+    site.signal(SIGCONT);
+    CHECK(site.ask(once("id-2")).head.status == 503); // it can't know whether the key still holds
+    CHECK(site.readiness() == 503);
+    site.store.setMood(store_mood::serving);
+    REQUIRE(site.waitForLog("config_in_force", "\"generation\":2"));
+    CHECK(site.ask(once("id-3")).head.status == 401);
+    CHECK(site.replica.requests.size() == 1);
+}
+
+TEST_CASE("gateway process: requests go on while the store is away, in each way in which it is")
+{
+    for (const auto mood : {store_mood::refusing, store_mood::limiting, store_mood::dropping, store_mood::silent}) {
+        small_site site;
+        site.store.setMood(mood);
+        REQUIRE(site.waitForLog("store_lost", "servers"));
+        CHECK(site.ask(once("id-1")).head.status == 200);
+        site.store.setMood(store_mood::serving);
+        CHECK(site.waitForLog("store_regained", "servers"));
+    }
+}
+
+TEST_CASE("gateway process: an answer is whole or visibly broken")
+{
+    replica_script next;
+    small_site site({}, [&](const received_request &) { return next; });
+    next = {.bytes = "HTTP/1.1 200 OK\r\nFoxtaildyke-Server-Stamp: s\r\nContent-Length: 50\r\n\r\ncut", .closes = true};
+    CHECK(site.ask(once("id-1")).head.status == 502);
+    next = {.bytes = "HTTP/1.1 200 OK\r\nFoxtaildyke-Server-Stamp: s\r\n\r\nno length", .resets = true};
+    CHECK(site.ask(once("id-2")).head.status == 502);
+    next = {.bytes = "HTTP/1.1 200 OK\r\nFoxtaildyke-Server-Stamp: s\r\n\r\nno length", .closes = true};
+    const auto unsized = site.ask(once("id-3"));
+    CHECK(unsized.head.status == 200);
+    CHECK(unsized.body == "no length");
+    next = {.bytes = answerText(200, "id-0", "of another request") + answerText(200, "id-4", "mine")};
+    CHECK(site.ask(once("id-4")).body == "mine");
+    next = {.bytes = answerText(200, "id-5", "mine") + "bytes that belong to nothing"};
+    CHECK(site.ask(once("id-5")).body == "mine");
+    next = {.bytes = answerText(200, "id-6", "after them")};
+    CHECK(site.ask(once("id-6")).body == "after them");
+    next = {.bytes = answerText(200, "id-7", "packed", "Content-Encoding: gzip\r\n")};
+    CHECK(site.ask(once("id-7")).head.status == 502);
+}
+
+TEST_CASE("gateway process: what may be sent again after a replica failed")
+{
+    replica_script next;
+    small_site site({}, [&](const received_request &) { return next; });
+    next = {.bytes = "", .resets = true};
+    CHECK(site.ask(once("id-1")).head.status == 502);
+    CHECK(site.replica.requests.size() == 1); // it may have run
+    CHECK(site.ask(safe("id-2")).head.status == 502);
+    CHECK(site.replica.requests.size() == 3);
+    next = {.bytes = notRunText()};
+    const auto refused = site.ask(once("id-3"));
+    CHECK(refused.head.status == 503);
+    CHECK_FALSE(refused.head.header("Retry-After").empty());
+    CHECK(site.replica.requests.size() == 5);
+}
+
+TEST_CASE("gateway process: a stream goes on at another replica, and a replica comes back under its id elsewhere")
+{
+    gateway_process gateway;
+    const auto script = [](const received_request &request) {
+        const auto after = request.head.header("Last-Event-Id");
+        const int first = after.empty() ? 1 : std::stoi(std::string(after)) + 1;
+        if (first > 4)
+            return replica_script{streamText("id-1", first, 9)};
+        return replica_script{.bytes = streamText("id-1", first, first + 3, false) + "5\r\nid: 9\r\n", .resets = true};
+    };
+    gateway.publish(1);
+    auto one = std::make_unique<scripted_replica>(gateway.loop, "r1", script);
+    scripted_replica two(gateway.loop, "r2", script);
+    gateway.registerReplica(*one);
+    gateway.registerReplica(two);
+    REQUIRE(gateway.startReady());
+    const auto answer = gateway.ask(requestText("POST", "/stream/x", "id-1"));
+    CHECK(answer.isWhole);
+    CHECK(answer.body == eventsText(1, 9));
+
+    one.reset();
+    scripted_replica again(gateway.loop, "r1", echoAnswer);
+    gateway.registerReplica(again, "v1", "ready", 1'700'000'009'000);
+    gateway.store.remove("servers", "r2");
+    REQUIRE(gateway.waitForLog("replica_removed", "r2"));
+    CHECK(gateway.ask(once("id-2")).head.status == 200);
+    CHECK(again.requests.size() == 1);
+}
+
+TEST_CASE("gateway process: a replica that says it leaves gets nothing more")
+{
+    small_site site;
+    scripted_replica other(site.loop, "r2", echoAnswer);
+    site.registerReplica(other);
+    site.registerReplica(site.replica, "v1", "draining");
+    REQUIRE(site.waitForLog("replica_changed", "\"draining\":true"));
+    for (int i = 0; i < 10; ++i)
+        CHECK(site.ask(once("id-" + std::to_string(i))).head.status == 200);
+    CHECK(site.replica.requests.empty());
+    CHECK(other.requests.size() == 10);
+}
+
+TEST_CASE("gateway process: the replica learns at once that the caller has left")
+{
+    small_site site({}, [](const received_request &) { return replica_script{.bytes = "", .delay = 30s}; });
+    scripted_caller caller(site.loop, site.callerPort);
+    caller.send(requestText("POST", "/stream/x", "id-1"));
+    REQUIRE(site.runUntil([&] { return site.replica.requests.size() == 1; }));
+    caller.close();
+    CHECK(site.runUntil([&] { return site.replica.connectionsLost == 1; }));
+    CHECK(site.waitForLog("\"request_id\":\"id-1\"", "caller_gone"));
+}
+
+TEST_CASE("gateway process: low confidence is answered by the largest model, before the caller sees anything")
+{
+    small_site site({}, [](const received_request &request) {
+        const bool isSmall = request.head.header("Foxtaildyke-Model") == "small";
+        const std::string confidence = isSmall ? "20" : "90";
+        return replica_script{.bytes = streamText(idOf(request), 1, isSmall ? 1 : 2, !isSmall,
+                                                  "Foxtaildyke-Confidence: " + confidence + "\r\n")};
+    });
+    for (int i = 0; i < 3; ++i) // requests that give the budget room for a repeat
+        CHECK(site.ask(requestText("POST", "/stream/x", "id-" + std::to_string(i))).isWhole);
+    CHECK(site.ask(requestText("POST", "/sized/x", "id-9", "Foxtaildyke-Model: *\r\n")).body == eventsText(1, 2));
+    CHECK(site.replica.requests.back().head.header("Foxtaildyke-Model") == "large");
+}
+
+TEST_CASE("gateway process: repeats of failures stay within the budget")
+{
+    gateway_process gateway("retry_ratio = 0.2\n");
+    scripted_replica replica(gateway.loop, "r1",
+                             [](const received_request &) { return replica_script{.bytes = "", .resets = true}; });
+    gateway.publish(1);
+    gateway.registerReplica(replica);
+    REQUIRE(gateway.startReady());
+    constexpr int kRequests = 60;
+    for (int i = 0; i < kRequests; ++i)
+        gateway.ask(safe("id-" + std::to_string(i)));
+    // 0.2 of the requests and a sixteenth of the slack of 160.
+    CHECK(replica.requests.size() > kRequests);
+    CHECK(replica.requests.size() <= kRequests + 12 + 10);
+}
+
+TEST_CASE("gateway process: a roll-out is carried out and recorded, whatever becomes of the writes")
+{
+    for (const auto fate : {write_fate::answered, write_fate::unanswered, write_fate::late}) {
+        small_site site;
+        scripted_replica newer(site.loop, "r2", echoAnswer);
+        site.store.fate = fate;
+        site.registerReplica(newer, "v2");
+        site.store.put("rollouts", "s", {{"service", "s"}, {"target", "v2"}, {"duration_s", 20}});
+        CHECK(site.runUntil([&] {
+            site.ask(once("id"));
+            return rolloutState(site) == "in_progress" && !newer.requests.empty();
+        }));
+    }
+}
+
+TEST_CASE("gateway process: a version that fails is rolled back, and gets nothing more")
+{
+    small_site site;
+    scripted_replica newer(site.loop, "r2", [](const received_request &request) {
+        return replica_script{answerText(500, idOf(request), "bad")};
+    });
+    site.registerReplica(newer, "v2");
+    site.store.put("rollouts", "s", {{"service", "s"}, {"target", "v2"}, {"duration_s", 20}});
+    int asked = 0;
+    REQUIRE(site.runUntil([&] {
+        site.ask(once("id-" + std::to_string(++asked)));
+        return rolloutState(site) == "rolled_back";
+    }));
+    REQUIRE(site.waitForLog("rollout_state", "rolled_back"));
+    const auto before = newer.requests.size();
+    CHECK(before <= 50); // answers of a bad version within which it must be found out
+    for (int i = 0; i < 50; ++i)
+        CHECK(site.ask(once("after-" + std::to_string(i))).head.status == 200);
+    CHECK(newer.requests.size() == before);
+}
+
+TEST_CASE("gateway process: a planned stop ends what has begun and takes nothing new")
+{
+    small_site site({}, [](const received_request &request) {
+        return replica_script{.bytes = answerText(200, idOf(request), "late"), .delay = 1500ms};
+    });
+    scripted_caller caller(site.loop, site.callerPort);
+    caller.send(once("id-1"));
+    REQUIRE(site.runUntil([&] { return site.replica.requests.size() == 1; }));
+    site.signal(SIGTERM);
+    REQUIRE(site.runUntil([&] { return site.readiness() != 200; }));
+    CHECK(site.waitExit() == 0);
+    CHECK(site.runUntil([&] { return !caller.answers.empty() && caller.answers[0].isWhole; }));
+    CHECK(caller.answers[0].head.status == 200);
+    CHECK(site.hasLogged("\"event\":\"stop_begun\"", "connections"));
+}
+
+TEST_CASE("gateway process: after a kill it serves again, and a changed settings file doesn't disturb it")
+{
+    small_site site;
+    CHECK(site.ask(once("id-1")).head.status == 200);
+    site.process().kill();
+    CHECK_FALSE(site.ask(once("id-2")).isWhole);
+    REQUIRE(site.startReady());
+    CHECK(site.ask(once("id-3")).head.status == 200);
+    site.signal(SIGHUP);
+    REQUIRE(site.waitForLog("\"event\":\"reload\"", "settings"));
+    CHECK(site.ask(once("id-4")).head.status == 200);
+}
+
+TEST_CASE("gateway process: settings that can't be used are refused with the field's name")
+{
+    gateway_process gateway("retry_ratio = many\n");
+    gateway.start();
+    CHECK(gateway.waitExit().value_or(0) != 0);
+    CHECK(gateway.hasLogged("gateway/retry_ratio", ""));
+}
--- a/tests/gateway_harness.cpp
+++ b/tests/gateway_harness.cpp
@@ -50,6 +50,7 @@
     connection(event_loop &loop, int socket, scripted_replica &owner)
         : replica(owner)
         , timer(loop, [this] { answer(); })
+        , resetTimer(loop, [this] { reset(); })
         , stream(loop, socket,
                  stream_socket::handlers{.onConnected = {},
                                          .onReadable = [this] { onReadable(); },
@@ -92,8 +93,11 @@
 
     void onDrained()
     {
+        // A connection reports once that nothing is pending before anything was written.
+        if (isOpen)
+            return;
         if (script.resets)
-            replica.m_loop.after(std::chrono::milliseconds(5), [this] { reset(); });
+            resetTimer.start(std::chrono::milliseconds(5));
         else if (script.closes)
             stream.shutdownWrite();
     }
@@ -109,6 +113,7 @@
     replica_script script;
     bool isOpen = false; ///< a request waits for its answer
     loop_timer timer;
+    loop_timer resetTimer;
     stream_socket stream;
 };
 
@@ -123,7 +128,8 @@
     const auto onAccept = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self) {
         static_cast<scripted_replica *>(self)->accept(socket);
     };
-    m_listener = evconnlistener_new_bind(loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+    m_listener = evconnlistener_new_bind(loop.base(), onAccept, this,
+                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, -1,
                                          reinterpret_cast<sockaddr *>(&address), sizeof(address));
     REQUIRE(m_listener);
     socklen_t size = sizeof(address);
@@ -229,7 +235,7 @@
     feed.listener->onReplicaList(std::move(replicas));
 }
 
-bool gateway_harness::runUntil(const std::function<bool()> &condition)
+bool test_loop::runUntil(const std::function<bool()> &condition)
 {
     const auto limit = suspendAwareNow() + kHangLimit;
     loop_timer pulse(loop, [] {});
@@ -242,7 +248,7 @@
     return true;
 }
 
-void gateway_harness::runFor(std::chrono::milliseconds time)
+void test_loop::runFor(std::chrono::milliseconds time)
 {
     const auto end = suspendAwareNow() + time;
     runUntil([end] { return suspendAwareNow() >= end; });
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -86,10 +86,21 @@
     std::unique_ptr<stream_socket> m_socket;
 };
 
-struct gateway_harness {
+/// An event loop that a test runs until something has happened.
+struct test_loop {
+    event_loop loop;
+
+    /// Runs the loop until the condition holds. @returns false where it never does (the limit only ends a hanging
+    /// test).
+    bool runUntil(const std::function<bool()> &condition);
+
+    /// Runs the loop for a time.
+    void runFor(std::chrono::milliseconds time);
+};
+
+struct gateway_harness : test_loop {
     explicit gateway_harness(gateway_settings settings = makeSettings());
 
-    event_loop loop;
     scripted_feed feed;
     gateway_task task;
 
@@ -99,13 +110,6 @@
     static std::shared_ptr<gateway_config> makeConfig(generation_number version = 1);
     void publish(const std::shared_ptr<gateway_config> &config);
     void publishReplicas(std::vector<replica_entry> replicas);
-
-    /// Runs the loop until the condition holds. @returns false where it never does (the limit only ends a hanging
-    /// test).
-    bool runUntil(const std::function<bool()> &condition);
-
-    /// Runs the loop for a time.
-    void runFor(std::chrono::milliseconds time);
 };
 
 /// @returns a request with key, id and deadline.
--- /dev/null
+++ b/tests/gateway_process.cpp
@@ -0,0 +1,171 @@
+// The gateway's program as a process; see gateway_process.h.
+#include "gateway_process.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr const char *kLoopback = "127.0.0.1:";
+
+json routeSpec(const std::string &prefix, const char *type, int attempts)
+{
+    return {{"name", prefix},
+            {"hostname", "h.example"},
+            {"path_prefix", prefix},
+            {"route_type", type},
+            {"timeout_ms", 3000},
+            {"target_latency_ms", 1000},
+            {"priority", 0},
+            {"max_attempts", attempts},
+            {"traffic_split", {{{"service", "s"}, {"weight", 1}}}},
+            {"resumable", type == std::string_view("stream")}};
+}
+
+std::string makeDirectory()
+{
+    std::string pattern = std::filesystem::temp_directory_path() / "foxtaildyke-gateway-XXXXXX";
+    REQUIRE(::mkdtemp(pattern.data()));
+    return pattern;
+}
+
+} // namespace
+
+gateway_process::gateway_process(std::string moreSettings)
+    : callerPort(testing::freePort())
+    , m_directory(makeDirectory())
+    , m_readinessPort(testing::freePort())
+    , m_metricsPort(testing::freePort())
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    writeSettings(moreSettings);
+}
+
+void gateway_process::writeSettings(const std::string &moreSettings) const
+{
+    std::ofstream file(m_directory + "/gateway.ini");
+    file << "[gateway]\n"
+         << moreSettings << "host = host-1\nfailure_domain = d1\nlisten = " << kLoopback << callerPort
+         << "\nreadiness = " << kLoopback << m_readinessPort << "\nmetrics = " << kLoopback << m_metricsPort
+         << "\nplatform = " << kLoopback << store.endpoint.port
+         << "\nretry_slack = 160\nconfig_watch_ms = 300\nreplica_watch_ms = 300\n";
+}
+
+void gateway_process::start()
+{
+    m_process.reset();
+    m_process =
+        std::make_unique<testing::child_process>(std::vector<std::string>{FOXTAILDYKE_BINARY_DIR "/foxtaildyke-gateway",
+                                                                          "--config", m_directory + "/gateway.ini"},
+                                                 m_directory + "/log");
+}
+
+bool gateway_process::startReady()
+{
+    start();
+    return runUntil([this] { return readiness() == 200; });
+}
+
+std::optional<int> gateway_process::waitExit()
+{
+    if (!runUntil([this] { return !m_process->isRunning(); }))
+        return std::nullopt;
+    return m_process->waitExit();
+}
+
+json gateway_process::makeConfigSpec(generation_number version, const std::vector<std::string> &keys)
+{
+    auto sized = routeSpec("/sized/", "stream", 3);
+    sized["sizes"] = {"small", "medium", "large"};
+    return {
+        {"version", version},
+        {"routes",
+         {routeSpec("/safe/", "safe", 2), routeSpec("/once/", "unsafe", 2), routeSpec("/stream/", "stream", 3), sized}},
+        {"services", {{{"name", "s"}, {"health_path", "/health"}}}},
+        {"limits", {{"max_header_bytes", 4000}, {"max_body_bytes", 100'000}, {"header_timeout_ms", 600}}},
+        {"tenants", {{{"name", "account-1"}, {"api_keys", keys}}}}};
+}
+
+void gateway_process::publish(generation_number version, const std::vector<std::string> &keys)
+{
+    store.put("config", "main", makeConfigSpec(version, keys));
+}
+
+void gateway_process::publishWithoutSafe(generation_number version)
+{
+    auto spec = makeConfigSpec(version, {"key-1"});
+    spec["routes"].erase(0);
+    store.put("config", "main", spec);
+}
+
+void gateway_process::registerReplica(const scripted_replica &replica, const std::string &version,
+                                      const std::string &state, std::int64_t startedAtMs)
+{
+    const auto entry = replica.entry("s", version);
+    store.put("servers", entry.id,
+              {{"service", entry.service},
+               {"address", entry.address.address + ':' + std::to_string(entry.address.port)},
+               {"zone", entry.failureDomain},
+               {"version", entry.version},
+               {"batch_slots", entry.slots},
+               {"state", state},
+               {"born", startedAtMs}});
+}
+
+received_answer gateway_process::ask(const std::string &request)
+{
+    scripted_caller caller(loop, callerPort);
+    caller.send(request);
+    runUntil([&] {
+        return caller.isClosed || caller.hasMalformed() || (!caller.answers.empty() && caller.answers[0].isWhole);
+    });
+    return caller.answers.empty() ? received_answer{} : caller.answers[0];
+}
+
+http_reply gateway_process::get(std::uint16_t port, const std::string &path)
+{
+    std::optional<http_reply> reply;
+    http_request call;
+    call.endpoint = {"127.0.0.1", port};
+    call.path = path;
+    http_handlers handlers;
+    handlers.onDone = [&reply](const http_reply &done) {
+        reply = done;
+    };
+    m_client.start(std::move(call), std::move(handlers));
+    runUntil([&reply] { return reply.has_value(); });
+    return reply.value_or(http_reply{});
+}
+
+int gateway_process::readiness()
+{
+    return get(m_readinessPort, "/v1/readyz").status;
+}
+
+std::string gateway_process::metrics()
+{
+    return get(m_metricsPort, "/metrics").body;
+}
+
+bool gateway_process::hasLogged(std::string_view first, std::string_view second) const
+{
+    std::ifstream file(m_directory + "/log");
+    for (std::string line; std::getline(file, line);)
+        if (line.find(first) != std::string::npos && line.find(second) != std::string::npos)
+            return true;
+    return false;
+}
+
+bool gateway_process::waitForLog(std::string_view first, std::string_view second)
+{
+    return runUntil([&] { return hasLogged(first, second); });
+}
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/tests/gateway_process.h
@@ -0,0 +1,61 @@
+// The gateway's program as a process of its own, between a stand-in of the store, scripted replicas and scripted
+// callers that live in the test's process.
+#pragma once
+
+#include "failure_support.h"
+#include "gateway_harness.h"
+#include "standin_store.h"
+
+namespace foxtaildyke
+{
+
+class gateway_process : public test_loop
+{
+public:
+    /// @param moreSettings lines of the section [gateway] that go before the usual ones.
+    explicit gateway_process(std::string moreSettings = {});
+
+    standin_store store{loop};
+    std::uint16_t callerPort = 0;
+
+    /// Starts the program; returns at once.
+    void start();
+    /// Starts the program and waits until it is ready. @returns whether it is.
+    bool startReady();
+
+    [[nodiscard]] testing::child_process &process() { return *m_process; }
+    void signal(int number) const { m_process->signal(number); }
+    /// Runs the loop until the process ends. @returns its exit code.
+    std::optional<int> waitExit();
+
+    /// Publishes the configuration of gateway_harness::makeConfig(), with the keys given.
+    void publish(generation_number version, const std::vector<std::string> &keys = {"key-1"});
+    /// Publishes it without the route /safe/.
+    void publishWithoutSafe(generation_number version);
+    void registerReplica(const scripted_replica &replica, const std::string &version = "v1",
+                         const std::string &state = "ready", std::int64_t startedAtMs = 1'700'000'000'000);
+
+    /// Sends a request on a new connection. @returns its answer, or one that is not whole where the connection ended.
+    received_answer ask(const std::string &request);
+    /// @returns the status of GET on the readiness address; 0: no answer.
+    int readiness();
+    /// @returns the text of the metrics address.
+    std::string metrics();
+    /// @returns whether the log has a line with both texts.
+    [[nodiscard]] bool hasLogged(std::string_view first, std::string_view second) const;
+    /// Waits until the log has such a line.
+    bool waitForLog(std::string_view first, std::string_view second);
+
+private:
+    http_reply get(std::uint16_t port, const std::string &path);
+    [[nodiscard]] static nlohmann::json makeConfigSpec(generation_number version, const std::vector<std::string> &keys);
+    void writeSettings(const std::string &moreSettings) const;
+
+    std::string m_directory;
+    std::uint16_t m_readinessPort = 0;
+    std::uint16_t m_metricsPort = 0;
+    http_client m_client{loop};
+    std::unique_ptr<testing::child_process> m_process;
+};
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/tests/standin_store.cpp
@@ -0,0 +1,226 @@
+// Stand-in of the platform's object store; see standin_store.h.
+#include "standin_store.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtaildyke
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kGone = 410;
+constexpr int kLimited = 429;
+constexpr int kUnavailable = 503;
+constexpr const char *kPrefix = "/v1/objects/";
+
+std::uint64_t numberIn(const std::map<std::string, std::string> &query, const char *name)
+{
+    const auto found = query.find(name);
+    return found == query.end() ? 0 : std::stoull(found->second);
+}
+
+std::vector<std::string> splitPath(const std::string &path)
+{
+    std::vector<std::string> parts;
+    std::istringstream text(path.substr(std::string_view(kPrefix).size()));
+    for (std::string part; std::getline(text, part, '/');)
+        parts.push_back(part);
+    return parts;
+}
+
+} // namespace
+
+standin_store::standin_store(event_loop &loop)
+    : m_loop(loop)
+    , m_server(loop, [this](const http_exchange_ptr &exchange) { serve(exchange); })
+{
+    const auto port = m_server.listen(endpoint);
+    REQUIRE(port.has_value());
+    endpoint.port = port.value();
+}
+
+json standin_store::render(const std::string &name, const stored_object &object)
+{
+    return {{"metadata", {{"name", name}, {"revision", object.revision}, {"created", object.created}}},
+            {"spec", object.spec},
+            {"status", object.status}};
+}
+
+std::uint64_t standin_store::put(const std::string &kind, const std::string &name, json spec)
+{
+    auto &object = m_objects[kind][name];
+    object.spec = std::move(spec);
+    note(kind, name, false);
+    return m_revision;
+}
+
+void standin_store::remove(const std::string &kind, const std::string &name)
+{
+    note(kind, name, true);
+    m_objects[kind].erase(name);
+}
+
+json standin_store::statusOf(const std::string &kind, const std::string &name) const
+{
+    const auto objects = m_objects.find(kind);
+    if (objects == m_objects.end() || !objects->second.contains(name))
+        return {};
+    return objects->second.at(name).status;
+}
+
+/// Gives an object its next revision, and wakes the watches of its kind.
+void standin_store::note(const std::string &kind, const std::string &name, bool isRemoved)
+{
+    auto &object = m_objects[kind][name];
+    object.revision = ++m_revision;
+    if (object.created == 0)
+        object.created = m_revision;
+    m_changes.push_back({m_revision, kind, name, isRemoved, render(name, object)});
+    std::erase_if(m_waiting, [this](const auto &watch) { return answerWatch(watch, false); });
+}
+
+void standin_store::forgetHistory()
+{
+    m_changes.clear();
+    m_oldest = ++m_revision;
+    for (auto &watch : std::exchange(m_waiting, {}))
+        watch.exchange->drop();
+}
+
+void standin_store::setMood(store_mood mood)
+{
+    m_mood = mood;
+    for (auto &exchange : std::exchange(m_unanswered, {}))
+        exchange->drop();
+    for (auto &watch : std::exchange(m_waiting, {}))
+        watch.exchange->drop();
+}
+
+void standin_store::serve(const http_exchange_ptr &exchange)
+{
+    ++calls;
+    if (refuse(exchange))
+        return;
+    if (!exchange->path.starts_with(kPrefix))
+        return exchange->reply(kNotFound, {});
+    const auto parts = splitPath(exchange->path);
+    const bool isStatus = parts.size() == 3 && parts[2] == "status";
+    if (exchange->method == http_method::put && parts.size() >= 2)
+        return serveWrite(parts[0], parts[1], isStatus, exchange);
+    if (exchange->method != http_method::get || parts.size() != 1)
+        return exchange->reply(kNotFound, {});
+    if (exchange->query.contains("watch"))
+        return serveWatch(parts[0], exchange);
+    serveList(parts[0], exchange);
+}
+
+/// @returns whether the mood has dealt with the call.
+bool standin_store::refuse(const http_exchange_ptr &exchange)
+{
+    if (m_mood == store_mood::refusing)
+        exchange->reply(kUnavailable, {});
+    else if (m_mood == store_mood::limiting)
+        exchange->reply(kLimited, {});
+    else if (m_mood == store_mood::dropping)
+        exchange->drop();
+    else if (m_mood == store_mood::silent)
+        m_unanswered.push_back(exchange);
+    return m_mood != store_mood::serving;
+}
+
+void standin_store::serveList(const std::string &kind, const http_exchange_ptr &exchange)
+{
+    ++lists;
+    const auto after = exchange->query.find("after");
+    json items = json::array();
+    bool isTruncated = false;
+    for (const auto &[name, object] : m_objects[kind]) {
+        if (after != exchange->query.end() && name <= after->second)
+            continue;
+        isTruncated = items.size() == pageItems;
+        if (isTruncated)
+            break;
+        items.push_back(render(name, object));
+    }
+    exchange->reply(kOk, json{{"items", items}, {"truncated", isTruncated}, {"at", m_revision}}.dump());
+}
+
+void standin_store::serveWatch(const std::string &kind, const http_exchange_ptr &exchange)
+{
+    const auto after = numberIn(exchange->query, "watch");
+    if (after < m_oldest) {
+        ++goneAnswers;
+        return exchange->reply(kGone, {});
+    }
+    const waiting_watch watch{kind, after, exchange};
+    if (answerWatch(watch, false))
+        return;
+    m_waiting.push_back(watch);
+    const auto isThis = [exchange](const auto &other) {
+        return other.exchange == exchange;
+    };
+    m_loop.after(std::chrono::milliseconds(numberIn(exchange->query, "wait_ms")), [this, isThis] {
+        const auto found = std::ranges::find_if(m_waiting, isThis);
+        if (found == m_waiting.end())
+            return;
+        answerWatch(*found, true);
+        m_waiting.erase(found);
+    });
+}
+
+/// @returns whether the watch was answered: there are changes, or its wait has ended.
+bool standin_store::answerWatch(const waiting_watch &watch, bool isDue)
+{
+    json events = json::array();
+    for (const auto &entry : m_changes)
+        if (entry.kind == watch.kind && entry.revision > watch.after)
+            events.push_back({{"object", entry.object}, {"removed", entry.isRemoved}});
+    if (events.empty() && !isDue)
+        return false;
+    watch.exchange->reply(kOk, json{{"events", events}, {"at", m_revision}}.dump());
+    return true;
+}
+
+void standin_store::serveWrite(const std::string &kind, const std::string &name, bool isStatus,
+                               const http_exchange_ptr &exchange)
+{
+    const auto body = json::parse(exchange->body, nullptr, false);
+    if (fate == write_fate::late) {
+        m_unanswered.push_back(exchange);
+        m_loop.after(writeDelay, [this, kind, name, isStatus, body] { write(kind, name, isStatus, body); });
+        return;
+    }
+    const int status = write(kind, name, isStatus, body);
+    if (fate == write_fate::unanswered)
+        m_unanswered.push_back(exchange);
+    else
+        exchange->reply(status, {});
+}
+
+int standin_store::write(const std::string &kind, const std::string &name, bool isStatus, const json &body)
+{
+    if (body.is_discarded())
+        return kNotFound;
+    const bool isNew = !m_objects[kind].contains(name);
+    if (isNew && isStatus)
+        return kNotFound;
+    auto &object = m_objects[kind][name];
+    const auto wanted = body.value("metadata", json::object()).value("revision", object.revision);
+    if (wanted != object.revision)
+        return kConflict;
+    auto &part = isStatus ? object.status : object.spec;
+    const auto value = body.value(isStatus ? "status" : "spec", json());
+    if (!isNew && part == value)
+        return kOk;
+    part = value;
+    note(kind, name, false);
+    return kOk;
+}
+
+} // namespace foxtaildyke
