Relays read the store for large fleets; a large service skips a roll-out's first stage

Calls: the hosts that every settings file names as first contacts read the store for the others, which ask them in one call for all kinds. A host follows a relay only where at least six hosts ask it (so small fleets read the store as before), and reads the store itself again at once when the relay gives no answer, refuses, or is silent for 0.9 s. A relay refuses when its last answer of the store is older than 1.3 s or any call of its own has failed. Ruled out: longer watches (the key lease needs an answer in under 4 s), stale reads (drain bounds of 2 s).

Nearly each request of a session reaches another host there (1,854 of 1,878 pairs), so that the memory of a host doesn't help; 6 sessions of those under way at the beginning changed. Services of more than 30 replicas now begin with the second stage, in the second half. The share is recorded with the order, so that all hosts use the same.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -1,7 +1,10 @@
 # The gateway: what runs on the users' platform. It links neither gRPC nor the router's own API.
 add_library(foxtaildyke-gateway-lib STATIC
     platform/decode.cpp
+    platform/feed_relay.cpp
+    platform/kind_mirror.cpp
     platform/store_feed.cpp
+    platform/store_feed_relayed.cpp
     platform/wire_names.cpp
     src/attempt_rules.cpp
     src/caller_connection.cpp
@@ -17,6 +20,7 @@
     src/header_text.cpp
     src/http_parser.cpp
     src/model_ladder.cpp
+    src/relay_choice.cpp
     src/replica_registry.cpp
     src/replica_table.cpp
     src/retry_budget.cpp
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -2,7 +2,7 @@
 find_package(doctest CONFIG REQUIRED)
 file(GLOB unit_tests CONFIGURE_DEPENDS tests/test_*.cpp)
 add_executable(foxtaildyke-tests tests/tests_main.cpp tests/freshness_sim.cpp tests/gateway_harness.cpp
-    tests/relay_bus.cpp ${unit_tests})
+    tests/relay_bus.cpp tests/standin_store.cpp tests/failure_support.cpp ${unit_tests})
 target_link_libraries(foxtaildyke-tests PRIVATE foxtaildyke-adapters foxtaildyke-gateway-lib rapidcheck)
 target_compile_definitions(foxtaildyke-tests PRIVATE FOXTAILDYKE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
 
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -252,6 +252,8 @@
         {"ms", duration.count() / 1000},
         {"first_ms", m_firstEventAt ? (*m_firstEventAt - m_request.readAt).count() / 1000 : -1},
         {"sends", m_sends}};
+    if (m_facts.session != 0)
+        fields["session"] = m_facts.session;
     if (m_account)
         fields["account"] = m_account->name;
     if (!m_replica.empty()) {
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -2,6 +2,7 @@
 #include "gateway_settings_p.h"
 
 #include <charconv>
+#include <sstream>
 
 namespace foxtaildyke
 {
@@ -10,8 +11,9 @@
 {
 
 using setting_member = std::variant<std::string gateway_settings::*, http_endpoint gateway_settings::*,
-                                    double gateway_settings::*, std::uint32_t gateway_settings::*,
-                                    bool gateway_settings::*, std::chrono::milliseconds gateway_settings::*>;
+                                    std::vector<http_endpoint> gateway_settings::*, double gateway_settings::*,
+                                    std::uint32_t gateway_settings::*, bool gateway_settings::*,
+                                    std::chrono::milliseconds gateway_settings::*>;
 
 struct setting_key {
     std::string_view name;
@@ -32,6 +34,9 @@
     setting_key{"readiness", &g::readiness, "IP:port", 0, 0, true, "Address at which the balancer asks."},
     setting_key{"metrics", &g::metrics, "IP:port", 0, 0, false, "Address of /metrics."},
     setting_key{"platform", &g::platform, "IP:port", 0, 0, true, "Address of the store."},
+    setting_key{"relay", &g::relay, "IP:port", 0, 0, false,
+                "Address at which this host reads the store for others, if it is one of the relays."},
+    setting_key{"relays", &g::relays, "IP:port,...", 0, 0, false, "Hosts that may read the store for others."},
     setting_key{"log", &g::log, "path", 1, 256, false, "File to append to, or - for standard output."},
     setting_key{"log_lines_per_second", &g::logLinesPerSecond, "lines/s", 1, 1e6, false,
                 "Lines beyond this are dropped and counted."},
@@ -91,6 +96,19 @@
     return endpoint.has_value();
 }
 
+bool assignEndpoints(gateway_settings &settings, std::vector<http_endpoint> gateway_settings::*member,
+                     const std::string &text)
+{
+    std::istringstream parts(text);
+    for (std::string part; std::getline(parts, part, ',');) {
+        const auto endpoint = parseEndpoint(part);
+        if (!endpoint)
+            return false;
+        (settings.*member).push_back(*endpoint);
+    }
+    return true;
+}
+
 bool assignFlag(gateway_settings &settings, bool gateway_settings::*member, const std::string &text)
 {
     settings.*member = text == "true";
@@ -110,6 +128,8 @@
         return assignText(settings, key, *member, text);
     if (const auto *member = std::get_if<http_endpoint g::*>(&key.member))
         return assignEndpoint(settings, *member, text);
+    if (const auto *member = std::get_if<std::vector<http_endpoint> g::*>(&key.member))
+        return assignEndpoints(settings, *member, text);
     if (const auto *member = std::get_if<bool g::*>(&key.member))
         return assignFlag(settings, *member, text);
     const auto value = numberOf(text);
--- a/src/gateway_settings_p.h
+++ b/src/gateway_settings_p.h
@@ -16,6 +16,8 @@
     http_endpoint readiness;
     http_endpoint metrics; ///< port 0 with an empty address: not served
     http_endpoint platform; ///< store
+    http_endpoint relay; ///< where this host would read the store for others; port 0: nowhere
+    std::vector<http_endpoint> relays; ///< hosts that may do so
     std::string log = "-";
     std::uint32_t logLinesPerSecond = 400;
     std::chrono::milliseconds grace{8000}; ///< from SIGTERM to SIGKILL
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -252,7 +252,10 @@
     const auto now = suspendAwareNow();
     std::uniform_int_distribution<std::int64_t> spread(0, kRolloutPause.count());
     m_nextRolloutCheck = now + kRolloutPause + std::chrono::milliseconds{spread(m_state.random)};
-    const auto next = m_state.rollouts.nextState(now);
+    const auto replicasOf = [this](const rollout_order &order) {
+        return m_state.replicas.countOf(order.service, order.target);
+    };
+    const auto next = m_state.rollouts.nextState(now, replicasOf);
     if (!next || !m_feed)
         return;
     m_log.write("rollout_decision",
@@ -260,6 +263,7 @@
                  {"target", next->target},
                  {"state", nameOf(next->state)},
                  {"stage", next->stage},
+                 {"first_share", next->firstShare.value_or(0)},
                  {"revision", next->revision}});
     m_feed->writeRollout(*next);
 }
--- /dev/null
+++ b/src/relay_choice.cpp
@@ -0,0 +1,50 @@
+// Choice between the store and a relay; see relay_choice_p.h.
+#include "relay_choice_p.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace foxtaildyke
+{
+
+relay_choice::relay_choice(const std::string &host, std::vector<http_endpoint> relays, const http_endpoint &own)
+    : m_isRelay(std::ranges::find(relays, own) != relays.end())
+{
+    const auto rank = [&host](const relay &entry) {
+        const auto text = host + '@' + entry.address.address + ':' + std::to_string(entry.address.port);
+        return XXH64(text.data(), text.size(), 0);
+    };
+    std::ranges::transform(relays, std::back_inserter(m_relays), [](auto &address) { return relay{address, {}}; });
+    std::ranges::sort(m_relays, {}, rank);
+}
+
+const http_endpoint *relay_choice::next(instant now) const
+{
+    if (m_isRelay)
+        return nullptr;
+    const auto isFree = [now](const relay &entry) {
+        return entry.heldUntil <= now;
+    };
+    const auto found = std::ranges::find_if(m_relays, isFree);
+    return found == m_relays.end() ? nullptr : &found->address;
+}
+
+void relay_choice::noteFailure(const http_endpoint &failed, instant now)
+{
+    const auto found = std::ranges::find(m_relays, failed, &relay::address);
+    if (found != m_relays.end())
+        found->heldUntil = now + kHold;
+}
+
+std::size_t relay_audience::size(instant now)
+{
+    std::erase_if(m_askedAt, [now](const auto &entry) { return now - entry.second > kMemory; });
+    return m_askedAt.size();
+}
+
+bool relay_audience::mayAnswer(std::optional<instant> confirmedAt, bool isWhole, instant now)
+{
+    return isWhole && confirmedAt && now - *confirmedAt <= kMostAge;
+}
+
+} // namespace foxtaildyke
--- a/src/rollout_policy.cpp
+++ b/src/rollout_policy.cpp
@@ -68,13 +68,23 @@
     return entry->second.isOnOld;
 }
 
+double rollout_policy::firstShareFor(std::size_t replicas)
+{
+    return replicas > kMostReplicasForFirstStage ? 0 : kStageShares[0];
+}
+
+double rollout_policy::shareOf(const rollout_order &order)
+{
+    const auto stage = std::min<std::size_t>(order.stage, kStageShares.size() - 1);
+    return stage == 0 ? order.firstShare.value_or(kStageShares[0]) : kStageShares[stage];
+}
+
 version_choice rollout_policy::choose(const std::string &service, std::uint64_t key, instant now)
 {
     const auto found = m_trials.find(service);
     const bool isOnTrial = found != m_trials.end() && !isDecided(found->second.order);
     const bool mayTakeNew = isOnTrial && found->second.order.state == rollout_state::in_progress;
-    const auto stage = mayTakeNew ? std::min<std::size_t>(found->second.order.stage, kStageShares.size() - 1) : 0;
-    const bool isInShare = mayTakeNew && unitOf(key) < kStageShares[stage];
+    const bool isInShare = mayTakeNew && unitOf(key) < shareOf(found->second.order);
     const bool isOld = beganOnOld(key, isInShare, now);
     if (found == m_trials.end())
         return {};
@@ -82,7 +92,7 @@
     if (order.state == rollout_state::completed)
         return {order.target, {}};
     const bool isStopped = order.state == rollout_state::rolled_back || found->second.isRejected;
-    if (isStopped || !isInShare || (isOld && stage == 0))
+    if (isStopped || !isInShare || (isOld && order.stage == 0))
         return {{}, order.target};
     return {order.target, {}};
 }
@@ -127,7 +137,7 @@
     target.isRejected = target.isRejected || (target.score >= kRejectScore && isWidespread);
 }
 
-std::optional<rollout_order> rollout_policy::nextState(instant now)
+std::optional<rollout_order> rollout_policy::nextState(instant now, const replica_counter &replicasOf)
 {
     for (auto &[service, active] : m_trials) {
         auto next = active.order;
@@ -139,6 +149,7 @@
         }
         if (next.state == rollout_state::ordered) {
             next.state = rollout_state::in_progress;
+            next.firstShare = firstShareFor(replicasOf(next));
             return next;
         }
         const auto stage = std::min<std::size_t>(next.stage, kStageEnds.size() - 1);
--- a/src/rollout_policy_p.h
+++ b/src/rollout_policy_p.h
@@ -30,6 +30,8 @@
     std::optional<std::chrono::microseconds> latency;
 };
 
+using replica_counter = std::function<std::size_t(const rollout_order &order)>;
+
 class rollout_policy
 {
 public:
@@ -45,12 +47,20 @@
     /// Takes an answer into account; of all services, so that there is a baseline when an order comes.
     void noteAnswer(const version_answer &answer);
 
+    /// @param replicasOf replicas of the old version that the service of an order has now.
     /// @returns the state to record next for a service, or nothing. Ask about once a second.
-    [[nodiscard]] std::optional<rollout_order> nextState(instant now);
+    [[nodiscard]] std::optional<rollout_order> nextState(instant now, const replica_counter &replicasOf);
+
+    /// @returns the share of the first stage. Sessions that are under way when it begins move from host to host, so
+    /// that a host may take one for new and change its version. Their number grows with the service.
+    [[nodiscard]] static double firstShareFor(std::size_t replicas);
 
     /// Share of requests that the new version gets in each stage. Bounds of the users: 0.0975 to 0.15 of all requests
     /// until the end of the order may meet a bad version.
     static constexpr std::array kStageShares{0.07, 0.22, 0.5, 1.0};
+    /// Replicas above which the new version gets nothing in the first stage: about one session for each of 90 replicas
+    /// was under way when it began, of which three may change their version.
+    static constexpr std::size_t kMostReplicasForFirstStage = 30;
     /// End of each stage as a part of the order's duration. The first half belongs to sessions that began before.
     static constexpr std::array kStageEnds{0.52, 0.60, 0.68, 0.85};
     /// Log likelihood ratio at which a version is rejected: three failures in a row at a base rate of 0.03.
@@ -84,6 +94,7 @@
     };
     [[nodiscard]] bool beganOnOld(std::uint64_t key, bool isInShare, instant now);
     void forgetSessions(instant now);
+    [[nodiscard]] static double shareOf(const rollout_order &order);
     void judge(trial &target, const version_answer &answer);
 
     std::chrono::milliseconds m_sessionGap; ///< requests of a session that are further apart don't belong together
--- /dev/null
+++ b/tests/feed_recorder.h
@@ -0,0 +1,40 @@
+// Listener to a feed that keeps what it was told.
+#pragma once
+
+#include "fleet_feed_p.h"
+
+namespace foxtaildyke
+{
+
+struct feed_recorder : fleet_listener {
+    std::vector<gateway_config_ptr> configs;
+    int confirmed = 0;
+    std::vector<std::string> replicas; ///< ids that hold
+    std::vector<rollout_order> orders;
+    std::vector<std::string> notes;
+    bool isReachable = false;
+
+    void onConfig(gateway_config_ptr config) override { configs.push_back(std::move(config)); }
+    void onConfigConfirmed(instant) override { ++confirmed; }
+    void onReplicaList(std::vector<replica_entry> list) override
+    {
+        replicas.clear();
+        for (const auto &entry : list)
+            replicas.push_back(entry.id);
+    }
+    void onReplicaChanged(replica_entry replica) override
+    {
+        onReplicaRemoved(replica.id);
+        replicas.push_back(replica.id);
+    }
+    void onReplicaRemoved(const std::string &id) override { std::erase(replicas, id); }
+    void onRollouts(const std::vector<rollout_order> &all) override { orders = all; }
+    void onFeedReachable(bool isNow) override { isReachable = isNow; }
+    void onFeedNote(std::string_view type, const std::string &subject, const std::string &) override
+    {
+        notes.push_back(std::string(type) + ' ' + subject);
+    }
+    [[nodiscard]] bool hasNote(const std::string &note) const { return std::ranges::find(notes, note) != notes.end(); }
+};
+
+} // namespace foxtaildyke
--- /dev/null
+++ b/tests/test_feed_relay.cpp
@@ -0,0 +1,206 @@
+// Hosts that read the store for others: who follows them, what is handed on, and what happens when one is lost.
+#include "failure_support.h"
+#include "feed_recorder.h"
+#include "gateway_harness.h"
+#include "standin_store.h"
+#include "store_feed.h"
+
+using namespace foxtaildyke;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const http_endpoint kOne{"10.0.0.1", 7};
+const http_endpoint kTwo{"10.0.0.2", 7};
+
+platform::item_event change(const std::string &name, std::uint64_t revision, bool isRemoved = false)
+{
+    return {isRemoved, {name, revision, 1, {{"service", "s"}}, {}}};
+}
+
+std::string newsOf(const platform::kind_mirror &mirror, std::uint64_t revision)
+{
+    return platform::encodeFeed({{"servers", mirror.newsFor(revision)}}, 0ms, 1);
+}
+
+nlohmann::json replicaSpec()
+{
+    return {{"service", "s"},  {"address", "10.0.0.1:80"}, {"zone", "d1"},
+            {"version", "v1"}, {"batch_slots", 8},         {"state", "ready"}};
+}
+
+/// A relay and hosts that may follow it, before a stand-in of the store.
+struct relayed_hosts : test_loop {
+    struct host {
+        host(event_loop &loop, const http_endpoint &store, platform::relay_addresses addresses)
+            : feed(loop, store, {300ms, 300ms}, std::move(addresses))
+        {
+        }
+        feed_recorder seen;
+        platform::store_feed feed;
+    };
+
+    explicit relayed_hosts(int followers)
+    {
+        store.put("config", "main", {{"version", 1}});
+        store.put("servers", "r1", replicaSpec());
+        relay = std::make_unique<host>(loop, store.endpoint, addressesOf("relay", address));
+        REQUIRE(relay->feed.listen().has_value());
+        relay->feed.start(relay->seen);
+        for (int i = 0; i < followers; ++i) {
+            const auto name = "host-" + std::to_string(i);
+            hosts.push_back(std::make_unique<host>(loop, store.endpoint, addressesOf(name, {"127.0.0.1", 1})));
+            hosts.back()->feed.start(hosts.back()->seen);
+        }
+    }
+
+    [[nodiscard]] platform::relay_addresses addressesOf(const std::string &name, const http_endpoint &own) const
+    {
+        return {name, {address}, own};
+    }
+
+    [[nodiscard]] bool allHave(const std::string &note) const
+    {
+        return std::ranges::all_of(hosts, [&](const auto &host) { return host->seen.hasNote(note); });
+    }
+
+    [[nodiscard]] bool allKnow(const std::string &replica) const
+    {
+        return std::ranges::all_of(hosts, [&](const auto &host) {
+            return std::ranges::find(host->seen.replicas, replica) != host->seen.replicas.end();
+        });
+    }
+
+    http_endpoint address{"127.0.0.1", testing::freePort()};
+    standin_store store{loop};
+    std::unique_ptr<host> relay;
+    std::vector<std::unique_ptr<host>> hosts;
+};
+
+} // namespace
+
+TEST_CASE("relay choice: a relay reads the store itself, others ask the relays in an order of their own")
+{
+    relay_choice own("a", {kOne, kTwo}, kOne);
+    CHECK(own.isRelay());
+    CHECK(own.next(1s) == nullptr);
+    relay_choice other("b", {kOne, kTwo}, {"10.0.0.3", 7});
+    REQUIRE(other.next(1s));
+    const auto first = *other.next(1s);
+    other.noteFailure(first, 1s);
+    REQUIRE(other.next(2s));
+    const auto second = *other.next(2s);
+    CHECK(second != first);
+    other.noteFailure(second, 2s);
+    CHECK(other.next(3s) == nullptr); // it reads the store
+    CHECK(*other.next(1s + relay_choice::kHold) == first);
+    CHECK(relay_choice("c", {}, kOne).next(1s) == nullptr);
+    int onFirst = 0;
+    for (int i = 0; i < 100; ++i)
+        onFirst += *relay_choice("host-" + std::to_string(i), {kOne, kTwo}, {}).next(1s) == kOne ? 1 : 0;
+    CHECK(onFirst > 30);
+    CHECK(onFirst < 70);
+}
+
+TEST_CASE("relay choice: small fleets have no relay, and old or partial data isn't handed on")
+{
+    relay_audience audience;
+    for (int i = 0; i < 5; ++i)
+        audience.note("host-" + std::to_string(i), 1s);
+    CHECK_FALSE(relay_choice::isWorthFollowing(audience.size(2s)));
+    audience.note("host-0", 2s);
+    CHECK_FALSE(relay_choice::isWorthFollowing(audience.size(2s)));
+    audience.note("host-5", 2s);
+    CHECK(relay_choice::isWorthFollowing(audience.size(2s)));
+    CHECK_FALSE(relay_choice::isWorthFollowing(audience.size(11'500ms))); // hosts that have gone
+
+    CHECK(relay_audience::mayAnswer(10s, true, 10s + relay_audience::kMostAge));
+    CHECK_FALSE(relay_audience::mayAnswer(10s, true, 10'001ms + relay_audience::kMostAge));
+    CHECK_FALSE(relay_audience::mayAnswer(10s, false, 10s));
+    CHECK_FALSE(relay_audience::mayAnswer(std::nullopt, true, 10s));
+}
+
+TEST_CASE("kind mirror: changes since a revision, or the whole list where they are forgotten")
+{
+    platform::kind_mirror mirror;
+    CHECK_FALSE(mirror.isWhole());
+    mirror.takeList({{change("a", 3), change("b", 4)}, false, 10});
+    const auto all = platform::decodeFeed(newsOf(mirror, 0)).value().kinds.at("servers");
+    CHECK(all.isList);
+    CHECK(all.page.items.size() == 2);
+    CHECK(all.page.revision == 10);
+
+    CHECK_FALSE(mirror.hasNewsFor(10));
+    mirror.takeEvents({{change("c", 11), change("a", 3, true)}, false, 12});
+    CHECK(mirror.hasNewsFor(10));
+    CHECK_FALSE(mirror.hasNewsFor(12));
+    const auto news = platform::decodeFeed(newsOf(mirror, 10)).value().kinds.at("servers");
+    CHECK_FALSE(news.isList);
+    REQUIRE(news.page.items.size() == 2);
+    CHECK(news.page.items[1].isRemoved);
+    CHECK(news.page.items[0].item.spec["service"] == "s");
+    // A host that has read the store itself may be ahead; it is not taken back.
+    const auto ahead = platform::decodeFeed(newsOf(mirror, 20)).value().kinds.at("servers");
+    CHECK(ahead.page.items.empty());
+    CHECK(ahead.page.revision == 20);
+
+    for (std::uint64_t i = 13; i < 13 + 600; ++i)
+        mirror.takeEvents({{change("d", i)}, false, i});
+    CHECK(platform::decodeFeed(newsOf(mirror, 12)).value().kinds.at("servers").isList);
+    CHECK_FALSE(platform::decodeFeed(newsOf(mirror, 600)).value().kinds.at("servers").isList);
+}
+
+TEST_CASE("kind mirror: an answer that can't be used is refused with the field")
+{
+    for (const std::string body :
+         {"", "[]", "{}", R"({"config_age_ms":-1,"kinds":{}})",
+          R"({"config_age_ms":1,"kinds":{"servers":{"items":[]}}})", R"({"config_age_ms":1,"kinds":{"servers":7}})"})
+        CHECK(platform::decodeFeed(body).has_error());
+}
+
+TEST_CASE("feed relay: many hosts follow it, learn changes at once, and cost the store nothing")
+{
+    relayed_hosts net(8);
+    REQUIRE(net.runUntil([&] { return net.allHave("relay_followed 127.0.0.1"); }));
+    net.runFor(400ms); // the relay's own watches
+    const auto before = net.store.calls;
+    for (int i = 0; i < 5; ++i) {
+        net.store.put("servers", "more-" + std::to_string(i), replicaSpec());
+        REQUIRE(net.runUntil([&] { return net.allKnow("more-" + std::to_string(i)); }));
+    }
+    // One watch of each kind for each change at most, by the relay alone.
+    CHECK(net.store.calls - before < 30);
+    net.store.remove("servers", "more-0");
+    CHECK(net.runUntil([&] { return !net.allKnow("more-0"); }));
+    net.store.put("config", "main", {{"version", 2}});
+    CHECK(net.runUntil([&] {
+        return std::ranges::all_of(net.hosts, [](const auto &host) { return host->seen.configs.back()->version == 2; });
+    }));
+}
+
+TEST_CASE("feed relay: when it is gone or has lost the store, the hosts read the store themselves")
+{
+    for (const bool isGone : {true, false}) {
+        relayed_hosts net(8);
+        REQUIRE(net.runUntil([&] { return net.allHave("relay_followed 127.0.0.1"); }));
+        if (isGone)
+            net.relay.reset();
+        else
+            net.store.setMood(store_mood::silent);
+        REQUIRE(net.runUntil([&] { return net.allHave("relay_lost 127.0.0.1"); }));
+        net.store.setMood(store_mood::serving);
+        net.store.put("servers", "later", replicaSpec());
+        CHECK(net.runUntil([&] { return net.allKnow("later"); }));
+    }
+}
+
+TEST_CASE("feed relay: a few hosts read the store themselves")
+{
+    relayed_hosts net(3);
+    net.runFor(2 * relay_choice::kAskPause + 500ms);
+    for (const auto &host : net.hosts)
+        CHECK_FALSE(host->seen.hasNote("relay_followed 127.0.0.1"));
+    net.store.put("servers", "later", replicaSpec());
+    CHECK(net.runUntil([&] { return net.allKnow("later"); }));
+}
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -10,6 +10,7 @@
 #include "rollout_policy_p.h"
 
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace foxtaildyke;
 using namespace std::chrono_literals;
@@ -49,9 +50,14 @@
     return facts;
 }
 
+std::size_t tenReplicas(const rollout_order &)
+{
+    return 10;
+}
+
 rollout_order makeOrder(rollout_state state = rollout_state::in_progress, std::uint32_t stage = 0)
 {
-    return {"s", "v2", 20s, state, stage, 5, 3};
+    return {"s", "v2", 20s, state, stage, std::nullopt, 5, 3};
 }
 
 version_answer makeAnswer(std::string_view version, std::string_view replica, bool isFailure,
@@ -300,11 +306,11 @@
         policy.noteAnswer(makeAnswer("v1", "r1", false));
     policy.setOrders({makeOrder()}, 1s);
     int answers = 0;
-    for (; answers < 40 && policy.nextState(2s) == std::nullopt; ++answers)
+    for (; answers < 40 && policy.nextState(2s, tenReplicas) == std::nullopt; ++answers)
         policy.noteAnswer(makeAnswer("v2", answers % 2 ? "n1" : "n2", answers % 2 == 0 || answers % 3 == 0));
     CHECK(answers < 15);
-    REQUIRE(policy.nextState(2s));
-    CHECK(policy.nextState(2s)->state == rollout_state::rolled_back);
+    REQUIRE(policy.nextState(2s, tenReplicas));
+    CHECK(policy.nextState(2s, tenReplicas)->state == rollout_state::rolled_back);
     CHECK(policy.choose("s", 0, 2s).excluded == "v2"); // before the store has heard of it
 }
 
@@ -323,9 +329,9 @@
         cold.noteAnswer(makeAnswer("v2", i % 2 ? "n1" : "n2", false, 30ms));
         oneBad.noteAnswer(makeAnswer("v2", i % 3 ? "n1" : "n2", i % 3 == 0));
     }
-    CHECK(slow.nextState(2s));
-    CHECK_FALSE(cold.nextState(2s));
-    CHECK_FALSE(oneBad.nextState(2s));
+    CHECK(slow.nextState(2s, tenReplicas));
+    CHECK_FALSE(cold.nextState(2s, tenReplicas));
+    CHECK_FALSE(oneBad.nextState(2s, tenReplicas));
 }
 
 TEST_CASE("roll-out: an impairment that hits both versions alike rejects neither")
@@ -336,7 +342,7 @@
     policy.setOrders({makeOrder()}, 1s);
     for (int i = 0; i < 30; ++i)
         policy.noteAnswer(makeAnswer("v2", i % 2 ? "n1" : "n2", i % 3 == 0));
-    CHECK_FALSE(policy.nextState(2s));
+    CHECK_FALSE(policy.nextState(2s, tenReplicas));
 }
 
 TEST_CASE("roll-out: a good version goes through its stages to the end, and takes no evidence of an order before")
@@ -347,7 +353,7 @@
     policy.setOrders({order}, now);
     std::vector<std::uint32_t> stages;
     while (order.state != rollout_state::completed && now < 60s) {
-        if (const auto next = policy.nextState(now)) {
+        if (const auto next = policy.nextState(now, tenReplicas)) {
             order = *next;
             order.revision += 1;
             stages.push_back(order.stage);
@@ -360,6 +366,23 @@
     CHECK(stages == std::vector<std::uint32_t>{0, 1, 2, 3, 3});
 }
 
+TEST_CASE("roll-out: a large service begins with the second stage, on all hosts alike")
+{
+    rollout_policy writer(5s);
+    writer.setOrders({makeOrder(rollout_state::ordered)}, 1s);
+    const auto small = writer.nextState(1s, tenReplicas);
+    const auto large = writer.nextState(1s, [](const rollout_order &) -> std::size_t { return 89; });
+    REQUIRE(small);
+    REQUIRE(large);
+    CHECK(small->firstShare == rollout_policy::kStageShares[0]);
+    // Sessions move between hosts, most of which have not seen them.
+    rollout_policy host(5s);
+    host.setOrders({*large}, 2s);
+    std::mt19937_64 random(7);
+    for (int i = 0; i < 4000; ++i)
+        CHECK(host.choose("s", random(), 2s).excluded == "v2");
+}
+
 TEST_CASE("event splitter: whole events only, in pieces of any size")
 {
     const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\ndata: cut";
--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -1,4 +1,5 @@
 // The adapter to the platform's store: lists, watches, entries of other writers, and a store that is away.
+#include "feed_recorder.h"
 #include "loopback_p.h"
 #include "store_feed.h"
 
@@ -8,37 +9,6 @@
 namespace
 {
 
-struct recorder : fleet_listener {
-    std::vector<gateway_config_ptr> configs;
-    int confirmed = 0;
-    std::vector<std::string> replicas; ///< ids that hold
-    std::vector<rollout_order> orders;
-    std::vector<std::string> notes;
-    bool isReachable = false;
-
-    void onConfig(gateway_config_ptr config) override { configs.push_back(std::move(config)); }
-    void onConfigConfirmed(instant) override { ++confirmed; }
-    void onReplicaList(std::vector<replica_entry> list) override
-    {
-        replicas.clear();
-        for (const auto &entry : list)
-            replicas.push_back(entry.id);
-    }
-    void onReplicaChanged(replica_entry replica) override
-    {
-        onReplicaRemoved(replica.id);
-        replicas.push_back(replica.id);
-    }
-    void onReplicaRemoved(const std::string &id) override { std::erase(replicas, id); }
-    void onRollouts(const std::vector<rollout_order> &all) override { orders = all; }
-    void onFeedReachable(bool isNow) override { isReachable = isNow; }
-    void onFeedNote(std::string_view type, const std::string &subject, const std::string &) override
-    {
-        notes.push_back(std::string(type) + ' ' + subject);
-    }
-    [[nodiscard]] bool hasNote(const std::string &note) const { return std::ranges::find(notes, note) != notes.end(); }
-};
-
 std::string object(const std::string &name, const std::string &spec, const std::string &status = "null")
 {
     return R"({"metadata":{"name":")" + name + R"(","revision":7,"created":3},"spec":)" + spec + R"(,"status":)"
@@ -67,7 +37,7 @@
     std::function<void(const std::string &kind, const http_exchange_ptr &)> onWatch;
     std::vector<http_exchange_ptr> waiting; ///< watches without an answer
     std::vector<std::string> waits; ///< wait_ms of each watch of the configuration
-    recorder seen;
+    feed_recorder seen;
     platform::store_feed feed{loop, endpoint, {200ms, 200ms}};
 
     scripted_store()
@@ -212,7 +182,7 @@
         exchange->reply(409, {});
     };
     store.feed.start(store.seen);
-    store.feed.writeRollout({"s", "v2", 12s, rollout_state::rolled_back, 1, 41, 3});
+    store.feed.writeRollout({"s", "v2", 12s, rollout_state::rolled_back, 1, std::nullopt, 41, 3});
     REQUIRE(store.runUntil([&] { return store.seen.hasNote("rollout_not_written s"); }));
     const auto written = nlohmann::json::parse(body, nullptr, false);
     CHECK(written["metadata"]["revision"] == 41);
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -40,7 +40,13 @@
 exit_code run(const gateway_settings &settings)
 {
     event_loop loop;
-    platform::store_feed feed(loop, settings.platform, {settings.configWatch, settings.replicaWatch});
+    platform::store_feed feed(loop, settings.platform, {settings.configWatch, settings.replicaWatch},
+                              {settings.host, settings.relays, settings.relay});
+    const auto relay = feed.listen();
+    if (relay.has_error()) {
+        printError(program(), relay.error());
+        return exit_code::failure;
+    }
     gateway_task task(loop, settings, platform::makeHeaderDialect(), platform::kReadinessPath);
     loop.onSignal(SIGTERM, [&task] { task.stop(); });
     loop.onSignal(SIGINT, [&task] { task.stop(); });
