Models of the key lease and of roll-outs; the retry slack is divided among all hosts

spec/key_lease.pml and spec/rollout.pml with ten broken variants, all refuted; mapped to the code in docs/MODELS.md.

retry_budget gave each host a sixteenth of the slack, so that 88 hosts together might have spent 5.5 times of it. Followers of a relay now know about how many hosts there are.

--- /dev/null
+++ b/spec/rollout.pml
@@ -0,0 +1,136 @@
+/* Roll-out of a bad version, then one of a good version, by two hosts that agree through one object of the store. Writes
+ * carry the revision that was read and may take effect at any later time. docs/MODELS.md maps the steps to the code.
+ *
+ * Checked: a decided order is never changed; each host sends at most LIMIT requests to the bad version, whatever the
+ * store does, unless the order was completed; a good version is never rolled back.
+ *
+ * Broken variants: UNCONDITIONAL, NO_LOCAL_STOP, EVIDENCE_KEPT, REVISION_OF_KIND. */
+
+#define HOSTS 2
+#define LIMIT 2  /* bad answers at which a host rejects the version */
+#define STAGES 2 /* in progress; completed after the last */
+
+#define IN_PROGRESS 0
+#define COMPLETED 1
+#define ROLLED_BACK 2
+
+byte revision = 1;
+byte order = 1;  /* 1: of the bad version; 2: of the good one, ordered once the first is decided */
+byte state;
+byte stage;
+
+/* Writes on their way, one of each host. */
+bit isPending[HOSTS];
+byte pendingRevision[HOSTS];
+byte pendingState[HOSTS];
+byte pendingStage[HOSTS];
+byte pendingOrder[HOSTS];
+
+byte sent[HOSTS]; /* requests to the bad version before its order was completed */
+
+proctype Store() {
+    byte h;
+endStore:
+    do
+    :: atomic {
+        if
+        :: isPending[0] -> h = 0
+        :: isPending[1] -> h = 1
+        fi;
+        isPending[h] = 0;
+        if
+#ifdef UNCONDITIONAL
+        :: true ->
+#elif defined(REVISION_OF_KIND)
+        :: pendingRevision[h] <= revision ->
+#else
+        :: pendingRevision[h] == revision ->
+#endif
+            assert(state == IN_PROGRESS);
+            assert(pendingState[h] != ROLLED_BACK || order == 1);
+            state = pendingState[h];
+            stage = pendingStage[h];
+            revision++
+        :: else -> skip
+        fi
+    }
+    od
+}
+
+/* The operator orders the next version once the first order is decided. */
+proctype Operator() {
+    atomic { state != IN_PROGRESS && order == 1 ->
+        order = 2;
+        state = IN_PROGRESS;
+        stage = 0;
+        revision++
+    }
+}
+
+#ifdef NO_LOCAL_STOP
+#define MAY_SEND (sent[h] <= LIMIT)
+#else
+#define MAY_SEND !isRejected
+#endif
+
+inline submit(newState, newStage) {
+    isPending[h] = 1;
+    pendingRevision[h] = seenRevision;
+    pendingOrder[h] = seenOrder;
+    pendingState[h] = newState;
+    pendingStage[h] = newStage
+}
+
+proctype Host(byte h) {
+    byte seenRevision;
+    byte seenOrder;
+    byte seenState;
+    byte seenStage;
+    byte bad;
+    bit isRejected;
+endHost:
+    do
+    /* reads the object */
+    :: atomic { seenRevision != revision ->
+        seenRevision = revision;
+        seenState = state;
+        seenStage = stage;
+        if
+        :: seenOrder != order ->
+            seenOrder = order;
+#ifndef EVIDENCE_KEPT
+            bad = 0;
+            isRejected = 0
+#endif
+        :: else -> skip
+        fi
+    }
+    /* a request to the version on trial, and its answer */
+    :: atomic { seenOrder == 1 && seenState == IN_PROGRESS && MAY_SEND ->
+        sent[h]++;
+        assert(sent[h] <= LIMIT);
+        bad++;
+        isRejected = (bad >= LIMIT)
+    }
+    /* records that it is rolled back */
+    :: atomic { isRejected && seenState == IN_PROGRESS && !isPending[h] && seenRevision > 0 ->
+        submit(ROLLED_BACK, seenStage)
+    }
+    /* goes on to the next stage */
+    :: atomic { !isRejected && seenState == IN_PROGRESS && !isPending[h] && seenRevision > 0 ->
+        if
+        :: seenStage + 1 < STAGES -> submit(IN_PROGRESS, seenStage + 1)
+        :: else -> submit(COMPLETED, seenStage)
+        fi
+    }
+    od
+}
+
+init {
+    atomic {
+        run Store();
+        run Operator();
+        run Host(0);
+        run Host(1)
+    }
+}
--- a/src/fleet_feed_p.h
+++ b/src/fleet_feed_p.h
@@ -33,6 +33,9 @@
     /// The source of replicas was lost or is back.
     virtual void onFeedReachable(bool isReachable) = 0;
 
+    /// About how many hosts there are; not told where there are few.
+    virtual void onFleetSize(std::size_t hosts) = 0;
+
     /// Something worth a line in the log.
     virtual void onFeedNote(std::string_view type, const std::string &subject, const std::string &detail) = 0;
 };
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -49,6 +49,7 @@
     void onReplicaRemoved(const std::string &id) override;
     void onRollouts(const std::vector<rollout_order> &orders) override;
     void onFeedReachable(bool isReachable) override;
+    void onFleetSize(std::size_t hosts) override { m_state.budget.setHosts(hosts); }
     void onFeedNote(std::string_view type, const std::string &subject, const std::string &detail) override;
 
     [[nodiscard]] result<void> listenForCallers();
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -28,7 +28,7 @@
     forget(entry.requests, now);
     forget(entry.repeats, now);
     const double share = reason == repeat_reason::escalation ? kEscalationShare : 1.0;
-    const double slack = reason == repeat_reason::escalation ? 0.0 : m_limits.slack * kSlackShare;
+    const double slack = reason == repeat_reason::escalation ? 0.0 : m_limits.slack / static_cast<double>(m_hosts);
     const double allowed = m_limits.ratio * kSafeShare * share * static_cast<double>(entry.requests.size()) + slack;
     if (static_cast<double>(entry.repeats.size()) + 1 > allowed)
         return false;
--- a/src/retry_budget_p.h
+++ b/src/retry_budget_p.h
@@ -27,6 +27,9 @@
 public:
     explicit retry_budget(retry_budget_limits limits);
 
+    /// Divides the slack among more hosts, where there are many.
+    void setHosts(std::size_t hosts) { m_hosts = std::max(kAssumedHosts, hosts); }
+
     /// Counts a request of a service, when it arrives.
     void noteRequest(const std::string &service, instant now);
 
@@ -38,8 +41,8 @@
     static constexpr double kSafeShare = 0.88;
     /// Part of the safe share that escalations may use.
     static constexpr double kEscalationShare = 0.85;
-    /// Part of the slack that one host may use; 16 hosts use it up, more than run today.
-    static constexpr double kSlackShare = 1.0 / 16;
+    /// Hosts among which the slack is divided where their number isn't known: more than read the store themselves.
+    static constexpr std::size_t kAssumedHosts = 16;
 
 private:
     struct counts {
@@ -49,6 +52,7 @@
     void forget(std::deque<instant> &times, instant now) const;
 
     retry_budget_limits m_limits;
+    std::size_t m_hosts = kAssumedHosts; ///< among which the slack is divided
     std::map<std::string, counts> m_counts; ///< by service
 };
 
--- a/tests/feed_recorder.h
+++ b/tests/feed_recorder.h
@@ -13,6 +13,7 @@
     std::vector<rollout_order> orders;
     std::vector<std::string> notes;
     bool isReachable = false;
+    std::size_t fleetSize = 0;
 
     void onConfig(gateway_config_ptr config) override { configs.push_back(std::move(config)); }
     void onConfigConfirmed(instant) override { ++confirmed; }
@@ -30,6 +31,7 @@
     void onReplicaRemoved(const std::string &id) override { std::erase(replicas, id); }
     void onRollouts(const std::vector<rollout_order> &all) override { orders = all; }
     void onFeedReachable(bool isNow) override { isReachable = isNow; }
+    void onFleetSize(std::size_t hosts) override { fleetSize = hosts; }
     void onFeedNote(std::string_view type, const std::string &subject, const std::string &) override
     {
         notes.push_back(std::string(type) + ' ' + subject);
--- a/tests/spec.sh
+++ b/tests/spec.sh
@@ -74,9 +74,24 @@
     done
 }
 
-# The three models at the same time; each search runs on one core.
+check_key_lease() {
+    check SOUND key_lease
+    for variant in RELAY_DATED_AT_RECEIPT HOST_DATED_AT_RECEIPT NO_AGE GOES_BACK CLOCK_STOPS NO_LEASE; do
+        check BROKEN key_lease -D$variant
+    done
+}
+
+check_rollout() {
+    check SOUND rollout
+    for variant in UNCONDITIONAL NO_LOCAL_STOP EVIDENCE_KEPT REVISION_OF_KIND; do
+        check BROKEN rollout -D$variant
+    done
+}
+
+# The models at the same time; each search runs on one core.
+models=(ledger freshness fencing key_lease rollout)
 declare -A jobs
-for model in ledger freshness fencing; do
+for model in "${models[@]}"; do
     (
         "check_$model"
         exit "$failures"
@@ -84,7 +99,7 @@
     jobs[$model]=$!
 done
 status=0
-for model in ledger freshness fencing; do
+for model in "${models[@]}"; do
     wait "${jobs[$model]}" || status=1
     cat "$work/$model.out"
 done
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -171,6 +171,7 @@
     }
     // One watch of each kind for each change at most, by the relay alone.
     CHECK(net.store.calls - before < 30);
+    CHECK(net.hosts[0]->seen.fleetSize == 8); // one relay
     net.store.remove("servers", "more-0");
     CHECK(net.runUntil([&] { return !net.allKnow("more-0"); }));
     net.store.put("config", "main", {{"version", 2}});
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -277,6 +277,20 @@
     CHECK(firstModel(settings, step) == 2);
 }
 
+TEST_CASE("retry budget: the slack is divided among all hosts of a large fleet")
+{
+    constexpr std::size_t kHosts = 88;
+    retry_budget budget({.ratio = 0.9, .window = 10s, .slack = 216});
+    budget.setHosts(kHosts);
+    std::size_t repeats = 0;
+    while (budget.takeRepeat("s", repeat_reason::failure, 1s))
+        ++repeats;
+    CHECK(repeats > 0);
+    CHECK(repeats * kHosts <= 216);
+    budget.setHosts(3); // hosts that went down may be back before this host knows
+    CHECK(budget.takeRepeat("t", repeat_reason::failure, 1s));
+}
+
 TEST_CASE("roll-out: the share of the new version, and sessions that keep theirs")
 {
     rollout_policy policy(5s);
