--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -154,12 +154,23 @@
         return;
     auto *connection = evhttp_request_get_connection(m_request);
     detach();
-    // The connection must not be freed inside evhttp's own callbacks.
+    // The connection must not be freed inside evhttp's own callbacks; until then evhttp may free it itself, where the
+    // client closes it.
+    struct dropped_connection {
+        evhttp_connection *connection;
+    };
+    auto dropped = std::make_unique<dropped_connection>(dropped_connection{connection});
+    const auto onClosed = [](evhttp_connection *, void *argument) {
+        static_cast<dropped_connection *>(argument)->connection = nullptr;
+    };
     const auto release = [](evutil_socket_t, short, void *argument) {
-        evhttp_connection_free(static_cast<evhttp_connection *>(argument));
+        const std::unique_ptr<dropped_connection> owned(static_cast<dropped_connection *>(argument));
+        if (owned->connection)
+            evhttp_connection_free(owned->connection);
     };
+    evhttp_connection_set_closecb(connection, onClosed, dropped.get());
     const timeval now{};
-    event_base_once(evhttp_connection_get_base(connection), -1, EV_TIMEOUT, release, connection, &now);
+    event_base_once(evhttp_connection_get_base(connection), -1, EV_TIMEOUT, release, dropped.release(), &now);
 }
 
 void http_exchange::watchClose()
--- a/src/relay_choice.cpp
+++ b/src/relay_choice.cpp
@@ -29,11 +29,11 @@
     return found == m_relays.end() ? nullptr : &found->address;
 }
 
-void relay_choice::noteFailure(const http_endpoint &failed, instant now)
+void relay_choice::noteFailure(const http_endpoint &failed, bool isStoreLost, instant now)
 {
     const auto found = std::ranges::find(m_relays, failed, &relay::address);
     if (found != m_relays.end())
-        found->heldUntil = now + kHold;
+        found->heldUntil = now + (isStoreLost ? std::chrono::milliseconds{0} : kHold);
 }
 
 std::size_t relay_audience::size(instant now)
--- a/src/relay_choice_p.h
+++ b/src/relay_choice_p.h
@@ -24,7 +24,15 @@
     [[nodiscard]] const http_endpoint *next(instant now) const;
 
     /// The relay gave no answer, or refused.
-    void noteFailure(const http_endpoint &relay, instant now);
+    /// @param isStoreLost this host can't read the store either, so that the relay isn't to blame.
+    void noteFailure(const http_endpoint &relay, bool isStoreLost, instant now);
+
+    /// @param isUrgent the store is lost, or this host has just started.
+    /// @returns the time until the next question to a relay that isn't followed.
+    [[nodiscard]] static std::chrono::milliseconds askPause(bool isUrgent)
+    {
+        return isUrgent ? kUrgentAskPause : kAskPause;
+    }
 
     /// @param audience hosts that asked the relay lately.
     /// @returns whether to follow it.
@@ -37,6 +45,10 @@
     static constexpr std::chrono::seconds kHold{3};
     /// Time between two questions to a relay that isn't followed.
     static constexpr std::chrono::milliseconds kAskPause{1500};
+    /// The same while the store is lost, when relays look for it and tell the others within this time; and after the
+    /// start, when replicas register one after the other and each costs a call of the store.
+    static constexpr std::chrono::milliseconds kUrgentAskPause{300};
+    static constexpr std::chrono::seconds kStart{5};
 
 private:
     struct relay {
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -88,13 +88,15 @@
     relay_choice other("b", {kOne, kTwo}, {"10.0.0.3", 7});
     REQUIRE(other.next(1s));
     const auto first = *other.next(1s);
-    other.noteFailure(first, 1s);
+    other.noteFailure(first, false, 1s);
     REQUIRE(other.next(2s));
     const auto second = *other.next(2s);
     CHECK(second != first);
-    other.noteFailure(second, 2s);
+    other.noteFailure(second, false, 2s);
     CHECK(other.next(3s) == nullptr); // it reads the store
     CHECK(*other.next(1s + relay_choice::kHold) == first);
+    other.noteFailure(first, true, 4s);
+    CHECK(*other.next(4s) == first); // it will know first that the store is back
     CHECK(relay_choice("c", {}, kOne).next(1s) == nullptr);
     int onFirst = 0;
     for (int i = 0; i < 100; ++i)
@@ -196,6 +198,22 @@
     }
 }
 
+TEST_CASE("feed relay: while the store refuses, few calls look for it, and all hosts notice its return")
+{
+    relayed_hosts net(8);
+    REQUIRE(net.runUntil([&] { return net.allHave("relay_followed 127.0.0.1"); }));
+    net.store.setMood(store_mood::refusing);
+    REQUIRE(net.runUntil([&] { return net.allHave("store_lost servers"); }));
+    const auto before = net.store.calls;
+    net.runFor(3s);
+    // The relay tries each 0.4 s, the others after 0.1, 0.2, 0.4, 0.8, 1.6 s: 8 and 5 calls, besides the first for each
+    // kind.
+    CHECK(net.store.calls - before < 12 + 8 * 8);
+    net.store.setMood(store_mood::serving);
+    net.store.put("servers", "later", replicaSpec());
+    CHECK(net.runUntil([&] { return net.allKnow("later"); }));
+}
+
 TEST_CASE("feed relay: a few hosts read the store themselves")
 {
     relayed_hosts net(3);
