Hosts of large fleets share what they have at the replicas through the relays

Each of 88 hosts sees one in 88 requests, so that its own counts say nothing. Ruled out: faulty replicas (the same ones answered others all the time), too few slots (about one in six was taken).

Each call to a relay carries what the host has at the replicas, and the answer the sums; other hosts' load counts half, as it is half a second old, and reading a shared prompt again weighs six times a wait. Small fleets have no relays and place as before.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -19,6 +19,7 @@
     src/gateway_task.cpp
     src/header_text.cpp
     src/http_parser.cpp
+    src/load_board.cpp
     src/model_ladder.cpp
     src/relay_choice.cpp
     src/replica_registry.cpp
--- a/src/fleet_feed_p.h
+++ b/src/fleet_feed_p.h
@@ -36,6 +36,12 @@
     /// About how many hosts there are; not told where there are few.
     virtual void onFleetSize(std::size_t hosts) = 0;
 
+    /// @returns what this host has at the replicas, to be told to other hosts.
+    [[nodiscard]] virtual std::vector<replica_load> ownLoad() const = 0;
+
+    /// About what all other hosts have at the replicas; again and again while it is known.
+    virtual void onOthersLoad(const std::vector<replica_load> &loads) = 0;
+
     /// Something worth a line in the log.
     virtual void onFeedNote(std::string_view type, const std::string &subject, const std::string &detail) = 0;
 };
--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -108,6 +108,13 @@
     std::chrono::milliseconds coldRemaining{}; ///< how much longer it is slow after its start
 };
 
+/// Requests that hosts have at a replica.
+struct replica_load {
+    std::string replica; ///< id
+    double running = 0; ///< requests sent and not answered
+    double backlogMs = 0; ///< time that their unread prompts take of the engine
+};
+
 /// How far a roll-out has got, as the hosts agreed in the store.
 enum class rollout_state : std::uint8_t { ordered, in_progress, completed, rolled_back, count };
 
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -50,6 +50,11 @@
     void onRollouts(const std::vector<rollout_order> &orders) override;
     void onFeedReachable(bool isReachable) override;
     void onFleetSize(std::size_t hosts) override { m_state.budget.setHosts(hosts); }
+    std::vector<replica_load> ownLoad() const override { return m_state.replicas.ownLoad(); }
+    void onOthersLoad(const std::vector<replica_load> &loads) override
+    {
+        m_state.replicas.setOthersLoad(loads, suspendAwareNow());
+    }
     void onFeedNote(std::string_view type, const std::string &subject, const std::string &detail) override;
 
     [[nodiscard]] result<void> listenForCallers();
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -89,17 +89,59 @@
     return sent != candidate.sentPrompts.end() && now - sent->second < kCacheMemory;
 }
 
+/// @returns the time until a replica comes to another request, as far as it is known, in ms.
+double replica_table::waitMs(const replica &candidate)
+{
+    const double running = candidate.running + candidate.othersRunning;
+    const double slots = candidate.entry.slots;
+    const double forSlot = std::max(0.0, running + 1 - slots) * kSlotMs / slots;
+    const double known = candidate.running + kOthersShare * candidate.othersRunning;
+    return candidate.backlogMs + kOthersShare * candidate.othersBacklogMs + known * kRunningMs + forSlot;
+}
+
+std::vector<replica_load> replica_table::ownLoad() const
+{
+    std::vector<replica_load> loads;
+    for (const auto &[id, known] : m_replicas)
+        if (known.running > 0)
+            loads.push_back({id, static_cast<double>(known.running), known.backlogMs});
+    return loads;
+}
+
+void replica_table::setOthersLoad(const std::vector<replica_load> &loads, instant now)
+{
+    for (auto &[id, known] : m_replicas)
+        known.othersRunning = known.othersBacklogMs = 0;
+    for (const auto &load : loads) {
+        const auto found = m_replicas.find(load.replica);
+        if (found == m_replicas.end())
+            continue;
+        found->second.othersRunning = load.running;
+        found->second.othersBacklogMs = load.backlogMs;
+    }
+    m_othersKnownAt = now;
+}
+
+void replica_table::forgetOthers(instant now)
+{
+    if (!m_othersKnownAt || now - *m_othersKnownAt < kLoadMemory)
+        return;
+    setOthersLoad({}, now);
+    m_othersKnownAt.reset();
+}
+
 /// @returns the replica with the earliest first token by estimate.
 replica_table::replica *replica_table::soonest(const candidate_list &open, const replica_query &query, instant now)
 {
     const auto home = std::ranges::max_element(
         open, {}, [&](const replica *candidate) { return rendezvous(query.sharedPrompt, candidate->idHash); });
+    const double rereadMs = query.work.sharedMs * (m_othersKnownAt ? kRereadWeight : 1.0);
     const auto delay = [&](const replica *candidate) {
         // Other hosts send the same prompts to the same home.
         const bool isCached =
             query.sharedPrompt != 0 && (candidate == *home || hasRead(*candidate, query.sharedPrompt, now));
-        return candidate->backlogMs + candidate->running * kRunningMs + query.work.ownMs
-            + (isCached ? 0.0 : query.work.sharedMs) + std::uniform_real_distribution<double>(0, kRunningMs)(m_random);
+        return waitMs(*candidate) + query.work.ownMs + (isCached ? 0.0 : rereadMs)
+            + std::uniform_real_distribution<double>(0, kRunningMs)(m_random);
     };
     return *std::ranges::min_element(open, {}, delay);
 }
@@ -110,8 +152,8 @@
         const double tieBreak = std::uniform_real_distribution<double>(0, kOtherDomainPenalty)(m_random);
         const bool isFar = candidate.entry.failureDomain != m_failureDomain;
         const bool isCold = candidate.entry.coldRemaining.count() > 0;
-        return candidate.running + (isCold ? kColdPenalty : 0.0) + (isFar ? kOtherDomainPenalty : 0.0)
-            + candidate.failureRate + tieBreak;
+        return candidate.running + candidate.othersRunning + (isCold ? kColdPenalty : 0.0)
+            + (isFar ? kOtherDomainPenalty : 0.0) + candidate.failureRate + tieBreak;
     };
     replica *best = nullptr;
     double bestScore = 0;
@@ -127,6 +169,7 @@
 
 const replica_entry *replica_table::pick(const replica_query &query, instant now)
 {
+    forgetOthers(now);
     const auto open = candidates(query, now);
     if (open.empty())
         return nullptr;
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -52,6 +52,12 @@
     /// @param isGood nothing: the end tells nothing about the replica.
     void noteEnd(const std::string &id, double promptMs, std::optional<bool> isGood, instant now);
 
+    /// @returns replicas at which this host has requests.
+    [[nodiscard]] std::vector<replica_load> ownLoad() const;
+
+    /// Takes what the other hosts have at the replicas; it counts until it is too old.
+    void setOthersLoad(const std::vector<replica_load> &loads, instant now);
+
     /// The replica answered under another id, or its address refuses connections.
     void noteUnreachable(const std::string &id, instant now);
 
@@ -64,6 +70,15 @@
     static constexpr std::chrono::seconds kCacheMemory{15};
     /// Delay of a first token by each request that is running, in ms: a step takes 0.05 ms more for each.
     static constexpr double kRunningMs = 0.5;
+    /// Time for which a request holds its slot, in ms: 2 to 38 events of 10 tokens at 3.55 ms a step.
+    static constexpr double kSlotMs = 500;
+    /// Part of the load of other hosts that counts: it is half a second old on average.
+    static constexpr double kOthersShare = 0.5;
+    /// Weight of reading a shared prompt again against a wait, where the load of other hosts is known: the wait may be
+    /// over when the request arrives.
+    static constexpr double kRereadWeight = 6;
+    /// Age at which the load of other hosts says nothing any more: three reports.
+    static constexpr std::chrono::milliseconds kLoadMemory{1500};
     /// Failures in a row that take a replica out.
     static constexpr std::uint32_t kFailuresToEject = 3;
     /// Failure rate over about the last ten answers that takes a replica out.
@@ -77,6 +92,8 @@
         std::uint64_t idHash = 0;
         std::uint32_t running = 0; ///< attempts of this host
         double backlogMs = 0; ///< prompts of them that have not been read
+        double othersRunning = 0; ///< the same of all other hosts, where it is known
+        double othersBacklogMs = 0;
         std::unordered_map<std::uint64_t, instant>
             sentPrompts; ///< shared parts, by when this host last sent them there
         double failureRate = 0; ///< exponentially weighted
@@ -89,6 +106,8 @@
     [[nodiscard]] static bool fits(const replica &candidate, const replica_query &query);
     [[nodiscard]] candidate_list candidates(const replica_query &query, instant now);
     [[nodiscard]] replica *soonest(const candidate_list &open, const replica_query &query, instant now);
+    [[nodiscard]] static double waitMs(const replica &candidate);
+    void forgetOthers(instant now);
     [[nodiscard]] static bool hasRead(const replica &candidate, std::uint64_t sharedPrompt, instant now);
     [[nodiscard]] replica *leastLoaded(const candidate_list &open);
     void eject(replica &target, instant now);
@@ -96,6 +115,7 @@
     std::string m_failureDomain;
     std::mt19937_64 m_random;
     std::unordered_map<std::string, replica> m_replicas; ///< by id
+    std::optional<instant> m_othersKnownAt; ///< nothing: loads of other hosts aren't known
     std::vector<std::string> m_order; ///< ids in a fixed order, so that choices are repeatable
 };
 
--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -38,8 +38,8 @@
 
 /// A started gateway with a configuration and one replica.
 struct small_site : gateway_process {
-    explicit small_site(std::string settings = {}, scripted_replica::script answer = echoAnswer)
-        : gateway_process(std::move(settings))
+    explicit small_site(const std::string &settings = {}, scripted_replica::script answer = echoAnswer)
+        : gateway_process(settings)
         , replica(loop, "r1", std::move(answer))
     {
         publish(1);
--- a/tests/feed_recorder.h
+++ b/tests/feed_recorder.h
@@ -14,6 +14,8 @@
     std::vector<std::string> notes;
     bool isReachable = false;
     std::size_t fleetSize = 0;
+    std::vector<replica_load> own;
+    std::vector<replica_load> others;
 
     void onConfig(gateway_config_ptr config) override { configs.push_back(std::move(config)); }
     void onConfigConfirmed(instant) override { ++confirmed; }
@@ -32,6 +34,8 @@
     void onRollouts(const std::vector<rollout_order> &all) override { orders = all; }
     void onFeedReachable(bool isNow) override { isReachable = isNow; }
     void onFleetSize(std::size_t hosts) override { fleetSize = hosts; }
+    std::vector<replica_load> ownLoad() const override { return own; }
+    void onOthersLoad(const std::vector<replica_load> &loads) override { others = loads; }
     void onFeedNote(std::string_view type, const std::string &subject, const std::string &) override
     {
         notes.push_back(std::string(type) + ' ' + subject);
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-gateway_process::gateway_process(std::string moreSettings)
+gateway_process::gateway_process(const std::string &moreSettings)
     : callerPort(testing::freePort())
     , m_directory(makeDirectory())
     , m_readinessPort(testing::freePort())
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -13,7 +13,7 @@
 {
 public:
     /// @param moreSettings lines of the section [gateway] that go before the usual ones.
-    explicit gateway_process(std::string moreSettings = {});
+    explicit gateway_process(const std::string &moreSettings = {});
 
     standin_store store{loop};
     std::uint16_t callerPort = 0;
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -21,7 +21,7 @@
 
 std::string newsOf(const platform::kind_mirror &mirror, std::uint64_t revision)
 {
-    return platform::encodeFeed({{"servers", mirror.newsFor(revision)}}, 0ms, 1);
+    return platform::encodeFeed({{"servers", mirror.newsFor(revision)}}, 0ms, 1, "{}");
 }
 
 nlohmann::json replicaSpec()
@@ -174,6 +174,17 @@
     // One watch of each kind for each change at most, by the relay alone.
     CHECK(net.store.calls - before < 30);
     CHECK(net.hosts[0]->seen.fleetSize == 8); // one relay
+    net.relay->seen.own = {{"r1", 1, 5}};
+    net.hosts[1]->seen.own = {{"r1", 2, 10}};
+    net.hosts[2]->seen.own = {{"r1", 4, 20}};
+    CHECK(net.runUntil([&] {
+        const auto &others = net.hosts[1]->seen.others;
+        return others.size() == 1 && others[0].running == 5 && others[0].backlogMs == 25;
+    }));
+    CHECK(net.runUntil([&] {
+        const auto &others = net.relay->seen.others;
+        return others.size() == 1 && others[0].running == 6;
+    }));
     net.store.remove("servers", "more-0");
     CHECK(net.runUntil([&] { return !net.allKnow("more-0"); }));
     net.store.put("config", "main", {{"version", 2}});
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -3,6 +3,7 @@
 #include "attempt_rules_p.h"
 #include "event_splitter_p.h"
 #include "gateway_settings_p.h"
+#include "load_board_p.h"
 #include "model_ladder_p.h"
 #include "replica_registry_p.h"
 #include "replica_table_p.h"
@@ -277,6 +278,74 @@
     CHECK(firstModel(settings, step) == 2);
 }
 
+TEST_CASE("placing: what other hosts have at a replica counts, until it is too old")
+{
+    replica_table table("d1", 1);
+    table.setReplicas(makeEntries(4));
+    replica_query query;
+    query.service = "s";
+    query.sharedPrompt = 77;
+    query.work = {.sharedMs = 10, .ownMs = 5};
+    const std::string home = table.pick(query, 1s)->id;
+    // This host has nothing there; the others fill its batch, and one prompt after the other waits.
+    table.setOthersLoad({{home, 20, 4000}}, 1s);
+    CHECK(table.pick(query, 1s)->id != home);
+    // A short wait is no reason to read the shared prompt again elsewhere.
+    table.setOthersLoad({{home, 4, 40}}, 1s);
+    CHECK(table.pick(query, 1s)->id == home);
+    table.setOthersLoad({{home, 20, 4000}}, 2s);
+    CHECK(table.pick(query, 2s + replica_table::kLoadMemory)->id == home);
+}
+
+TEST_CASE("placing: many hosts that see little each fill no replica beyond its slots while others are free")
+{
+    constexpr std::size_t kHosts = 40;
+    constexpr int kReplicas = 10;
+    std::vector<replica_table> hosts;
+    for (std::size_t i = 0; i < kHosts; ++i) {
+        hosts.emplace_back("d1", i);
+        hosts.back().setReplicas(makeEntries(kReplicas));
+    }
+    // One hot prompt; each host sends one request in a round and then hears of the others'.
+    std::map<std::string, double> running;
+    replica_query query;
+    query.service = "s";
+    query.sharedPrompt = 77;
+    query.work = {.sharedMs = 1, .ownMs = 40};
+    for (int round = 0; round < 2; ++round) {
+        for (auto &host : hosts) {
+            const auto id = host.pick(query, 1s)->id;
+            host.noteStart(id, query.sharedPrompt, query.work, 1s);
+            ++running[id];
+            std::vector<replica_load> others;
+            std::ranges::transform(running, std::back_inserter(others), [&](const auto &entry) {
+                return replica_load{entry.first, entry.second, entry.second * query.work.ownMs};
+            });
+            for (auto &other : hosts)
+                other.setOthersLoad(others, 1s);
+        }
+    }
+    for (const auto &[replica, count] : running)
+        CHECK(count <= 12); // 80 requests for 80 slots; alone, each host would have sent all to one replica
+}
+
+TEST_CASE("load board: sums of the hosts that report, and an estimate for those of other relays")
+{
+    load_board board;
+    board.set("a", {{"r1", 2, 30}}, 1s);
+    board.set("b", {{"r1", 1, 10}, {"r2", 4, 0}}, 1s);
+    const auto totals = board.totals(1s);
+    REQUIRE(totals.size() == 2);
+    CHECK(totals[0].running == 3);
+    CHECK(totals[0].backlogMs == 40);
+    const auto others = estimateOthers(totals, {{"r1", 2, 30}}, 3);
+    CHECK(others[0].running == 7);
+    CHECK(others[0].backlogMs == 90);
+    CHECK(others[1].running == 12);
+    board.set("b", {}, 2s);
+    CHECK(board.totals(2s + load_board::kMemory - 1ms).empty()); // "a" isn't heard of any more
+}
+
 TEST_CASE("retry budget: the slack is divided among all hosts of a large fleet")
 {
     constexpr std::size_t kHosts = 88;
