Roll-outs leave the first half to the sessions under way, and judge each route by itself

Change: no share in the first stage, on services of any size, which replaces the rule for large ones and the memory of sessions (and its setting). A bad version is now found in the second half only: evidence is also kept by route and model, as a version that is bad on one route hid among good answers of others; the second stage is longer (0.52 to 0.62).

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -141,7 +141,7 @@
 const replica_entry *gateway_exchange::pickReplica()
 {
     const auto now = suspendAwareNow();
-    const auto choice = m_state.rollouts.choose(m_service, m_facts.session, now);
+    const auto choice = m_state.rollouts.choose(m_service, m_facts.session);
     if (const auto *wanted = pickOf(choice, now))
         return wanted;
     // The new version may not be up yet, or its only replica has been tried.
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -52,8 +52,6 @@
     setting_key{"retry_ratio", &g::retryRatio, "1", 0, 100, false, "Repeats for each request, over all hosts."},
     setting_key{"retry_window_s", &g::retryWindow, "s", 0.1, 3600, false, "Window of retry_ratio."},
     setting_key{"retry_slack", &g::retrySlack, "repeats", 0, 1e6, false, "Repeats of a window beyond the ratio."},
-    setting_key{"session_gap_s", &g::sessionGap, "s", 0, 3600, false,
-                "Time between requests of a session that still belong together."},
     setting_key{"confidence_to_keep", &g::confidenceToKeep, "percent", 0, 101, false,
                 "Answers of the smallest model below this go to the largest."},
     setting_key{"starts_small", &g::startsSmall, "true or false", 0, 0, false,
--- a/src/gateway_settings_p.h
+++ b/src/gateway_settings_p.h
@@ -28,7 +28,6 @@
     double retryRatio = 0.9;
     std::chrono::milliseconds retryWindow{10'000};
     double retrySlack = 0;
-    std::chrono::milliseconds sessionGap{5000};
     std::uint32_t confidenceToKeep = 60;
     bool startsSmall = true;
 };
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -37,7 +37,7 @@
               .hasReplicas = false,
               .replicas = replica_table(m_settings.failureDomain, std::random_device{}()),
               .budget = retry_budget({m_settings.retryRatio, m_settings.retryWindow, m_settings.retrySlack}),
-              .rollouts = rollout_policy(m_settings.sessionGap),
+              .rollouts = {},
               .ladder = {.confidenceToKeep = m_settings.confidenceToKeep, .startsSmall = m_settings.startsSmall},
               .pool = {loop, m_dialect.requestId},
               .random = std::mt19937_64{std::random_device{}()}}
@@ -252,10 +252,7 @@
     const auto now = suspendAwareNow();
     std::uniform_int_distribution<std::int64_t> spread(0, kRolloutPause.count());
     m_nextRolloutCheck = now + kRolloutPause + std::chrono::milliseconds{spread(m_state.random)};
-    const auto replicasOf = [this](const rollout_order &order) {
-        return m_state.replicas.countOf(order.service, order.target);
-    };
-    const auto next = m_state.rollouts.nextState(now, replicasOf);
+    const auto next = m_state.rollouts.nextState(now);
     if (!next || !m_feed)
         return;
     m_log.write("rollout_decision",
@@ -263,7 +260,6 @@
                  {"target", next->target},
                  {"state", nameOf(next->state)},
                  {"stage", next->stage},
-                 {"first_share", next->firstShare.value_or(0)},
                  {"revision", next->revision}});
     m_feed->writeRollout(*next);
 }
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -243,14 +243,6 @@
     target.failureRate = 0; // judged anew by what it does after its return
 }
 
-std::size_t replica_table::countOf(std::string_view service, std::string_view exceptVersion) const
-{
-    const auto isMeant = [&](const auto &known) {
-        return known.second.entry.service == service && known.second.entry.version != exceptVersion;
-    };
-    return static_cast<std::size_t>(std::ranges::count_if(m_replicas, isMeant));
-}
-
 std::uint32_t replica_table::running(const std::string &id) const
 {
     const auto found = m_replicas.find(id);
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -62,8 +62,6 @@
     void noteUnreachable(const std::string &id, instant now);
 
     [[nodiscard]] std::size_t size() const { return m_replicas.size(); }
-    /// @returns the replicas of a service that have another version than the one given.
-    [[nodiscard]] std::size_t countOf(std::string_view service, std::string_view exceptVersion) const;
     [[nodiscard]] std::uint32_t running(const std::string &id) const;
 
     /// Time for which a replica is taken to keep the shared parts that this host sent there.
--- a/src/rollout_policy.cpp
+++ b/src/rollout_policy.cpp
@@ -44,55 +44,17 @@
     m_trials = std::move(next);
 }
 
-rollout_policy::rollout_policy(std::chrono::milliseconds sessionGap)
-    : m_sessionGap(sessionGap)
-{
-}
-
-void rollout_policy::forgetSessions(instant now)
-{
-    if (now - m_sessionsSweptAt < m_sessionGap)
-        return;
-    m_sessionsSweptAt = now;
-    std::erase_if(m_sessions, [&](const auto &entry) { return now - entry.second.seenAt > m_sessionGap; });
-}
-
-/// Notes the session. @returns whether it belongs to the old version.
-bool rollout_policy::beganOnOld(std::uint64_t key, bool isInShare, instant now)
-{
-    forgetSessions(now);
-    const auto [entry, isNew] = m_sessions.try_emplace(key, session_note{!isInShare, now});
-    if (now - entry->second.seenAt > m_sessionGap)
-        entry->second.isOnOld = !isInShare;
-    entry->second.seenAt = now;
-    return entry->second.isOnOld;
-}
-
-double rollout_policy::firstShareFor(std::size_t replicas)
-{
-    return replicas > kMostReplicasForFirstStage ? 0 : kStageShares[0];
-}
-
-double rollout_policy::shareOf(const rollout_order &order)
-{
-    const auto stage = std::min<std::size_t>(order.stage, kStageShares.size() - 1);
-    return stage == 0 ? order.firstShare.value_or(kStageShares[0]) : kStageShares[stage];
-}
-
-version_choice rollout_policy::choose(const std::string &service, std::uint64_t key, instant now)
+version_choice rollout_policy::choose(const std::string &service, std::uint64_t key) const
 {
     const auto found = m_trials.find(service);
-    const bool isOnTrial = found != m_trials.end() && !isDecided(found->second.order);
-    const bool mayTakeNew = isOnTrial && found->second.order.state == rollout_state::in_progress;
-    const bool isInShare = mayTakeNew && unitOf(key) < shareOf(found->second.order);
-    const bool isOld = beganOnOld(key, isInShare, now);
     if (found == m_trials.end())
         return {};
     const auto &order = found->second.order;
     if (order.state == rollout_state::completed)
         return {order.target, {}};
-    const bool isStopped = order.state == rollout_state::rolled_back || found->second.isRejected;
-    if (isStopped || !isInShare || (isOld && order.stage == 0))
+    const auto stage = std::min<std::size_t>(order.stage, kStageShares.size() - 1);
+    const bool isOnTrial = order.state == rollout_state::in_progress && !found->second.isRejected;
+    if (!isOnTrial || unitOf(key) >= kStageShares[stage])
         return {{}, order.target};
     return {order.target, {}};
 }
@@ -117,6 +79,14 @@
     base.latencyUs += weight * (latency - base.latencyUs);
 }
 
+bool rollout_policy::addEvidence(double &score, bool isBad, double goodRate)
+{
+    const double badRate = std::min(0.9, std::max(kBadRate, 2.5 * goodRate));
+    score += isBad ? std::log(badRate / goodRate) : std::log((1 - badRate) / (1 - goodRate));
+    score = std::max(0.0, score);
+    return score >= kRejectScore;
+}
+
 void rollout_policy::judge(trial &target, const version_answer &answer)
 {
     const auto known = m_baselines.find(answer.stratum);
@@ -126,18 +96,17 @@
         && static_cast<double>(answer.latency->count()) > kSlowFactor * base.latencyUs + margin;
     const bool isBad = answer.isFailure || isSlow;
     const double good = std::max(kGoodRate, base.failureRate);
-    const double bad = std::min(0.9, std::max(kBadRate, 2.5 * good));
-    target.score += isBad ? std::log(bad / good) : std::log((1 - bad) / (1 - good));
-    target.score = std::max(0.0, target.score);
+    const bool isBadOnRoute = addEvidence(target.scores[std::string(answer.stratum)], isBad, good);
+    const bool isBadOverall = addEvidence(target.scores[{}], isBad, good);
     target.answeringReplicas.emplace(answer.replica);
     if (isBad)
         target.failedReplicas.emplace(answer.replica);
     // One replica among several that fails is a bad replica, not a bad version.
     const bool isWidespread = target.answeringReplicas.size() == 1 || target.failedReplicas.size() > 1;
-    target.isRejected = target.isRejected || (target.score >= kRejectScore && isWidespread);
+    target.isRejected = target.isRejected || ((isBadOnRoute || isBadOverall) && isWidespread);
 }
 
-std::optional<rollout_order> rollout_policy::nextState(instant now, const replica_counter &replicasOf)
+std::optional<rollout_order> rollout_policy::nextState(instant now)
 {
     for (auto &[service, active] : m_trials) {
         auto next = active.order;
@@ -149,7 +118,6 @@
         }
         if (next.state == rollout_state::ordered) {
             next.state = rollout_state::in_progress;
-            next.firstShare = firstShareFor(replicasOf(next));
             return next;
         }
         const auto stage = std::min<std::size_t>(next.stage, kStageEnds.size() - 1);
--- a/src/rollout_policy_p.h
+++ b/src/rollout_policy_p.h
@@ -30,39 +30,28 @@
     std::optional<std::chrono::microseconds> latency;
 };
 
-using replica_counter = std::function<std::size_t(const rollout_order &order)>;
-
 class rollout_policy
 {
 public:
     /// Replaces the orders known.
     void setOrders(const std::vector<rollout_order> &orders, instant now);
 
-    explicit rollout_policy(std::chrono::milliseconds sessionGap);
-
-    /// @param key of the request's session. A session that began on the old version keeps it until the ramp has left
-    /// its first stage; one that began on the new version keeps that.
-    [[nodiscard]] version_choice choose(const std::string &service, std::uint64_t key, instant now);
+    /// @param key of the request's session: it has the same version on all hosts, and moves to the new one only once.
+    [[nodiscard]] version_choice choose(const std::string &service, std::uint64_t key) const;
 
     /// Takes an answer into account; of all services, so that there is a baseline when an order comes.
     void noteAnswer(const version_answer &answer);
 
-    /// @param replicasOf replicas of the old version that the service of an order has now.
     /// @returns the state to record next for a service, or nothing. Ask about once a second.
-    [[nodiscard]] std::optional<rollout_order> nextState(instant now, const replica_counter &replicasOf);
-
-    /// @returns the share of the first stage. Sessions that are under way when it begins move from host to host, so
-    /// that a host may take one for new and change its version. Their number grows with the service.
-    [[nodiscard]] static double firstShareFor(std::size_t replicas);
-
-    /// Share of requests that the new version gets in each stage. Bounds of the users: 0.0975 to 0.15 of all requests
-    /// until the end of the order may meet a bad version.
-    static constexpr std::array kStageShares{0.07, 0.22, 0.5, 1.0};
-    /// Replicas above which the new version gets nothing in the first stage: about one session for each of 90 replicas
-    /// was under way when it began, of which three may change their version.
-    static constexpr std::size_t kMostReplicasForFirstStage = 30;
-    /// End of each stage as a part of the order's duration. The first half belongs to sessions that began before.
-    static constexpr std::array kStageEnds{0.52, 0.60, 0.68, 0.85};
+    [[nodiscard]] std::optional<rollout_order> nextState(instant now);
+
+    /// Share of requests that the new version gets in each stage. None in the first half of an order, which belongs to
+    /// the sessions that are under way: most of their requests reach hosts that have not seen them, and any share would
+    /// change the version of some. What a bad version gets in the second and third stage stays below the users' bounds
+    /// of 0.0975 to 0.15 of all requests until the end of the order.
+    static constexpr std::array kStageShares{0.0, 0.22, 0.5, 1.0};
+    /// End of each stage as a part of the order's duration.
+    static constexpr std::array kStageEnds{0.52, 0.62, 0.70, 0.85};
     /// Log likelihood ratio at which a version is rejected: three failures in a row at a base rate of 0.03.
     static constexpr double kRejectScore = 6.5;
     /// Least failure rate assumed of a good version, and of a bad one.
@@ -82,25 +71,18 @@
         rollout_order order;
         instant since{}; ///< when this host first saw the order
         instant stageSince{};
-        double score = 0; ///< CUSUM of the sequential test, never below 0
+        /// CUSUM of the sequential test, never below 0: by stratum, as a version may be bad on one route only, and
+        /// under the empty name for all together.
+        std::map<std::string, double, std::less<>> scores;
         std::set<std::string, std::less<>> failedReplicas;
         std::set<std::string, std::less<>> answeringReplicas;
         bool isRejected = false;
     };
-    /// A session that was seen lately.
-    struct session_note {
-        bool isOnOld = false; ///< began before the new version got requests, or outside of its share
-        instant seenAt{};
-    };
-    [[nodiscard]] bool beganOnOld(std::uint64_t key, bool isInShare, instant now);
-    void forgetSessions(instant now);
-    [[nodiscard]] static double shareOf(const rollout_order &order);
     void judge(trial &target, const version_answer &answer);
+    /// @returns whether the score has reached the threshold.
+    [[nodiscard]] static bool addEvidence(double &score, bool isBad, double goodRate);
 
-    std::chrono::milliseconds m_sessionGap; ///< requests of a session that are further apart don't belong together
     std::map<std::string, trial, std::less<>> m_trials; ///< by service
-    std::unordered_map<std::uint64_t, session_note> m_sessions; ///< by key
-    instant m_sessionsSweptAt{};
     std::map<std::string, baseline, std::less<>> m_baselines; ///< by stratum
 };
 
