--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -128,6 +128,36 @@
     CHECK(seen.header("Authorization").empty());
 }
 
+TEST_CASE("gateway process: an answer before the body was read is passed on, and its connection isn't mixed up")
+{
+    small_site site({}, echoAnswer);
+    site.replica.answersHeads = true;
+    const std::string body(60'000, 'x');
+    CHECK(site.ask(requestText("POST", "/once/x", "id-1", {}, body)).body == "whole body");
+    CHECK(site.ask(requestText("POST", "/once/x", "id-2", {}, body)).body == "whole body");
+    // Each request that arrived whole is one that was sent.
+    for (const auto &request : site.replica.requests) {
+        CHECK(request.head.target == "/once/x");
+        CHECK(request.body == body);
+    }
+}
+
+TEST_CASE("gateway process: a caller that reads slowly slows the replica down, and gets everything")
+{
+    constexpr int kEvents = 300'000; // 9 MB on the wire; the sockets between hold a few MB
+    small_site site(
+        {}, [](const received_request &request) { return replica_script{streamText(idOf(request), 1, kEvents)}; });
+    scripted_caller caller(site.loop, site.callerPort);
+    caller.setReading(false);
+    caller.send(requestText("POST", "/stream/x", "id-1"));
+    REQUIRE(site.runUntil([&] { return site.replica.requests.size() == 1; }));
+    site.runFor(1s);
+    CHECK(site.replica.pendingBytes() > 0);
+    caller.setReading(true);
+    REQUIRE(site.runUntil([&] { return !caller.answers.empty() && caller.answers[0].isWhole; }));
+    CHECK(caller.answers[0].body == eventsText(1, kEvents));
+}
+
 TEST_CASE("gateway process: connections of replicas are kept as long as they say, and not longer")
 {
     std::string headers;
--- a/tests/gateway_harness.cpp
+++ b/tests/gateway_harness.cpp
@@ -70,9 +70,19 @@
             body.append(bytes);
         };
         while (!stream.received().empty() && !isOpen) {
-            stream.drop(parser.feed(stream.received(), onBody));
+            const bool wasHead = parser.state() == parse_state::head;
+            stream.drop(parser.feed(stream.received(), onBody, wasHead));
+            if (wasHead && parser.state() == parse_state::body && replica.answersHeads)
+                stream.write(replica.m_answer({parser.head(), {}}).bytes);
+            if (wasHead && parser.state() == parse_state::body)
+                continue;
             if (parser.state() != parse_state::complete)
                 return;
+            if (replica.answersHeads) {
+                replica.requests.push_back({parser.head(), std::exchange(body, {})});
+                parser.reset();
+                continue;
+            }
             isOpen = true;
             replica.requests.push_back({parser.head(), std::exchange(body, {})});
             parser.reset();
@@ -142,6 +152,14 @@
     evconnlistener_free(m_listener);
 }
 
+std::size_t scripted_replica::pendingBytes() const
+{
+    std::size_t sum = 0;
+    for (const auto &open : m_connections)
+        sum += open->stream.pendingBytes();
+    return sum;
+}
+
 void scripted_replica::accept(int socket)
 {
     // With a linger time of zero, closing resets the connection.
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -44,6 +44,9 @@
 
     std::vector<received_request> requests; ///< all that were received
     std::size_t connectionsLost = 0; ///< closed by the gateway while a request was open
+    bool answersHeads = false; ///< answers before the body of a request is there, and reads on
+    /// @returns bytes of answers that the gateway has not taken yet.
+    [[nodiscard]] std::size_t pendingBytes() const;
     [[nodiscard]] replica_entry entry(const std::string &service, const std::string &version = "v1") const;
 
 private:
@@ -74,6 +77,8 @@
 
     void send(std::string_view bytes) { m_socket->write(bytes); }
     void close() { m_socket.reset(); }
+    /// Stops or resumes reading.
+    void setReading(bool isOn) { m_socket->setReading(isOn); }
 
     std::vector<received_answer> answers; ///< the last one may be incomplete
     bool isClosed = false; ///< by the gateway
