--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -1,6 +1,8 @@
 // One caller's connection; see caller_connection_p.h.
 #include "caller_connection_p.h"
 
+#include "http_status_p.h"
+
 #include <charconv>
 
 namespace foxtaildyke
@@ -30,11 +32,6 @@
     status_text{504, "Gateway Timeout"},
 };
 
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kContentTooLarge = 413;
-constexpr int kHeadTooLarge = 431;
-
 std::string chunk(std::string_view bytes)
 {
     std::array<char, 16> digits{};
@@ -108,13 +105,13 @@
             restartTimer();
         }
         if (m_parser.state() == parse_state::malformed)
-            return reject(kBadRequest, "malformed");
+            return reject(http_status::kBadRequest, "malformed");
         if (m_parser.state() == parse_state::head_too_large)
-            return reject(kHeadTooLarge, "head_too_large");
+            return reject(http_status::kHeadersTooLarge, "head_too_large");
         if (wasHead && m_parser.state() != parse_state::head && !checkHead())
             return;
         if (m_body.size() > m_owner.limits().bodyBytes)
-            return reject(kContentTooLarge, "body_too_large");
+            return reject(http_status::kContentTooLarge, "body_too_large");
         if (m_parser.state() == parse_state::complete)
             serve();
     }
@@ -126,7 +123,7 @@
     const auto &head = m_parser.head();
     m_isHeadRequest = head.method == "HEAD";
     if (head.length.value_or(0) > m_owner.limits().bodyBytes) {
-        reject(kContentTooLarge, "body_too_large");
+        reject(http_status::kContentTooLarge, "body_too_large");
         return false;
     }
     if (m_parser.state() == parse_state::body && isSameHeader(head.header("Expect"), "100-continue"))
@@ -260,9 +257,9 @@
     if (suspendAwareNow() - m_idleSince < readLimit())
         return restartTimer(); // a newer configuration allows more
     if (m_parser.hasBegun() && m_parser.state() == parse_state::head)
-        return reject(kRequestTimeout, "head_timeout");
+        return reject(http_status::kRequestTimeout, "head_timeout");
     if (m_parser.hasBegun())
-        return reject(kRequestTimeout, "body_timeout");
+        return reject(http_status::kRequestTimeout, "body_timeout");
     end();
 }
 
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -1,8 +1,9 @@
 // Heads of forwarded messages; see forwarding_p.h.
 #include "forwarding_p.h"
 
+#include "text_hash_p.h"
+
 #include <numeric>
-#include <xxhash.h>
 
 namespace foxtaildyke
 {
@@ -29,11 +30,6 @@
     return std::ranges::any_of(names, [name](const std::string &other) { return isSameHeader(name, other); });
 }
 
-std::uint64_t hashOf(std::string_view text)
-{
-    return XXH64(text.data(), text.size(), 0);
-}
-
 /// Reads "PROMPT,ANSWER" and the caller's own estimate of the answer.
 void readTokens(request_facts &facts, const message_head &head, const header_dialect &dialect)
 {
--- a/src/gateway_exchange_answers.cpp
+++ b/src/gateway_exchange_answers.cpp
@@ -1,6 +1,8 @@
 // One request on its way: answers of replicas and what follows them; see gateway_exchange_p.h.
 #include "gateway_exchange_p.h"
 
+#include "http_status_p.h"
+
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -10,13 +12,8 @@
 namespace
 {
 
-constexpr int kOk = 200;
 constexpr int kFirstRedirect = 300;
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
 constexpr int kServerError = 500;
-constexpr int kUnavailable = 503;
 
 /// Longest answer of a plain call that is held until it is whole.
 constexpr std::size_t kMostBodyBytes = 16U << 20U;
@@ -27,13 +24,14 @@
 
 bool isSuccess(int status)
 {
-    return status >= kOk && status < kFirstRedirect;
+    return status >= http_status::kOk && status < kFirstRedirect;
 }
 
 /// @returns whether a status promises that the request has not run.
 bool promisesNotRun(int status)
 {
-    return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests || status == kUnavailable;
+    return status == http_status::kRequestTimeout || status == http_status::kMisdirectedRequest
+        || status == http_status::kTooManyRequests || status == http_status::kServiceUnavailable;
 }
 
 } // namespace
@@ -139,7 +137,7 @@
         return attempt_result::unusable;
     if (end == upstream_end::broken)
         return attempt_result::broken;
-    if (m_answer.status == kMisdirected)
+    if (m_answer.status == http_status::kMisdirectedRequest)
         return attempt_result::wrong_replica;
     if (!m_answer.header(m_state.dialect.notRun).empty())
         return attempt_result::not_run;
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -1,6 +1,8 @@
 // The gateway of a host; see gateway_task_p.h.
 #include "gateway_task_p.h"
 
+#include "http_status_p.h"
+
 #include <arpa/inet.h>
 #include <event2/listener.h>
 #include <nlohmann/json.hpp>
@@ -11,9 +13,6 @@
 namespace
 {
 
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
-constexpr int kNotFound = 404;
 constexpr int kBacklog = 1024; ///< connections that wait to be accepted
 /// Pause between two looks at roll-outs; hosts are spread over as much again, so that few of them write the same state.
 constexpr std::chrono::milliseconds kRolloutPause{500};
@@ -218,15 +217,15 @@
 void gateway_task::serveReadiness(const http_exchange_ptr &exchange)
 {
     if (exchange->path != m_readinessPath)
-        return exchange->reply(kNotFound, {});
-    exchange->reply(isReady() ? kOk : kUnavailable, {});
+        return exchange->reply(http_status::kNotFound, {});
+    exchange->reply(isReady() ? http_status::kOk : http_status::kServiceUnavailable, {});
 }
 
 void gateway_task::serveMetrics(const http_exchange_ptr &exchange)
 {
     if (exchange->path != "/metrics")
-        return exchange->reply(kNotFound, {});
-    exchange->reply(kOk, m_metrics.text(), {{"Content-Type", "text/plain; version=0.0.4"}});
+        return exchange->reply(http_status::kNotFound, {});
+    exchange->reply(http_status::kOk, m_metrics.text(), {{"Content-Type", "text/plain; version=0.0.4"}});
 }
 
 void gateway_task::tick()
--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -1,6 +1,8 @@
 // Incremental HTTP/1.1 parser; see http_parser_p.h.
 #include "http_parser_p.h"
 
+#include "http_status_p.h"
+
 #include <cstdlib>
 
 namespace foxtaildyke
@@ -10,8 +12,6 @@
 {
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 constexpr int kLastInformational = 199;
 constexpr int kStopParsing = -1;
 
@@ -136,7 +136,7 @@
     m_head.status = m_type == message_type::response ? static_cast<int>(htparser_get_status(m_parser.get())) : 0;
     m_head.keepAlive = htparser_get_minor(m_parser.get()) >= 1 ? !hasToken(m_head.header("Connection"), "close")
                                                                : hasToken(m_head.header("Connection"), "keep-alive");
-    const bool hasNoBody = m_head.status == kNoContent || m_head.status == kNotModified
+    const bool hasNoBody = m_head.status == http_status::kNoContent || m_head.status == http_status::kNotModified
         || (m_head.status > 0 && m_head.status <= kLastInformational);
     m_untilClose = m_type == message_type::response && !hasNoBody && !m_head.length && !m_head.isChunked;
     m_state = hasEnded && !m_untilClose ? parse_state::complete : parse_state::body;
--- /dev/null
+++ b/src/http_status_p.h
@@ -0,0 +1,21 @@
+// Status codes of HTTP that the programs send and tell apart (RFC 9110; 429 and 431: RFC 6585).
+#pragma once
+
+namespace foxtaildyke::http_status
+{
+
+inline constexpr int kOk = 200;
+inline constexpr int kNoContent = 204;
+inline constexpr int kNotModified = 304;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kConflict = 409;
+inline constexpr int kGone = 410;
+inline constexpr int kContentTooLarge = 413;
+inline constexpr int kMisdirectedRequest = 421;
+inline constexpr int kTooManyRequests = 429;
+inline constexpr int kHeadersTooLarge = 431;
+inline constexpr int kServiceUnavailable = 503;
+
+} // namespace foxtaildyke::http_status
--- a/src/load_poller.cpp
+++ b/src/load_poller.cpp
@@ -1,6 +1,8 @@
 // Load reports; see load_poller_p.h.
 #include "load_poller_p.h"
 
+#include "http_status_p.h"
+
 #include <nlohmann/json.hpp>
 
 #define XXH_INLINE_ALL
@@ -95,8 +97,7 @@
 void load_poller::onReply(const std::string &upstream, instant askedAt, const http_reply &reply)
 {
     m_open.erase(upstream);
-    constexpr int kStatusOk = 200;
-    if (reply.end != http_end::answered || reply.status != kStatusOk)
+    if (reply.end != http_end::answered || reply.status != http_status::kOk)
         return;
     if (auto report = decodeLoad(upstream, reply.body, askedAt))
         m_deliver(std::move(*report));
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -1,6 +1,7 @@
 // Host list, ratings and weights of the platform; see platform_client_p.h.
 #include "platform_client_p.h"
 
+#include "http_status_p.h"
 #include "object_store_http_p.h"
 
 #include <cmath>
@@ -13,7 +14,6 @@
 {
 
 constexpr std::chrono::milliseconds kTimeout{2000};
-constexpr int kNotModified = 304;
 
 using nlohmann::json;
 
@@ -97,7 +97,7 @@
     if (knownVersion)
         request.headers.emplace_back("If-None-Match", '"' + std::to_string(*knownVersion) + '"');
     start(std::move(request), [done = std::move(done)](const http_reply &reply) {
-        if (reply.status == kNotModified)
+        if (reply.status == http_status::kNotModified)
             return done(std::nullopt);
         if (auto failure = platformError(reply, "hosts"))
             return done(*failure);
--- a/src/relay_choice.cpp
+++ b/src/relay_choice.cpp
@@ -1,8 +1,7 @@
 // Choice between the store and a relay; see relay_choice_p.h.
 #include "relay_choice_p.h"
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
+#include "text_hash_p.h"
 
 namespace foxtaildyke
 {
@@ -11,8 +10,7 @@
     : m_isRelay(std::ranges::find(relays, own) != relays.end())
 {
     const auto rank = [&host](const relay &entry) {
-        const auto text = host + '@' + entry.address.address + ':' + std::to_string(entry.address.port);
-        return XXH64(text.data(), text.size(), 0);
+        return hashOf(host + '@' + entry.address.address + ':' + std::to_string(entry.address.port));
     };
     std::ranges::transform(relays, std::back_inserter(m_relays), [](auto &address) { return relay{address, {}}; });
     std::ranges::sort(m_relays, {}, rank);
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -1,7 +1,7 @@
 // Choice of a replica; see replica_table_p.h.
 #include "replica_table_p.h"
 
-#include <xxhash.h>
+#include "text_hash_p.h"
 
 namespace foxtaildyke
 {
@@ -15,11 +15,6 @@
 /// At most this part of a service's replicas is out at a time; with more, the failures aren't the replicas'.
 constexpr double kMostEjected = 0.5;
 
-std::uint64_t hashOf(std::string_view text)
-{
-    return XXH64(text.data(), text.size(), 0);
-}
-
 /// Rendezvous hashing: the replica with the largest value is the preferred one, and few change when replicas come or
 /// go.
 std::uint64_t rendezvous(std::uint64_t prompt, std::uint64_t idHash)
@@ -63,11 +58,6 @@
     return !entry.isDraining && entry.service == query.service && isWanted && !isExcluded;
 }
 
-bool replica_table::hasAny(const replica_query &query) const
-{
-    return std::ranges::any_of(m_replicas, [&](const auto &entry) { return fits(entry.second, query); });
-}
-
 replica_table::candidate_list replica_table::candidates(const replica_query &query, instant now)
 {
     candidate_list all;
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -37,9 +37,6 @@
     /// @returns a replica, or null where none may take the request. Holds until setReplicas().
     [[nodiscard]] const replica_entry *pick(const replica_query &query, instant now);
 
-    /// @returns whether any replica is registered that may take requests of the service and version.
-    [[nodiscard]] bool hasAny(const replica_query &query) const;
-
     /// Counts an attempt that is sent.
     /// @param sharedPrompt as in the query.
     /// @returns the part of the prompt that the replica has to read, in ms.
--- a/src/rollout_policy.cpp
+++ b/src/rollout_policy.cpp
@@ -29,7 +29,7 @@
     std::map<std::string, trial, std::less<>> next;
     for (const auto &order : orders) {
         trial entry;
-        entry.since = entry.stageSince = now;
+        entry.stageSince = now;
         const auto known = m_trials.find(order.service);
         const bool isSame = known != m_trials.end() && known->second.order.createdRevision == order.createdRevision
             && known->second.order.target == order.target;
--- a/src/rollout_policy_p.h
+++ b/src/rollout_policy_p.h
@@ -69,8 +69,7 @@
     };
     struct trial {
         rollout_order order;
-        instant since{}; ///< when this host first saw the order
-        instant stageSince{};
+        instant stageSince{}; ///< when this host first saw the order in its present stage
         /// CUSUM of the sequential test, never below 0: by stratum, as a version may be bad on one route only, and
         /// under the empty name for all together.
         std::map<std::string, double, std::less<>> scores;
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -1,6 +1,8 @@
 // The router's task; see router_task_p.h.
 #include "router_task_p.h"
 
+#include "http_status_p.h"
+
 #include <csignal>
 
 namespace foxtaildyke
@@ -253,12 +255,10 @@
 
 void router_task::serveAdmin(const http_exchange_ptr &exchange)
 {
-    constexpr int kStatusOk = 200;
-    constexpr int kStatusNotFound = 404;
     const auto page = m_adminPages.find(exchange->path);
     if (page == m_adminPages.end() || exchange->method != http_method::get)
-        return exchange->reply(kStatusNotFound, {});
-    exchange->reply(kStatusOk, page->second(), {{"Content-Type", "text/plain; version=0.0.4"}});
+        return exchange->reply(http_status::kNotFound, {});
+    exchange->reply(http_status::kOk, page->second(), {{"Content-Type", "text/plain; version=0.0.4"}});
 }
 
 std::string router_task::metricsText()
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -1,6 +1,8 @@
 // Attempts at upstreams over server-sent events; see upstream_client_p.h.
 #include "upstream_client_p.h"
 
+#include "http_status_p.h"
+
 #include <event2/buffer.h>
 #include <nlohmann/json.hpp>
 
@@ -10,9 +12,6 @@
 namespace
 {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusTooManyRequests = 429;
-constexpr int kStatusUnavailable = 503;
 constexpr std::string_view kDataPrefix = "data: ";
 constexpr std::string_view kLastEvent = "[DONE]";
 
@@ -42,9 +41,9 @@
     default:
         break;
     }
-    if (reply.status == kStatusOk)
+    if (reply.status == http_status::kOk)
         return attempt_failure::truncated;
-    if (reply.status == kStatusTooManyRequests || reply.status == kStatusUnavailable)
+    if (reply.status == http_status::kTooManyRequests || reply.status == http_status::kServiceUnavailable)
         return attempt_failure::overloaded;
     return attempt_failure::rejected;
 }
@@ -118,7 +117,7 @@
 
 void upstream_client::onData(const std::shared_ptr<running> &attempt, int status, std::string_view data)
 {
-    if (status != kStatusOk)
+    if (status != http_status::kOk)
         return;
     evbuffer_add(attempt->input.get(), data.data(), data.size());
     std::size_t size = 0;
--- a/tests/standin_store.cpp
+++ b/tests/standin_store.cpp
@@ -1,6 +1,8 @@
 // Stand-in of the platform's object store; see standin_store.h.
 #include "standin_store.h"
 
+#include "http_status_p.h"
+
 #include <doctest/doctest.h>
 
 namespace foxtaildyke
@@ -11,12 +13,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kGone = 410;
-constexpr int kLimited = 429;
-constexpr int kUnavailable = 503;
 constexpr const char *kPrefix = "/v1/objects/";
 
 std::uint64_t numberIn(const std::map<std::string, std::string> &query, const char *name)
@@ -108,13 +104,13 @@
     if (refuse(exchange))
         return;
     if (!exchange->path.starts_with(kPrefix))
-        return exchange->reply(kNotFound, {});
+        return exchange->reply(http_status::kNotFound, {});
     const auto parts = splitPath(exchange->path);
     const bool isStatus = parts.size() == 3 && parts[2] == "status";
     if (exchange->method == http_method::put && parts.size() >= 2)
         return serveWrite(parts[0], parts[1], isStatus, exchange);
     if (exchange->method != http_method::get || parts.size() != 1)
-        return exchange->reply(kNotFound, {});
+        return exchange->reply(http_status::kNotFound, {});
     if (exchange->query.contains("watch"))
         return serveWatch(parts[0], exchange);
     serveList(parts[0], exchange);
@@ -124,9 +120,9 @@
 bool standin_store::refuse(const http_exchange_ptr &exchange)
 {
     if (m_mood == store_mood::refusing)
-        exchange->reply(kUnavailable, {});
+        exchange->reply(http_status::kServiceUnavailable, {});
     else if (m_mood == store_mood::limiting)
-        exchange->reply(kLimited, {});
+        exchange->reply(http_status::kTooManyRequests, {});
     else if (m_mood == store_mood::dropping)
         exchange->drop();
     else if (m_mood == store_mood::silent)
@@ -148,7 +144,7 @@
             break;
         items.push_back(render(name, object));
     }
-    exchange->reply(kOk, json{{"items", items}, {"truncated", isTruncated}, {"at", m_revision}}.dump());
+    exchange->reply(http_status::kOk, json{{"items", items}, {"truncated", isTruncated}, {"at", m_revision}}.dump());
 }
 
 void standin_store::serveWatch(const std::string &kind, const http_exchange_ptr &exchange)
@@ -156,7 +152,7 @@
     const auto after = numberIn(exchange->query, "watch");
     if (after < m_oldest) {
         ++goneAnswers;
-        return exchange->reply(kGone, {});
+        return exchange->reply(http_status::kGone, {});
     }
     const waiting_watch watch{kind, after, exchange};
     if (answerWatch(watch, false))
@@ -183,7 +179,7 @@
             events.push_back({{"object", entry.object}, {"removed", entry.isRemoved}});
     if (events.empty() && !isDue)
         return false;
-    watch.exchange->reply(kOk, json{{"events", events}, {"at", m_revision}}.dump());
+    watch.exchange->reply(http_status::kOk, json{{"events", events}, {"at", m_revision}}.dump());
     return true;
 }
 
@@ -206,21 +202,21 @@
 int standin_store::write(const std::string &kind, const std::string &name, bool isStatus, const json &body)
 {
     if (body.is_discarded())
-        return kNotFound;
+        return http_status::kNotFound;
     const bool isNew = !m_objects[kind].contains(name);
     if (isNew && isStatus)
-        return kNotFound;
+        return http_status::kNotFound;
     auto &object = m_objects[kind][name];
     const auto wanted = body.value("metadata", json::object()).value("revision", object.revision);
     if (wanted != object.revision)
-        return kConflict;
+        return http_status::kConflict;
     auto &part = isStatus ? object.status : object.spec;
     const auto value = body.value(isStatus ? "status" : "spec", json());
     if (!isNew && part == value)
-        return kOk;
+        return http_status::kOk;
     part = value;
     note(kind, name, false);
-    return kOk;
+    return http_status::kOk;
 }
 
 } // namespace foxtaildyke
--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -16,6 +16,20 @@
     return caller.answers.size() >= count && caller.answers[count - 1].isWhole;
 }
 
+/// A gateway before one replica that never answers.
+struct silent_site : gateway_harness {
+    silent_site()
+    {
+        publish(makeConfig());
+        publishReplicas({replica.entry("s")});
+    }
+
+    scripted_replica replica{loop, "r1", [](const received_request &) {
+                                 return replica_script{.bytes = "", .delay = std::chrono::seconds(30)};
+                             }};
+    scripted_caller caller{loop, task.callerPort()};
+};
+
 } // namespace
 
 TEST_CASE("gateway: a request goes on unchanged, and its answer comes back unchanged")
@@ -237,31 +251,19 @@
 
 TEST_CASE("gateway: the replica is told at once when the caller leaves")
 {
-    gateway_harness net;
-    scripted_replica replica(net.loop, "r1", [](const received_request &) {
-        return replica_script{.bytes = "", .delay = std::chrono::seconds(30)};
-    });
-    net.publish(gateway_harness::makeConfig());
-    net.publishReplicas({replica.entry("s")});
-    scripted_caller caller(net.loop, net.task.callerPort());
-    caller.send(requestText("POST", "/stream/x", "id1"));
-    REQUIRE(net.runUntil([&] { return replica.requests.size() == 1; }));
-    caller.close();
-    CHECK(net.runUntil([&] { return replica.connectionsLost == 1; }));
+    silent_site site;
+    site.caller.send(requestText("POST", "/stream/x", "id1"));
+    REQUIRE(site.runUntil([&] { return site.replica.requests.size() == 1; }));
+    site.caller.close();
+    CHECK(site.runUntil([&] { return site.replica.connectionsLost == 1; }));
 }
 
 TEST_CASE("gateway: the route's timeout ends a request, with the truth about whether it ran")
 {
-    gateway_harness net;
-    scripted_replica replica(net.loop, "r1", [](const received_request &) {
-        return replica_script{.bytes = "", .delay = std::chrono::seconds(30)};
-    });
-    net.publish(gateway_harness::makeConfig());
-    net.publishReplicas({replica.entry("s")});
-    scripted_caller caller(net.loop, net.task.callerPort());
-    caller.send(requestText("POST", "/once/x", "id1"));
-    REQUIRE(net.runUntil([&] { return hasWholeAnswers(caller, 1); }));
-    CHECK(caller.answers[0].head.status == 504);
+    silent_site site;
+    site.caller.send(requestText("POST", "/once/x", "id1"));
+    REQUIRE(site.runUntil([&] { return hasWholeAnswers(site.caller, 1); }));
+    CHECK(site.caller.answers[0].head.status == 504);
 }
 
 TEST_CASE("gateway: keys are refused once the configuration may be too old")
--- a/tools/load_simulation.cpp
+++ b/tools/load_simulation.cpp
@@ -1,7 +1,7 @@
 // Hosts, callers and events of a simulated run; see load_simulation.h.
 #include "load_simulation.h"
 
-#include <xxhash.h>
+#include "text_hash_p.h"
 
 namespace foxtaildyke::load
 {
@@ -14,11 +14,6 @@
 constexpr std::chrono::seconds kReportTail{150}; ///< reports go on after the last arrival; longer than any deadline
 constexpr std::chrono::seconds kSharePeriod{1}; ///< of limit shares
 
-std::uint64_t hashOf(std::string_view text, std::uint64_t seed)
-{
-    return XXH64(text.data(), text.size(), seed);
-}
-
 } // namespace
 
 simulation::simulation(const experiment &settings, std::uint64_t seed)
