Log a fingerprint of each request and count retries by reason

Nothing counted retries that the budget denied.

Change: request_end and attempt_failed carry a fingerprint of account, method, target and body, equal on all hosts. foxtaildyke_gateway_retries_total counts retries by service, reason and whether the budget allowed them.

--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -82,6 +82,13 @@
     return metadata;
 }
 
+std::uint64_t fingerprintOf(const inbound_request &request, std::string_view account)
+{
+    const auto &head = request.head;
+    // The hash of each part seeds the next, so that moving a byte from one part to another changes the result.
+    return hashOf(request.body, hashOf(head.target, hashOf(head.method, hashOf(account))));
+}
+
 std::string forwardedHead(const inbound_request &request, const forward_fields &fields, const header_names &headerNames)
 {
     const auto &head = request.head;
--- a/src/forwarding_p.h
+++ b/src/forwarding_p.h
@@ -27,6 +27,10 @@
 
 [[nodiscard]] request_metadata parseRequestHeaders(const message_head &head, const header_names &headerNames);
 
+/// @param account name of the client account; empty: none.
+/// @returns a hash of the account, method, target and body, equal on all hosts for the same request sent again.
+[[nodiscard]] std::uint64_t fingerprintOf(const inbound_request &request, std::string_view account);
+
 /// Headers that the gateway sets on a forwarded request.
 struct forward_fields {
     std::string replica;
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -2,6 +2,8 @@
 // gateway_exchange_responses.cpp.
 #include "gateway_exchange_p.h"
 
+#include "text_hash_p.h"
+
 #include <nlohmann/json.hpp>
 
 namespace foxtaildyke
@@ -50,6 +52,7 @@
     const auto wait = std::min(m_route->timeout, m_metadata.timeout.value_or(m_route->timeout));
     m_deadline = m_request.readAt + wait;
     m_timer.start(remainingTime());
+    m_fingerprint = fingerprintOf(m_request, m_account ? std::string_view(m_account->name) : std::string_view());
     chooseService();
     m_state.budget.recordRequest(m_service, m_request.readAt);
     if (!m_route->models.empty()) {
@@ -253,6 +256,8 @@
         {"ms", duration.count() / 1000},
         {"first_ms", m_firstEventAt ? (*m_firstEventAt - m_request.readAt).count() / 1000 : -1},
         {"sends", m_sends}};
+    if (m_fingerprint != 0)
+        fields["fingerprint"] = hexText(m_fingerprint);
     if (m_metadata.session != 0)
         fields["session"] = m_metadata.session;
     if (m_account)
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -80,7 +80,7 @@
     [[nodiscard]] const replica_entry *pickForVersion(const version_choice &choice, instant now);
     void send(const replica_entry &replica);
     [[nodiscard]] upstream_request upstreamRequest(const replica_entry &replica) const;
-    [[nodiscard]] std::optional<std::size_t> escalation(const message_head &head) const;
+    [[nodiscard]] std::optional<std::size_t> escalation(const message_head &head);
     void escalate(std::size_t model);
     void forwardEvent(std::string_view event, std::optional<std::uint64_t> id);
     void beginStream();
@@ -90,6 +90,7 @@
     /// @param isGood whether the replica responded as it should; unset if the end says nothing about the replica.
     void closeAttempt(std::optional<bool> isGood);
     void handleAttemptResult(attempt_result result);
+    [[nodiscard]] bool tryConsumeRetry(retry_reason reason);
     void retryOrFinish(attempt_result result, attempt_outcome outcome);
     void forwardResponse();
     void refuse(refusal reason);
@@ -110,6 +111,7 @@
     gateway_config_ptr m_config; ///< active when the request arrived
     const gateway_route *m_route = nullptr; ///< in m_config
     const client_account *m_account = nullptr; ///< in m_config
+    std::uint64_t m_fingerprint = 0; ///< identifies the request when the caller sends it again
     std::string m_service;
     instant m_deadline{};
     std::size_t m_model = 0; ///< index into the models of the route
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -2,6 +2,7 @@
 #include "gateway_exchange_p.h"
 
 #include "http_status_p.h"
+#include "text_hash_p.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -68,7 +69,7 @@
     m_isStream = m_route->retryRule == retry_rule::stream;
 }
 
-std::optional<std::size_t> gateway_exchange::escalation(const message_head &head) const
+std::optional<std::size_t> gateway_exchange::escalation(const message_head &head)
 {
     if (m_route->models.empty() || m_hasStreamStarted)
         return std::nullopt;
@@ -81,9 +82,7 @@
     step.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(suspendAwareNow() - m_request.readAt);
     step.objective = m_route->objective;
     const auto next = nextModel(m_state.cascade, step);
-    const bool isAffordable =
-        next && m_state.budget.tryConsumeRetry(m_service, retry_reason::escalation, suspendAwareNow());
-    return isAffordable ? next : std::nullopt;
+    return next && tryConsumeRetry(retry_reason::escalation) ? next : std::nullopt;
 }
 
 void gateway_exchange::escalate(std::size_t model)
@@ -173,6 +172,7 @@
         return;
     m_state.log.write("attempt_failed",
                       {{"request_id", m_metadata.id},
+                       {"fingerprint", hexText(m_fingerprint)},
                        {"upstream", m_replica},
                        {"version", m_replicaVersion},
                        {"result", nameOf(result)},
@@ -224,12 +224,18 @@
     retryOrFinish(result, outcome);
 }
 
+bool gateway_exchange::tryConsumeRetry(retry_reason reason)
+{
+    const bool isAllowed = m_state.budget.tryConsumeRetry(m_service, reason, suspendAwareNow());
+    m_state.metrics.recordRetry(m_service, nameOf(reason), isAllowed);
+    return isAllowed;
+}
+
 void gateway_exchange::retryOrFinish(attempt_result result, attempt_outcome outcome)
 {
     auto step = nextStepAfter(outcome);
     const bool hasReachedReplica = result != attempt_result::not_connected;
-    if (step == next_step::retry && hasReachedReplica
-        && !m_state.budget.tryConsumeRetry(m_service, retry_reason::failure, suspendAwareNow())) {
+    if (step == next_step::retry && hasReachedReplica && !tryConsumeRetry(retry_reason::failure)) {
         outcome.sends = outcome.maxSends;
         step = nextStepAfter(outcome);
     }
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -50,6 +50,8 @@
         counter(registry, "foxtaildyke_gateway_requests_total", "Finished requests by route, status and reason");
     Family<Counter> &attempts =
         counter(registry, "foxtaildyke_gateway_attempts_total", "Ended attempts by service, version and result");
+    Family<Counter> &retries = counter(registry, "foxtaildyke_gateway_retries_total",
+                                       "Retries by service, reason, and whether the retry budget allowed them");
     Family<Counter> &feed = counter(registry, "foxtaildyke_gateway_feed_events_total", "Events of the store by type");
     Family<Histogram> &duration =
         histogram(registry, "foxtaildyke_gateway_request_duration_seconds", "Time from arrival to the final answer");
@@ -89,6 +91,15 @@
         .Increment();
 }
 
+void gateway_metrics::recordRetry(std::string_view service, std::string_view reason, bool isAllowed)
+{
+    m_impl->retries
+        .Add({{"service", std::string(service)},
+              {"reason", std::string(reason)},
+              {"outcome", isAllowed ? "allowed" : "denied"}})
+        .Increment();
+}
+
 void gateway_metrics::recordFeedEvent(std::string_view type)
 {
     m_impl->feed.Add({{"type", std::string(type)}}).Increment();
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -24,6 +24,9 @@
     /// Counts an ended attempt at a replica.
     void recordAttempt(std::string_view service, std::string_view version, std::string_view result);
 
+    /// Counts a retry that the budget allowed or denied.
+    void recordRetry(std::string_view service, std::string_view reason, bool isAllowed);
+
     /// Counts a feed event, such as a lost or restored dependency or an unusable entry.
     void recordFeedEvent(std::string_view type);
 
--- a/src/retry_budget_p.h
+++ b/src/retry_budget_p.h
@@ -20,6 +20,11 @@
 /// Reason for a retry. Part of the budget is reserved for failures and not available to escalations.
 enum class retry_reason : std::uint8_t { failure, escalation, count };
 
+template <>
+struct enum_names<retry_reason> {
+    static constexpr std::array kNames{"failure", "escalation"};
+};
+
 /// One host's share of the budget. It is proportional to the requests that the host received itself, so that the sum
 /// over all hosts stays within the limits without communication, also when hosts join or leave.
 class retry_budget
--- a/src/text_hash_p.h
+++ b/src/text_hash_p.h
@@ -1,8 +1,12 @@
-// Text hash for placement and load distribution. Its values must be the same on all hosts and in all versions of the
-// programs.
+// Text hash for placement, load distribution and request fingerprints. Its values must be the same on all hosts and in
+// all versions of the programs.
 #pragma once
 
+#include <array>
+#include <cinttypes>
 #include <cstdint>
+#include <cstdio>
+#include <string>
 #include <string_view>
 #include <xxhash.h>
 
@@ -14,4 +18,12 @@
     return XXH64(text.data(), text.size(), seed);
 }
 
+/// @returns 16 hexadecimal digits, as hashes appear in logs and stored data.
+[[nodiscard]] inline std::string hexText(std::uint64_t value)
+{
+    std::array<char, 17> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016" PRIx64, value);
+    return digits.data();
+}
+
 } // namespace foxtaildyke
