--- /dev/null
+++ b/tests/failure_crashing_requests.cpp
@@ -0,0 +1,95 @@
+// Requests that crash the replicas that run them, sent again through any of several gateway processes.
+#include "gateway_process.h"
+
+using namespace foxtaildyke;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// After this many crashes, and kSettleTime for the hosts to share them, at most kMaxLaterRetries may reach a replica.
+constexpr std::size_t kMaxCrashes = 3;
+constexpr std::size_t kMaxLaterRetries = 3;
+constexpr auto kSettleTime = 3s;
+
+/// Two hosts with replicas that crash on each request whose body is "poison" and restart at once, as a new incarnation.
+struct crashing_fixture : gateway_process {
+    crashing_fixture()
+    {
+        publish(1);
+        for (int index = 0; index < 4; ++index) {
+            const auto id = "r" + std::to_string(index);
+            replicas.push_back(std::make_unique<scripted_replica>(loop, id, respond));
+            registerReplica(*replicas.back());
+        }
+        REQUIRE(startReady());
+        ports = {callerPort, addHost("host-2")};
+    }
+
+    static replica_script respond(const received_request &request)
+    {
+        if (request.body == "poison")
+            return {.bytes = "", .crashes = true};
+        return {responseText(200, std::string(request.head.header("Foxtaildyke-Request-Id")), "whole body")};
+    }
+
+    /// Sends the crashing request through one of the hosts, then restarts the crashed replica.
+    int sendPoison(std::uint16_t port)
+    {
+        const auto id = "id-" + std::to_string(++m_lastId);
+        const auto status = sendRequest(requestText("POST", "/once/x", id, {}, "poison"), port).head.status;
+        runFor(100ms); // the hosts detect the crash while the replica is down
+        for (const auto &replica : replicas) {
+            if (replica->isRunning())
+                continue;
+            replica->restart();
+            registerReplica(*replica, "v1", "ready", 1'700'000'000'000 + m_lastId);
+        }
+        runFor(300ms); // the hosts learn of the new incarnation
+        return status;
+    }
+
+    [[nodiscard]] std::size_t crashes() const
+    {
+        std::size_t sum = 0;
+        for (const auto &replica : replicas)
+            sum += replica->crashCount;
+        return sum;
+    }
+
+    std::vector<std::unique_ptr<scripted_replica>> replicas;
+    std::vector<std::uint16_t> ports;
+
+private:
+    int m_lastId = 0;
+};
+
+} // namespace
+
+TEST_CASE("crashing request: hosts share crashes, so that no host sends a request that crashed replicas elsewhere")
+{
+    crashing_fixture fixture;
+    for (std::size_t sent = 0; sent < kMaxCrashes; ++sent)
+        fixture.sendPoison(fixture.ports[sent % 2]);
+    CHECK(fixture.crashes() == kMaxCrashes);
+    fixture.runFor(kSettleTime);
+    for (int repetition = 0; repetition < 10; ++repetition)
+        CHECK(fixture.sendPoison(fixture.ports[repetition % 2]) == 503);
+    CHECK(fixture.crashes() <= kMaxCrashes + kMaxLaterRetries);
+    const auto other = requestText("POST", "/once/x", "id-other", {}, "another body");
+    CHECK(fixture.sendRequest(other, fixture.ports[1]).head.status == 200);
+}
+
+TEST_CASE("crashing request: a host that was killed and restarted refuses a request that crashed replicas before")
+{
+    crashing_fixture fixture;
+    for (std::size_t sent = 0; sent < kMaxCrashes; ++sent)
+        fixture.sendPoison(fixture.callerPort);
+    CHECK(fixture.crashes() == kMaxCrashes);
+    fixture.runFor(kSettleTime);
+    fixture.process().kill();
+    REQUIRE(fixture.startReady());
+    for (int repetition = 0; repetition < 5; ++repetition)
+        fixture.sendPoison(fixture.callerPort);
+    CHECK(fixture.crashes() <= kMaxCrashes + kMaxLaterRetries);
+}
--- a/tests/gateway_harness.cpp
+++ b/tests/gateway_harness.cpp
@@ -87,6 +87,8 @@
             replica.requests.push_back({parser.head(), std::exchange(body, {})});
             parser.reset();
             script = replica.m_script(replica.requests.back());
+            if (script.crashes)
+                return replica.m_crashTimer.start(std::chrono::milliseconds{0});
             timer.start(script.delay);
         }
     }
@@ -131,14 +133,36 @@
     : m_loop(loop)
     , m_id(std::move(id))
     , m_script(std::move(respond))
+    , m_crashTimer(loop, [this] { crash(); })
+{
+    listen();
+}
+
+void scripted_replica::crash()
+{
+    if (!m_listener)
+        return;
+    ++crashCount;
+    evconnlistener_free(std::exchange(m_listener, nullptr));
+    m_connections.clear();
+}
+
+void scripted_replica::restart()
+{
+    if (!m_listener)
+        listen();
+}
+
+void scripted_replica::listen()
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
+    address.sin_port = htons(m_port);
     inet_pton(AF_INET, kLoopback, &address.sin_addr);
     const auto onAccept = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self) {
         static_cast<scripted_replica *>(self)->accept(socket);
     };
-    m_listener = evconnlistener_new_bind(loop.base(), onAccept, this,
+    m_listener = evconnlistener_new_bind(m_loop.base(), onAccept, this,
                                          LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, -1,
                                          reinterpret_cast<sockaddr *>(&address), sizeof(address));
     REQUIRE(m_listener);
@@ -149,7 +173,8 @@
 
 scripted_replica::~scripted_replica()
 {
-    evconnlistener_free(m_listener);
+    if (m_listener)
+        evconnlistener_free(m_listener);
 }
 
 std::size_t scripted_replica::pendingBytes() const
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -31,6 +31,7 @@
     std::string bytes; ///< response as sent on the wire
     bool closes = false; ///< closes the connection gracefully after the bytes
     bool resets = false; ///< resets the connection after the bytes
+    bool crashes = false; ///< sends nothing and ends the replica; see scripted_replica::crash()
     std::chrono::milliseconds delay{0}; ///< before the bytes
 };
 
@@ -43,7 +44,14 @@
     scripted_replica(event_loop &loop, std::string id, script respond);
     ~scripted_replica();
 
+    /// Resets all connections and refuses new ones until restart().
+    void crash();
+    /// Accepts connections again, at the same address.
+    void restart();
+    [[nodiscard]] bool isRunning() const { return m_listener != nullptr; }
+
     std::vector<received_request> requests; ///< all requests received
+    std::size_t crashCount = 0;
     std::size_t connectionsLost = 0; ///< closed by the gateway while a request was open
     bool respondsAfterHead = false; ///< responds before the request body has arrived, and continues reading
     /// @returns the number of response bytes that the gateway has not yet received.
@@ -52,14 +60,16 @@
 
 private:
     struct connection;
+    void listen();
     void accept(int socket);
     void serve(connection &open);
 
     event_loop &m_loop;
     std::string m_id;
     script m_script;
-    evconnlistener *m_listener = nullptr;
-    std::uint16_t m_port = 0;
+    evconnlistener *m_listener = nullptr; ///< null after a crash
+    std::uint16_t m_port = 0; ///< 0 until the first listen()
+    loop_timer m_crashTimer; ///< crashes outside of a connection's handler
     std::vector<std::unique_ptr<connection>> m_connections;
 };
 
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -41,30 +41,44 @@
 gateway_process::gateway_process(const std::string &moreSettings)
     : callerPort(testing::reservePort())
     , m_directory(makeDirectory())
+    , m_moreSettings(moreSettings)
     , m_readinessPort(testing::reservePort())
     , m_metricsPort(testing::reservePort())
 {
     std::signal(SIGPIPE, SIG_IGN);
-    writeSettings(moreSettings);
 }
 
-void gateway_process::writeSettings(const std::string &moreSettings) const
+std::string gateway_process::writeSettings(const std::string &host, const host_ports &ports) const
 {
-    std::ofstream file(m_directory + "/gateway.ini");
+    const auto path = m_directory + '/' + host + ".ini";
+    std::ofstream file(path);
     file << "[gateway]\n"
-         << moreSettings << "host = host-1\nfailure_domain = d1\nlisten = " << kLoopback << callerPort
-         << "\nreadiness = " << kLoopback << m_readinessPort << "\nmetrics = " << kLoopback << m_metricsPort
+         << m_moreSettings << "host = " << host << "\nfailure_domain = d1\nlisten = " << kLoopback << ports.callers
+         << "\nreadiness = " << kLoopback << ports.readiness << "\nmetrics = " << kLoopback << ports.metrics
          << "\nplatform = " << kLoopback << store.endpoint.port
          << "\nretry_slack = 160\nconfig_watch_ms = 300\nreplica_watch_ms = 300\n";
+    return path;
+}
+
+std::unique_ptr<testing::child_process> gateway_process::startProgram(const std::string &settingsPath) const
+{
+    return std::make_unique<testing::child_process>(
+        std::vector<std::string>{FOXTAILDYKE_BINARY_DIR "/foxtaildyke-gateway", "--config", settingsPath},
+        m_directory + "/log");
 }
 
 void gateway_process::start()
 {
     m_process.reset();
-    m_process =
-        std::make_unique<testing::child_process>(std::vector<std::string>{FOXTAILDYKE_BINARY_DIR "/foxtaildyke-gateway",
-                                                                          "--config", m_directory + "/gateway.ini"},
-                                                 m_directory + "/log");
+    m_process = startProgram(writeSettings("host-1", {callerPort, m_readinessPort, m_metricsPort}));
+}
+
+std::uint16_t gateway_process::addHost(const std::string &host)
+{
+    const host_ports ports{testing::reservePort(), testing::reservePort(), testing::reservePort()};
+    m_moreHosts.push_back(startProgram(writeSettings(host, ports)));
+    REQUIRE(runUntil([&] { return get(ports.readiness, "/v1/readyz").status == 200; }));
+    return ports.callers;
 }
 
 bool gateway_process::startReady()
@@ -119,9 +133,9 @@
                {"born", startedAtMs}});
 }
 
-received_response gateway_process::sendRequest(const std::string &request)
+received_response gateway_process::sendRequest(const std::string &request, std::uint16_t port)
 {
-    scripted_caller caller(loop, callerPort);
+    scripted_caller caller(loop, port);
     caller.send(request);
     runUntil([&] {
         return caller.isClosed || caller.hasMalformed()
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -35,8 +35,13 @@
     void registerReplica(const scripted_replica &replica, const std::string &version = "v1",
                          const std::string &state = "ready", std::int64_t startedAtMs = 1'700'000'000'000);
 
+    /// Starts the program for a further host, with the same store, and waits until it is ready.
+    /// @returns its port for callers.
+    std::uint16_t addHost(const std::string &host);
+
     /// Sends a request on a new connection. @returns its response, which is incomplete if the connection ended early.
-    received_response sendRequest(const std::string &request);
+    received_response sendRequest(const std::string &request) { return sendRequest(request, callerPort); }
+    received_response sendRequest(const std::string &request, std::uint16_t port);
     /// @returns the status of a GET request to the readiness address; 0: no response.
     int readiness();
     /// @returns the response body of the metrics address.
@@ -49,13 +54,23 @@
 private:
     http_response get(std::uint16_t port, const std::string &path);
     [[nodiscard]] static nlohmann::json makeConfigSpec(generation_number version, const std::vector<std::string> &keys);
-    void writeSettings(const std::string &moreSettings) const;
+    /// Ports of one host.
+    struct host_ports {
+        std::uint16_t callers = 0;
+        std::uint16_t readiness = 0;
+        std::uint16_t metrics = 0;
+    };
+    /// @returns the path of the settings file.
+    [[nodiscard]] std::string writeSettings(const std::string &host, const host_ports &ports) const;
+    [[nodiscard]] std::unique_ptr<testing::child_process> startProgram(const std::string &settingsPath) const;
 
     std::string m_directory;
+    std::string m_moreSettings;
     std::uint16_t m_readinessPort = 0;
     std::uint16_t m_metricsPort = 0;
     http_client m_client{loop};
     std::unique_ptr<testing::child_process> m_process;
+    std::vector<std::unique_ptr<testing::child_process>> m_moreHosts;
 };
 
 } // namespace foxtaildyke
