Quarantine requests that crash replicas, over all hosts

Cause: the gateway kept nothing of a crash beyond one request of a caller. The next try has a new id and may reach another host.

Change: a replica that breaks off a response is checked with one more connection, and if that is refused, the end of the replica is recorded under the request's fingerprint (crash_detector). crash_registry blocks a fingerprint with three crashes of different replicas, as reported by all hosts, for ten minutes, unless some replica has answered such a request. Hosts store their reports in one object each (kind crash-reports): one writer, conditional on the revision, so that reports of different hosts never conflict and a late write never replaces a newer one. A blocked request gets 503 with Retry-After at the end of the quarantine: it has not run.

Why it works: what must be remembered is kept per content and in the store, so neither a new id, another host nor a restart starts the count anew.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -8,6 +8,8 @@
     platform/wire_names.cpp
     src/attempt_rules.cpp
     src/caller_connection.cpp
+    src/crash_detector.cpp
+    src/crash_registry.cpp
     src/decision_log.cpp
     src/event_splitter.cpp
     src/forwarding.cpp
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -156,6 +156,11 @@
 
 void gateway_exchange::attempt()
 {
+    if (m_state.crashes.blockedFor(m_fingerprint, suspendAwareNow())) {
+        if (m_hasStreamStarted)
+            return abortResponse("quarantined");
+        return refuse(m_mayHaveRun ? refusal::failed : refusal::quarantined);
+    }
     const auto *replica = pickReplica();
     if (!replica && !m_triedReplicas.empty() && m_sends < m_route->maxAttempts) {
         m_triedReplicas.clear(); // all replicas have been tried; one of them may have recovered
@@ -198,6 +203,8 @@
 {
     m_replica = replica.id;
     m_replicaVersion = replica.version;
+    m_replicaAddress = replica.address;
+    m_crashId = crash_registry::crashId(replica);
     m_triedReplicas.insert(replica.id);
     ++m_sends;
     m_sentAt = suspendAwareNow();
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include "attempt_rules_p.h"
+#include "crash_detector_p.h"
+#include "crash_registry_p.h"
 #include "decision_log_p.h"
 #include "event_splitter_p.h"
 #include "forwarding_p.h"
@@ -33,6 +35,8 @@
     rollout_policy rollouts;
     cascade_settings cascade;
     connection_pool pool;
+    crash_registry crashes;
+    crash_detector crashDetector;
     std::mt19937_64 random;
 
     /// @returns whether keys may be accepted: the configuration is recent enough that no accepted key can have been
@@ -61,6 +65,7 @@
         unknown_key,
         missing_id,
         no_replica,
+        quarantined,
         not_run,
         failed,
         deadline,
@@ -87,6 +92,7 @@
     [[nodiscard]] attempt_result classify(upstream_end end) const;
     void recordAttempt(attempt_result result);
     void recordVersionResponse(attempt_result result);
+    void recordCrashEvidence(attempt_result result);
     /// @param isGood whether the replica responded as it should; unset if the end says nothing about the replica.
     void closeAttempt(std::optional<bool> isGood);
     void handleAttemptResult(attempt_result result);
@@ -102,7 +108,7 @@
     [[nodiscard]] prompt_work promptWork() const;
     [[nodiscard]] std::uint32_t enginePriority() const;
     [[nodiscard]] std::uint64_t promptKey() const;
-    [[nodiscard]] std::string retryAfter();
+    [[nodiscard]] std::string retryAfter(refusal reason);
 
     gateway_state &m_state;
     inbound_request m_request;
@@ -119,6 +125,8 @@
     std::unique_ptr<upstream_exchange> m_upstream; ///< null between attempts
     std::string m_replica; ///< of the current or last attempt
     std::string m_replicaVersion;
+    http_endpoint m_replicaAddress;
+    std::uint64_t m_crashId = 0; ///< of the replica, if it should end
     double m_promptMs = 0; ///< prompt time accounted to the replica until its first byte arrives
     instant m_sentAt{};
     std::optional<instant> m_firstByteAt; ///< of the current attempt
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -49,8 +49,8 @@
         refusal_row{503, "no_config", true},      refusal_row{503, "no_key_lease", true},
         refusal_row{404, "unknown_route", false}, refusal_row{401, "unknown_key", false},
         refusal_row{400, "missing_id", false},    refusal_row{503, "no_replica", true},
-        refusal_row{503, "not_run", true},        refusal_row{502, "failed", false},
-        refusal_row{504, "deadline", false},
+        refusal_row{503, "quarantined", true},    refusal_row{503, "not_run", true},
+        refusal_row{502, "failed", false},        refusal_row{504, "deadline", false},
     };
     static_assert(kRows.size() == static_cast<std::size_t>(refusal::count));
     return kRows[static_cast<std::size_t>(reason)];
@@ -157,6 +157,7 @@
     const auto result = classify(end);
     m_mayHaveRun = m_mayHaveRun || !hasCertainlyNotRun(result);
     recordAttempt(result);
+    recordCrashEvidence(result);
     if (result == attempt_result::wrong_replica || result == attempt_result::not_connected)
         m_state.replicas.recordUnreachable(m_replica, suspendAwareNow());
     closeAttempt(result == attempt_result::answered);
@@ -203,6 +204,15 @@
     m_state.rollouts.recordResponse(response);
 }
 
+/// A replica that has ended may have been crashed by this request; one that has responded hasn't.
+void gateway_exchange::recordCrashEvidence(attempt_result result)
+{
+    if (result == attempt_result::broken)
+        m_state.crashDetector.check({m_replica, m_replicaAddress, m_crashId, m_fingerprint, m_metadata.id});
+    else if (result == attempt_result::answered || result == attempt_result::server_error)
+        m_state.crashes.recordResponse(m_fingerprint, suspendAwareNow());
+}
+
 void gateway_exchange::closeAttempt(std::optional<bool> isGood)
 {
     m_state.replicas.recordEnd(m_replica, std::exchange(m_promptMs, 0), isGood, suspendAwareNow());
@@ -275,7 +285,7 @@
     if (!m_metadata.id.empty())
         headers.emplace_back(m_state.headerNames.requestId, m_metadata.id);
     if (row.hasRetryAfter)
-        headers.emplace_back("Retry-After", retryAfter());
+        headers.emplace_back("Retry-After", retryAfter(reason));
     m_callerResponse.sendResponse(row.status, headers, {});
 }
 
@@ -285,11 +295,16 @@
     m_callerResponse.abort();
 }
 
-std::string gateway_exchange::retryAfter()
+/// @returns the Retry-After value in seconds: the rest of the quarantine, or a short random time.
+std::string gateway_exchange::retryAfter(refusal reason)
 {
     std::uniform_real_distribution<double> spread(kMinRetryAfterS, kMaxRetryAfterS);
+    double seconds = spread(m_state.random);
+    const auto blockedFor = m_state.crashes.blockedFor(m_fingerprint, suspendAwareNow());
+    if (reason == refusal::quarantined && blockedFor)
+        seconds += std::chrono::duration<double>(*blockedFor).count();
     std::array<char, 16> text{};
-    const auto end = std::to_chars(text.begin(), text.end(), spread(m_state.random), std::chars_format::fixed, 2).ptr;
+    const auto end = std::to_chars(text.begin(), text.end(), seconds, std::chars_format::fixed, 2).ptr;
     return {text.begin(), end};
 }
 
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -52,6 +52,9 @@
         counter(registry, "foxtaildyke_gateway_attempts_total", "Ended attempts by service, version and result");
     Family<Counter> &retries = counter(registry, "foxtaildyke_gateway_retries_total",
                                        "Retries by service, reason, and whether the retry budget allowed them");
+    Family<Counter> &crashes =
+        counter(registry, "foxtaildyke_gateway_crashed_attempts_total",
+                "Attempts during which the replica ended, by whether they count towards a quarantine of the request");
     Family<Counter> &feed = counter(registry, "foxtaildyke_gateway_feed_events_total", "Events of the store by type");
     Family<Histogram> &duration =
         histogram(registry, "foxtaildyke_gateway_request_duration_seconds", "Time from arrival to the final answer");
@@ -100,6 +103,11 @@
         .Increment();
 }
 
+void gateway_metrics::recordCrash(bool isNew)
+{
+    m_impl->crashes.Add({{"counted", isNew ? "true" : "false"}}).Increment();
+}
+
 void gateway_metrics::recordFeedEvent(std::string_view type)
 {
     m_impl->feed.Add({{"type", std::string(type)}}).Increment();
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -27,6 +27,9 @@
     /// Counts a retry that the budget allowed or denied.
     void recordRetry(std::string_view service, std::string_view reason, bool isAllowed);
 
+    /// Counts an attempt during which its replica ended. @param isNew whether it counts towards a quarantine.
+    void recordCrash(bool isNew);
+
     /// Counts a feed event, such as a lost or restored dependency or an unusable entry.
     void recordFeedEvent(std::string_view type);
 
--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -116,6 +116,16 @@
     double backlogMs = 0; ///< engine time for their prompts that aren't processed yet
 };
 
+/// What one host reports about a request during which replicas ended.
+struct crash_report {
+    std::uint64_t fingerprint = 0; ///< of the request
+    std::vector<std::uint64_t> crashes; ///< distinct ids, see crash_registry::crashId()
+    bool wasAnswered = false; ///< a replica has responded to the request, so it isn't the cause
+    bool operator==(const crash_report &) const = default;
+};
+
+using crash_reports_by_host = std::map<std::string, std::vector<crash_report>>;
+
 /// State of a roll-out, agreed between the hosts through the store.
 enum class rollout_state : std::uint8_t { ordered, in_progress, completed, rolled_back, count };
 
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -2,6 +2,7 @@
 #include "gateway_task_p.h"
 
 #include "http_status_p.h"
+#include "text_hash_p.h"
 
 #include <arpa/inet.h>
 #include <event2/listener.h>
@@ -17,6 +18,9 @@
 /// Interval between roll-out checks. Hosts add a random delay of up to the same length, so that few of them write the
 /// same state.
 constexpr std::chrono::milliseconds kRolloutCheckInterval{500};
+/// Interval between searches for crash reports of hosts that are gone. Hosts add a random delay of up to the same
+/// length, so that few of them remove the same reports.
+constexpr std::chrono::seconds kCrashReportPurgeInterval{60};
 
 } // namespace
 
@@ -40,6 +44,11 @@
               .rollouts = {},
               .cascade = {.confidenceToKeep = m_settings.confidenceToKeep, .startsSmall = m_settings.startsSmall},
               .pool = {loop, m_headerNames.requestId},
+              .crashes = crash_registry(m_settings.host),
+              .crashDetector = {m_state.pool,
+                                [this](const broken_attempt &attempt) {
+                                    recordCrash(attempt);
+                                }},
               .random = std::mt19937_64{std::random_device{}()}}
     , m_registry(m_settings.lapseGrace)
     , m_readiness(loop, [this](const http_exchange_ptr &exchange) { serveReadiness(exchange); })
@@ -199,6 +208,50 @@
     m_state.rollouts.setOrders(orders, suspendAwareNow());
 }
 
+void gateway_task::onCrashReports(const crash_reports_by_host &reports)
+{
+    m_state.crashes.setStoredReports(reports, suspendAwareNow());
+}
+
+void gateway_task::onCrashReportsWritten(bool isWritten)
+{
+    if (!isWritten)
+        m_state.crashes.recordPublishFailure();
+}
+
+void gateway_task::recordCrash(const broken_attempt &attempt)
+{
+    const auto now = suspendAwareNow();
+    const bool isNew = m_state.crashes.recordCrash(attempt.fingerprint, attempt.crash, now);
+    m_metrics.recordCrash(isNew);
+    m_log.write("replica_crashed",
+                {{"request_id", attempt.requestId},
+                 {"fingerprint", hexText(attempt.fingerprint)},
+                 {"upstream", attempt.replica},
+                 {"counted", isNew},
+                 {"crashes", m_state.crashes.crashes(attempt.fingerprint)},
+                 {"quarantined", m_state.crashes.blockedFor(attempt.fingerprint, now).has_value()}},
+                log_subject::request);
+}
+
+/// Stores this host's crash reports after a change, and removes those of hosts that are gone.
+void gateway_task::shareCrashReports(instant now)
+{
+    m_state.crashes.expire(now);
+    if (!m_feed)
+        return;
+    if (const auto reports = m_state.crashes.takeUnpublished(now)) {
+        m_log.write("crash_reports_shared", {{"reports", reports->size()}});
+        m_feed->writeCrashReports(*reports);
+    }
+    if (now < m_nextCrashReportPurge)
+        return;
+    std::uniform_int_distribution<std::int64_t> spread(0, kCrashReportPurgeInterval.count());
+    m_nextCrashReportPurge = now + kCrashReportPurgeInterval + std::chrono::seconds{spread(m_state.random)};
+    for (const auto &host : m_state.crashes.abandonedHosts(now))
+        m_feed->removeCrashReports(host);
+}
+
 void gateway_task::onFeedReachable(bool isReachable)
 {
     m_registry.setStoreReachable(isReachable, suspendAwareNow());
@@ -242,6 +295,7 @@
         m_metrics.setConfigAge(now - *m_state.configConfirmedAt);
     if (now >= m_nextRolloutCheck)
         advanceRollouts();
+    shareCrashReports(now);
     if (m_isDraining)
         advanceStop();
     m_tick.start(kTickInterval);
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -48,6 +48,8 @@
     void onReplicaChanged(replica_entry replica) override;
     void onReplicaRemoved(const std::string &id) override;
     void onRollouts(const std::vector<rollout_order> &orders) override;
+    void onCrashReports(const crash_reports_by_host &reports) override;
+    void onCrashReportsWritten(bool isWritten) override;
     void onFeedReachable(bool isReachable) override;
     void onFleetSize(std::size_t hosts) override { m_state.budget.setHosts(hosts); }
     std::vector<replica_load> ownLoad() const override { return m_state.replicas.ownLoad(); }
@@ -65,6 +67,8 @@
     void applyReplicas();
     void tick();
     void advanceRollouts();
+    void recordCrash(const broken_attempt &attempt);
+    void shareCrashReports(instant now);
     void closeListener();
     void advanceStop();
     [[nodiscard]] bool hasActiveRequests() const;
@@ -95,6 +99,7 @@
     bool m_wasReady = false;
     instant m_stopStartedAt{};
     instant m_nextRolloutCheck{};
+    instant m_nextCrashReportPurge{};
 };
 
 } // namespace foxtaildyke
--- a/tests/gateway_harness.cpp
+++ b/tests/gateway_harness.cpp
@@ -185,6 +185,11 @@
     return sum;
 }
 
+bool scripted_replica::hasOpenRequest() const
+{
+    return std::ranges::any_of(m_connections, [](const auto &open) { return open->hasOpenRequest; });
+}
+
 void scripted_replica::accept(int socket)
 {
     // With a linger time of zero, closing resets the connection.
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -15,9 +15,12 @@
 struct scripted_feed : fleet_feed {
     fleet_listener *listener = nullptr;
     std::vector<rollout_order> written;
+    std::vector<crash_report> writtenReports; ///< last written
 
     void start(fleet_listener &target) override { listener = &target; }
     void writeRollout(const rollout_order &order) override { written.push_back(order); }
+    void writeCrashReports(const std::vector<crash_report> &reports) override { writtenReports = reports; }
+    void removeCrashReports(const std::string &) override { }
 };
 
 /// A request as received by a replica.
@@ -49,6 +52,8 @@
     /// Accepts connections again, at the same address.
     void restart();
     [[nodiscard]] bool isRunning() const { return m_listener != nullptr; }
+    /// @returns whether a request has been received whose response is not yet written.
+    [[nodiscard]] bool hasOpenRequest() const;
 
     std::vector<received_request> requests; ///< all requests received
     std::size_t crashCount = 0;
--- a/tests/standin_store.cpp
+++ b/tests/standin_store.cpp
@@ -109,6 +109,14 @@
     const bool isStatus = parts.size() == 3 && parts[2] == "status";
     if (exchange->method == http_method::put && parts.size() >= 2)
         return serveWrite(parts[0], parts[1], isStatus, exchange);
+    if (exchange->method == http_method::post && parts.size() == 1)
+        return serveWrite(parts[0], {}, false, exchange);
+    if (exchange->method == http_method::remove && parts.size() == 2) {
+        if (!m_objects[parts[0]].contains(parts[1]))
+            return exchange->respond(http_status::kNotFound, {});
+        remove(parts[0], parts[1]);
+        return exchange->respond(http_status::kOk, {});
+    }
     if (exchange->method != http_method::get || parts.size() != 1)
         return exchange->respond(http_status::kNotFound, {});
     if (exchange->query.contains("watch"))
@@ -187,24 +195,37 @@
                                const http_exchange_ptr &exchange)
 {
     const auto body = json::parse(exchange->body, nullptr, false);
+    const auto apply = [this, kind, name, isStatus, body] {
+        return name.empty() ? create(kind, body) : write(kind, name, isStatus, body);
+    };
     if (writeOutcome == write_outcome::late) {
         m_openExchanges.push_back(exchange);
-        m_loop.after(writeDelay, [this, kind, name, isStatus, body] { write(kind, name, isStatus, body); });
+        m_loop.after(writeDelay, apply);
         return;
     }
-    const int status = write(kind, name, isStatus, body);
+    const int status = apply();
     if (writeOutcome == write_outcome::response_lost)
         m_openExchanges.push_back(exchange);
     else
         exchange->respond(status, {});
 }
 
+int standin_store::create(const std::string &kind, const json &body)
+{
+    const auto name = body.value("metadata", json::object()).value("name", std::string());
+    if (name.empty())
+        return http_status::kBadRequest;
+    if (m_objects[kind].contains(name))
+        return http_status::kConflict;
+    put(kind, name, body.value("spec", json()));
+    return http_status::kOk;
+}
+
 int standin_store::write(const std::string &kind, const std::string &name, bool isStatus, const json &body)
 {
     if (body.is_discarded())
         return http_status::kNotFound;
-    const bool isNew = !m_objects[kind].contains(name);
-    if (isNew && isStatus)
+    if (!m_objects[kind].contains(name))
         return http_status::kNotFound;
     auto &object = m_objects[kind][name];
     const auto expectedRevision = body.value("metadata", json::object()).value("revision", object.revision);
@@ -212,7 +233,7 @@
         return http_status::kConflict;
     auto &part = isStatus ? object.status : object.spec;
     const auto value = body.value(isStatus ? "status" : "spec", json());
-    if (!isNew && part == value)
+    if (part == value)
         return http_status::kOk;
     part = value;
     recordChange(kind, name, false);
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -77,8 +77,10 @@
     void serveList(const std::string &kind, const http_exchange_ptr &exchange);
     void serveWatch(const std::string &kind, const http_exchange_ptr &exchange);
     bool respondToWatch(const waiting_watch &watch, bool hasWaitEnded);
+    /// @param name empty: creates the object that the body names.
     void serveWrite(const std::string &kind, const std::string &name, bool isStatus, const http_exchange_ptr &exchange);
     int write(const std::string &kind, const std::string &name, bool isStatus, const nlohmann::json &body);
+    int create(const std::string &kind, const nlohmann::json &body);
     void recordChange(const std::string &kind, const std::string &name, bool isRemoved);
     [[nodiscard]] static nlohmann::json render(const std::string &name, const stored_object &object);
 
--- /dev/null
+++ b/tests/test_crash_registry.cpp
@@ -0,0 +1,258 @@
+// Registry of requests that crash replicas: which requests are blocked, for how long, and what the hosts store for each
+// other.
+#include "crash_registry_p.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace foxtaildyke;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t kRequest = 42;
+
+/// Hosts that share their reports through a store, on one clock.
+struct shared_registries {
+    explicit shared_registries(std::size_t count)
+    {
+        for (std::size_t index = 0; index < count; ++index)
+            hosts.emplace_back("host-" + std::to_string(index));
+        deliver();
+    }
+
+    void publish(std::size_t index)
+    {
+        const auto reports = hosts[index].takeUnpublished(now);
+        if (!reports)
+            return;
+        ++writes;
+        const auto name = "host-" + std::to_string(index);
+        if (reports->empty())
+            stored.erase(name);
+        else
+            stored[name] = *reports;
+    }
+
+    void deliver()
+    {
+        for (auto &host : hosts)
+            host.setStoredReports(stored, now);
+    }
+
+    /// Lets time pass in which the hosts store and read reports.
+    void advance(std::chrono::milliseconds time)
+    {
+        constexpr auto kTick = 250ms;
+        for (auto passed = 0ms; passed < time; passed += kTick) {
+            now += kTick;
+            for (std::size_t index = 0; index < hosts.size(); ++index) {
+                hosts[index].expire(now);
+                publish(index);
+            }
+            deliver();
+        }
+    }
+
+    [[nodiscard]] std::size_t blocking() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            hosts, [this](const auto &host) { return host.blockedFor(kRequest, now).has_value(); }));
+    }
+
+    instant now{100s};
+    std::vector<crash_registry> hosts;
+    crash_reports_by_host stored;
+    std::size_t writes = 0;
+};
+
+/// Time within which the hosts must agree.
+constexpr auto kAgreementTime = 3s;
+
+} // namespace
+
+TEST_CASE("crash registry: a request is blocked at its third crash, until the reports expire")
+{
+    crash_registry registry("host-0");
+    CHECK(registry.recordCrash(kRequest, 1, 1s));
+    CHECK_FALSE(registry.recordCrash(kRequest, 1, 2s)); // several attempts may run when a replica ends
+    CHECK(registry.recordCrash(kRequest, 2, 3s));
+    CHECK_FALSE(registry.blockedFor(kRequest, 3s));
+    CHECK(registry.recordCrash(kRequest, 3, 10s));
+    CHECK(registry.blockedFor(kRequest, 10s) == crash_registry::kLifetime);
+    CHECK(registry.blockedFor(kRequest, 609s) == 1s);
+    CHECK_FALSE(registry.blockedFor(kRequest, 610s));
+    CHECK_FALSE(registry.blockedFor(kRequest + 1, 10s));
+}
+
+TEST_CASE("crash registry: a replica that restarts under its id can crash again, and hosts agree on the crash")
+{
+    replica_entry replica;
+    replica.id = "r1";
+    replica.startedAtMs = 1'700'000'000'000;
+    const auto first = crash_registry::crashId(replica);
+    replica.coldRemaining = 5s;
+    CHECK(crash_registry::crashId(replica) == first);
+    replica.startedAtMs += 1;
+    CHECK(crash_registry::crashId(replica) != first);
+}
+
+TEST_CASE("crash registry: a request that replicas have answered isn't blamed for their end")
+{
+    crash_registry registry("host-0");
+    registry.recordResponse(kRequest, 1s);
+    for (std::uint64_t crash = 0; crash < 5; ++crash)
+        CHECK_FALSE(registry.recordCrash(kRequest, crash, 2s));
+    CHECK_FALSE(registry.blockedFor(kRequest, 2s));
+    registry.recordCrash(kRequest + 1, 1, 3s);
+    registry.recordResponse(kRequest + 1, 4s); // answered by another replica
+    CHECK(registry.crashes(kRequest + 1) == 0);
+}
+
+TEST_CASE("crash registry: crashes on different hosts add up within the time in which the hosts must agree")
+{
+    shared_registries fleet(6);
+    for (std::uint64_t crash = 0; crash < crash_registry::kCrashLimit; ++crash)
+        fleet.hosts[crash].recordCrash(kRequest, crash, fleet.now);
+    CHECK(fleet.blocking() == 0);
+    fleet.advance(kAgreementTime);
+    CHECK(fleet.blocking() == fleet.hosts.size());
+}
+
+TEST_CASE("crash registry: a report that couldn't be stored is stored later")
+{
+    shared_registries fleet(2);
+    for (std::uint64_t crash = 0; crash < crash_registry::kCrashLimit; ++crash)
+        fleet.hosts[0].recordCrash(kRequest, crash, fleet.now);
+    fleet.now += 1s;
+    REQUIRE(fleet.hosts[0].takeUnpublished(fleet.now));
+    fleet.hosts[0].recordPublishFailure();
+    CHECK_FALSE(fleet.hosts[0].takeUnpublished(fleet.now));
+    fleet.advance(kAgreementTime);
+    CHECK(fleet.blocking() == 2);
+}
+
+TEST_CASE("crash registry: requests that complete elsewhere after a crash cause no writes")
+{
+    shared_registries fleet(3);
+    for (std::uint64_t request = 0; request < 100; ++request)
+        fleet.hosts[0].recordCrash(request, 1, fleet.now);
+    for (std::uint64_t request = 0; request < 100; ++request)
+        fleet.hosts[0].recordResponse(request, fleet.now + 100ms);
+    fleet.advance(5s);
+    CHECK(fleet.writes == 0);
+}
+
+TEST_CASE("crash registry: reports on requests that complete late are withdrawn together")
+{
+    shared_registries fleet(2);
+    for (std::uint64_t request = 0; request < 20; ++request)
+        fleet.hosts[0].recordCrash(request, 1, fleet.now);
+    for (std::uint64_t request = 0; request < 20; ++request) {
+        fleet.advance(250ms);
+        fleet.hosts[0].recordResponse(request, fleet.now);
+    }
+    fleet.advance(20s);
+    CHECK(fleet.stored.empty());
+    CHECK(fleet.writes == 2);
+}
+
+TEST_CASE("crash registry: a response on one host lifts the block on all, and on hosts that start later")
+{
+    shared_registries fleet(4);
+    // The last host has answered the request before; it is the only one to know better.
+    fleet.hosts[3].recordResponse(kRequest, fleet.now);
+    for (std::uint64_t crash = 0; crash < crash_registry::kCrashLimit; ++crash)
+        fleet.hosts[crash].recordCrash(kRequest, crash, fleet.now);
+    fleet.advance(2 * kAgreementTime);
+    CHECK(fleet.blocking() == 0);
+    crash_registry later("host-9");
+    later.setStoredReports(fleet.stored, fleet.now);
+    CHECK_FALSE(later.blockedFor(kRequest, fleet.now));
+}
+
+TEST_CASE("crash registry: a restarted host adopts its stored reports before it stores new ones")
+{
+    shared_registries fleet(2);
+    for (std::uint64_t crash = 0; crash < crash_registry::kCrashLimit; ++crash)
+        fleet.hosts[0].recordCrash(kRequest, crash, fleet.now);
+    fleet.advance(kAgreementTime);
+    fleet.hosts[0] = crash_registry("host-0");
+    fleet.hosts[0].recordCrash(kRequest + 1, 1, fleet.now);
+    fleet.now += 2s;
+    CHECK_FALSE(fleet.hosts[0].takeUnpublished(fleet.now)); // the stored reports aren't known yet
+    fleet.deliver();
+    CHECK(fleet.blocking() == 2);
+    fleet.publish(0);
+    CHECK(fleet.stored["host-0"].size() == 2);
+}
+
+TEST_CASE("crash registry: the reports of a host that is gone expire and are then removed from the store")
+{
+    shared_registries fleet(2);
+    for (std::uint64_t crash = 0; crash < crash_registry::kCrashLimit; ++crash)
+        fleet.hosts[0].recordCrash(kRequest, crash, fleet.now);
+    fleet.advance(kAgreementTime);
+    auto &remaining = fleet.hosts[1];
+    const auto storedAt = fleet.now;
+    const auto atEnd = storedAt + crash_registry::kLifetime;
+    remaining.expire(atEnd);
+    remaining.setStoredReports(fleet.stored, atEnd); // delivering them again must not renew them
+    CHECK_FALSE(remaining.blockedFor(kRequest, atEnd));
+    CHECK(remaining.abandonedHosts(atEnd).empty());
+    CHECK(remaining.abandonedHosts(storedAt + 2 * crash_registry::kLifetime) == std::vector<std::string>{"host-0"});
+}
+
+TEST_CASE("crash registry: the number of reports of a host is bounded, and the newest remain")
+{
+    crash_registry registry("host-0");
+    registry.setStoredReports({}, 0s);
+    for (std::uint64_t request = 0; request < 2 * crash_registry::kMaxReports; ++request)
+        registry.recordCrash(request, 1, std::chrono::milliseconds(request));
+    const auto reports = registry.takeUnpublished(10s);
+    REQUIRE(reports);
+    CHECK(reports->size() == crash_registry::kMaxReports);
+    CHECK(registry.crashes(0) == 0);
+    CHECK(registry.crashes(2 * crash_registry::kMaxReports - 1) == 1);
+}
+
+TEST_CASE("crash registry: with random crashes, responses, losses and restarts, all hosts agree when all is delivered")
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        shared_registries fleet(5);
+        const auto draw = [&random](std::uint64_t limit) {
+            return random() % limit;
+        };
+        for (int step = 0; step < 300; ++step) {
+            auto &host = fleet.hosts[draw(fleet.hosts.size())];
+            const auto index = static_cast<std::size_t>(&host - fleet.hosts.data());
+            const auto request = draw(8);
+            const auto action = draw(20);
+            if (action < 8) // even requests crash replicas, the others complete
+                host.recordCrash(request, draw(1000), fleet.now);
+            else if (action < 12 && request % 2 == 1)
+                host.recordResponse(request, fleet.now);
+            else if (action < 14 && host.takeUnpublished(fleet.now))
+                host.recordPublishFailure();
+            else if (action == 14)
+                host = crash_registry("host-" + std::to_string(index));
+            else if (action < 18)
+                host.setStoredReports(fleet.stored, fleet.now);
+            fleet.now += 50ms;
+            fleet.publish(index);
+        }
+        for (std::uint64_t request = 0; request < 8; request += 2)
+            for (std::uint64_t crash = 0; crash < crash_registry::kCrashLimit; ++crash)
+                fleet.hosts[0].recordCrash(request, 2000 + crash, fleet.now);
+        for (auto &host : fleet.hosts)
+            for (std::uint64_t request = 1; request < 8; request += 2)
+                host.recordResponse(request, fleet.now);
+        fleet.advance(30s);
+        for (const auto &host : fleet.hosts)
+            for (std::uint64_t request = 0; request < 8; ++request)
+                CHECK(host.blockedFor(request, fleet.now).has_value() == (request % 2 == 0));
+    }
+}
--- a/tests/test_crashing_requests.cpp
+++ b/tests/test_crashing_requests.cpp
@@ -15,13 +15,17 @@
     explicit crashing_fixture(std::size_t count)
     {
         for (std::size_t index = 0; index < count; ++index)
-            replicas.push_back(std::make_unique<scripted_replica>(loop, "r" + std::to_string(index), respond));
+            replicas.push_back(std::make_unique<scripted_replica>(
+                loop, "r" + std::to_string(index),
+                [this](const received_request &request) { return respond(request); }));
         publish(makeConfig());
         publishEntries();
     }
 
-    static replica_script respond(const received_request &request)
+    [[nodiscard]] replica_script respond(const received_request &request) const
     {
+        if (hangs)
+            return {.bytes = "", .delay = std::chrono::seconds(30)};
         if (request.body == "poison")
             return {.bytes = "", .crashes = true};
         const std::string id(request.head.header("Foxtaildyke-Request-Id"));
@@ -64,7 +68,16 @@
         return sum;
     }
 
+    /// @returns the replica that holds a request without responding, or null.
+    [[nodiscard]] scripted_replica *hungReplica() const
+    {
+        const auto found =
+            std::ranges::find_if(replicas, [](const auto &replica) { return replica->hasOpenRequest(); });
+        return found == replicas.end() ? nullptr : found->get();
+    }
+
     std::vector<std::unique_ptr<scripted_replica>> replicas;
+    bool hangs = false; ///< replicas don't respond
 
 private:
     int m_lastId = 0;
@@ -99,3 +112,46 @@
     CHECK(fixture.crashes() == kMaxCrashes);
     CHECK(fixture.sendRequest("POST", "/once/x", "another body").head.status == 200);
 }
+
+TEST_CASE("crashing request: lost responses of replicas that keep running don't block a request")
+{
+    gateway_harness harness;
+    bool losesResponses = true;
+    scripted_replica replica(harness.loop, "r1", [&](const received_request &request) {
+        if (losesResponses)
+            return replica_script{.bytes = "", .resets = true};
+        return replica_script{
+            responseText(200, std::string(request.head.header("Foxtaildyke-Request-Id")), "whole body")};
+    });
+    harness.publish(gateway_harness::makeConfig());
+    harness.publishReplicas({replica.entry("s")});
+    const auto send = [&](const std::string &id) {
+        scripted_caller caller(harness.loop, harness.task.callerPort());
+        caller.send(requestText("POST", "/once/x", id, {}, "the body"));
+        REQUIRE(harness.runUntil([&] { return !caller.responses.empty() && caller.responses[0].isComplete; }));
+        return caller.responses[0].head.status;
+    };
+    for (std::size_t sent = 0; sent < 2 * kMaxCrashes; ++sent)
+        CHECK(send("lost-" + std::to_string(sent)) == 502);
+    losesResponses = false;
+    CHECK(send("answered") == 200);
+}
+
+TEST_CASE("crashing request: a request that was answered before is served again after replicas crashed during it")
+{
+    crashing_fixture fixture(4);
+    CHECK(fixture.sendRequest("GET", "/safe/popular", "").head.status == 200);
+    for (std::size_t round = 0; round < kMaxCrashes; ++round) {
+        fixture.hangs = true;
+        scripted_caller caller(fixture.loop, fixture.task.callerPort());
+        caller.send(requestText("GET", "/safe/popular", "hung-" + std::to_string(round)));
+        REQUIRE(fixture.runUntil([&] { return fixture.hungReplica() != nullptr; }));
+        fixture.hungReplica()->crash();
+        fixture.hangs = false;
+        REQUIRE(fixture.runUntil([&] { return caller.isClosed || !caller.responses.empty(); }));
+        fixture.runFor(std::chrono::milliseconds(20));
+        fixture.restartReplicas();
+    }
+    CHECK(fixture.crashes() >= kMaxCrashes);
+    CHECK(fixture.sendRequest("GET", "/safe/popular", "").head.status == 200);
+}
--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -1,6 +1,8 @@
 // Tests of the adapter to the platform's store: lists, watches, invalid entries and an unreachable store.
 #include "feed_recorder.h"
+#include "gateway_harness.h"
 #include "loopback_p.h"
+#include "standin_store.h"
 #include "store_feed.h"
 
 using namespace foxtaildyke;
@@ -33,7 +35,8 @@
 
 /// Store whose list responses come from a table and whose watch responses come from a function.
 struct scripted_store : loopback {
-    std::map<std::string, std::string> lists{{"config", listOf("")}, {"servers", listOf("")}, {"rollouts", listOf("")}};
+    std::map<std::string, std::string> lists{
+        {"config", listOf("")}, {"servers", listOf("")}, {"rollouts", listOf("")}, {"crash-reports", listOf("")}};
     std::function<void(const std::string &kind, const http_exchange_ptr &)> onWatch;
     std::vector<http_exchange_ptr> waiting; ///< watches without a response
     std::vector<std::string> waits; ///< wait_ms of each watch of the configuration
@@ -191,3 +194,62 @@
     CHECK(written["status"]["state"] == "rolled_back");
     CHECK(written["status"]["target"] == "v2");
 }
+
+TEST_CASE("store feed: crash reports are stored for each host, and entries of other writers are skipped")
+{
+    scripted_store store;
+    store.lists["crash-reports"] = listOf(
+        object("host-2", R"({"reports":[{"fingerprint":"2a","crashes":["1","ff"],"answered":false},{"fingerprint":7},
+        {"fingerprint":"2b","crashes":"none","answered":true},null]})")
+        + "," + object("host-3", "17"));
+    store.feed.start(store.recorder);
+    REQUIRE(store.runUntil([&] { return !store.recorder.crashReports.empty(); }));
+    const std::vector<crash_report> expected{{0x2a, {1, 0xff}, false}, {0x2b, {}, true}};
+    CHECK(store.recorder.crashReports.at("host-2") == expected);
+    CHECK(store.recorder.crashReports.at("host-3").empty());
+}
+
+TEST_CASE("store feed: a host creates, replaces and removes its crash reports, and a stale write fails")
+{
+    test_loop loop;
+    standin_store store{loop.loop};
+    feed_recorder recorder;
+    platform::store_feed feed{loop.loop, store.endpoint, {200ms, 200ms}, {"host-1", {}, {}}};
+    feed.start(recorder);
+    const std::vector<crash_report> first{{0x2a, {1}, false}};
+    const std::vector<crash_report> second{{0x2a, {1, 2}, false}, {0x2b, {}, true}};
+    REQUIRE(loop.runUntil([&] { return recorder.isReachable; }));
+    for (const auto &reports : {first, second}) {
+        feed.writeCrashReports(reports);
+        REQUIRE(loop.runUntil(
+            [&] { return recorder.crashReports.contains("host-1") && recorder.crashReports.at("host-1") == reports; }));
+    }
+    // Two writes based on the same revision: only the first is carried out.
+    store.writeOutcome = write_outcome::late;
+    feed.writeCrashReports(first);
+    loop.runFor(50ms);
+    store.writeOutcome = write_outcome::answered;
+    feed.writeCrashReports({});
+    REQUIRE(loop.runUntil([&] { return recorder.crashReports.empty(); }));
+    loop.runFor(2 * store.writeDelay);
+    CHECK(recorder.crashReports.empty());
+    CHECK(store.statusOf("crash-reports", "host-1").is_null());
+}
+
+TEST_CASE("store feed: crash reports written during a silent outage are read when the store is back")
+{
+    test_loop loop;
+    standin_store store{loop.loop};
+    store.put("config", "main", {{"version", 1}});
+    feed_recorder recorder;
+    platform::store_feed feed{loop.loop, store.endpoint, {200ms, 200ms}, {"host-1", {}, {}}};
+    feed.start(recorder);
+    REQUIRE(loop.runUntil([&] { return recorder.isReachable; }));
+    store.setState(store_state::silent);
+    REQUIRE(loop.runUntil([&] { return recorder.hasEvent("store_lost config"); }));
+    feed.writeCrashReports({{0x2a, {1}, false}});
+    CHECK(recorder.reportWrites == std::vector<bool>{false}); // not even tried
+    store.put("crash-reports", "host-2", {{"reports", {{{"fingerprint", "2a"}, {"crashes", {"1"}}}}}});
+    store.setState(store_state::serving);
+    CHECK(loop.runUntil([&] { return recorder.crashReports.contains("host-2"); }));
+}
