Report a crash only once the retries of its request on this host have failed

Cause: each request that was running on a replica when it ended was reported to the store and later withdrawn, although nearly all of them complete at another replica.

Change: crash_registry holds a report back while the request is retried on this host.

--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -58,6 +58,16 @@
     return true;
 }
 
+void crash_registry::releaseReport(std::uint64_t fingerprint, instant now)
+{
+    const auto held = m_heldReports.find(fingerprint);
+    if (held == m_heldReports.end() || --held->second > 0)
+        return;
+    m_heldReports.erase(held);
+    if (own().contains(fingerprint))
+        applyChange(kPublishDelay, now);
+}
+
 void crash_registry::recordResponse(std::uint64_t fingerprint, instant now)
 {
     if (m_answered.size() >= kMinAnswered)
@@ -161,7 +171,9 @@
         return std::nullopt;
     m_publishDueAt.reset();
     std::vector<crash_report> reports;
-    std::ranges::transform(own(), std::back_inserter(reports), [](const auto &entry) { return entry.second.report; });
+    for (const auto &[fingerprint, known] : own())
+        if (!m_heldReports.contains(fingerprint) || isPublished(fingerprint))
+            reports.push_back(known.report);
     if (reports == m_published && !m_hasPublishFailed)
         return std::nullopt;
     m_publishedAt = now;
--- a/src/crash_registry_p.h
+++ b/src/crash_registry_p.h
@@ -27,6 +27,11 @@
     /// Records that a replica has responded to a request, which rules the request out as the cause of crashes.
     void recordResponse(std::uint64_t fingerprint, instant now);
 
+    /// Delays storing a report on a request while it is retried on this host, which may show that it isn't the cause.
+    /// Each call must be followed by one of releaseReport().
+    void holdReport(std::uint64_t fingerprint) { ++m_heldReports[fingerprint]; }
+    void releaseReport(std::uint64_t fingerprint, instant now);
+
     /// Replaces the stored reports of all hosts. Those that an earlier process of this host stored are adopted.
     void setStoredReports(const crash_reports_by_host &reports, instant now);
 
@@ -53,14 +58,13 @@
     static constexpr std::size_t kCrashLimit = 3;
     /// Time for which a report counts.
     static constexpr std::chrono::seconds kLifetime{600};
-    /// Delay between a crash and its report. Most requests that were running on a crashed replica complete elsewhere
-    /// in the meantime and need no report.
+    /// Delay of a report, so that one write covers all requests that were running on a crashed replica.
     static constexpr std::chrono::milliseconds kPublishDelay{500};
     /// Delay of a change that only withdraws reports.
     static constexpr std::chrono::seconds kWithdrawDelay{10};
     /// Minimum time between two reports of this host; together with the delay well below the time in which the users
     /// expect the hosts to agree (3 s).
-    static constexpr std::chrono::milliseconds kPublishInterval{1000};
+    static constexpr std::chrono::milliseconds kPublishInterval{1500};
     /// Maximum number of requests that a host reports; the oldest reports are dropped.
     static constexpr std::size_t kMaxReports = 256;
     /// Number of recently answered requests that are remembered, at least.
@@ -96,6 +100,8 @@
     /// Answered requests in two generations; when the newer one is full, it replaces the older one.
     std::unordered_set<std::uint64_t> m_answered;
     std::unordered_set<std::uint64_t> m_answeredBefore;
+    std::unordered_map<std::uint64_t, std::uint32_t>
+        m_heldReports; ///< by fingerprint: number of requests being retried
     std::optional<instant> m_publishDueAt; ///< unset: nothing has changed since the last takeUnpublished()
     instant m_publishedAt{}; ///< last takeUnpublished() with a result
     std::vector<crash_report> m_published; ///< own reports as the store contains them, ordered by fingerprint
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -43,6 +43,7 @@
 {
     if (m_upstream)
         closeAttempt(std::nullopt);
+    releaseCrashReport();
 }
 
 void gateway_exchange::begin()
@@ -251,6 +252,7 @@
 {
     m_isFinished = true;
     m_timer.stop();
+    releaseCrashReport();
     const auto now = suspendAwareNow();
     const auto duration = now - m_request.readAt;
     const std::string_view route = m_route ? std::string_view(m_route->name) : std::string_view("none");
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -93,6 +93,7 @@
     void recordAttempt(attempt_result result);
     void recordVersionResponse(attempt_result result);
     void recordCrashEvidence(attempt_result result);
+    void releaseCrashReport();
     /// @param isGood whether the replica responded as it should; unset if the end says nothing about the replica.
     void closeAttempt(std::optional<bool> isGood);
     void handleAttemptResult(attempt_result result);
@@ -140,6 +141,7 @@
     std::set<std::string> m_triedReplicas;
     std::uint32_t m_sends = 0; ///< number of replicas to which the request was sent
     std::uint32_t m_connectFailures = 0;
+    bool m_holdsCrashReport = false; ///< see crash_registry::holdReport()
     bool m_mayHaveRun = false; ///< a replica may have run the request
     bool m_hasStreamStarted = false; ///< the caller has been sent part of a stream
     std::optional<std::uint64_t> m_lastEventId; ///< last event sent to the caller
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -207,10 +207,19 @@
 /// A replica that has ended may have been crashed by this request; one that has responded hasn't.
 void gateway_exchange::recordCrashEvidence(attempt_result result)
 {
-    if (result == attempt_result::broken)
-        m_state.crashDetector.check({m_replica, m_replicaAddress, m_crashId, m_fingerprint, m_metadata.id});
-    else if (result == attempt_result::answered || result == attempt_result::server_error)
-        m_state.crashes.recordResponse(m_fingerprint, suspendAwareNow());
+    if (result == attempt_result::answered || result == attempt_result::server_error)
+        return m_state.crashes.recordResponse(m_fingerprint, suspendAwareNow());
+    if (result != attempt_result::broken)
+        return;
+    if (!std::exchange(m_holdsCrashReport, true))
+        m_state.crashes.holdReport(m_fingerprint);
+    m_state.crashDetector.check({m_replica, m_replicaAddress, m_crashId, m_fingerprint, m_metadata.id});
+}
+
+void gateway_exchange::releaseCrashReport()
+{
+    if (std::exchange(m_holdsCrashReport, false))
+        m_state.crashes.releaseReport(m_fingerprint, suspendAwareNow());
 }
 
 void gateway_exchange::closeAttempt(std::optional<bool> isGood)
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -50,7 +50,7 @@
 
 std::string gateway_process::writeSettings(const std::string &host, const host_ports &ports) const
 {
-    const auto path = m_directory + '/' + host + ".ini";
+    auto path = m_directory + "/" + host + ".ini";
     std::ofstream file(path);
     file << "[gateway]\n"
          << m_moreSettings << "host = " << host << "\nfailure_domain = d1\nlisten = " << kLoopback << ports.callers
--- a/tests/test_crash_registry.cpp
+++ b/tests/test_crash_registry.cpp
@@ -133,15 +133,24 @@
     CHECK(fleet.blocking() == 2);
 }
 
-TEST_CASE("crash registry: requests that complete elsewhere after a crash cause no writes")
+TEST_CASE("crash registry: a request that is retried after a crash is reported only if it fails")
 {
     shared_registries fleet(3);
-    for (std::uint64_t request = 0; request < 100; ++request)
-        fleet.hosts[0].recordCrash(request, 1, fleet.now);
-    for (std::uint64_t request = 0; request < 100; ++request)
-        fleet.hosts[0].recordResponse(request, fleet.now + 100ms);
+    auto &host = fleet.hosts[0];
+    for (std::uint64_t request = 0; request < 100; ++request) {
+        host.holdReport(request);
+        host.recordCrash(request, 1, fleet.now);
+    }
     fleet.advance(5s);
+    for (std::uint64_t request = 0; request < 99; ++request) {
+        host.recordResponse(request, fleet.now);
+        host.releaseReport(request, fleet.now);
+    }
+    fleet.advance(15s);
     CHECK(fleet.writes == 0);
+    host.releaseReport(99, fleet.now);
+    fleet.advance(kAgreementTime);
+    CHECK(fleet.hosts[2].crashes(99) == 1);
 }
 
 TEST_CASE("crash registry: reports on requests that complete late are withdrawn together")
