Routers: share each crash of a request, not only its quarantine

An at-most-once request crashes one upstream each time, so a caller that sent it through another host each time crashed one upstream on every host.

A crash reported by another host counts like an own one.

--- a/src/peer_wire.cpp
+++ b/src/peer_wire.cpp
@@ -65,6 +65,7 @@
     }
     wire.mutable_halted_versions()->Add(updates.haltedVersions.begin(), updates.haltedVersions.end());
     wire.mutable_quarantined()->Add(updates.quarantined.begin(), updates.quarantined.end());
+    wire.mutable_crashed()->Add(updates.crashed.begin(), updates.crashed.end());
 }
 
 template <typename message>
@@ -78,6 +79,7 @@
     }
     updates.haltedVersions.assign(wire.halted_versions().begin(), wire.halted_versions().end());
     updates.quarantined.assign(wire.quarantined().begin(), wire.quarantined().end());
+    updates.crashed.assign(wire.crashed().begin(), wire.crashed().end());
     return updates;
 }
 
--- a/src/relay_p.h
+++ b/src/relay_p.h
@@ -130,6 +130,8 @@
     void setDemand(demand_map demand);
     void halt(const std::string &version, instant now);
     void addQuarantined(std::uint64_t fingerprint, instant now);
+    /// Unlike a quarantine, a single crash is sent with the next regular exchange.
+    void addCrashed(std::uint64_t fingerprint, instant now) { m_shared.addCrashed(fingerprint, now); }
 
     // Exchange.
     void handleCall(response_token token, const exchange_call &call, instant now);
--- a/src/relay_shared.cpp
+++ b/src/relay_shared.cpp
@@ -27,6 +27,14 @@
     return list;
 }
 
+template <typename map>
+std::vector<std::uint64_t> keysOf(const map &entries)
+{
+    std::vector<std::uint64_t> keys;
+    std::ranges::transform(entries, std::back_inserter(keys), [](const auto &entry) { return entry.first; });
+    return keys;
+}
+
 } // namespace
 
 shared_state::shared_state(tally_id ownTally)
@@ -86,14 +94,23 @@
             ++m_lastUpdate;
             isUrgent = true;
         }
-    for (const auto fingerprint : updates.quarantined)
-        if (m_quarantined.try_emplace(fingerprint, item{m_lastUpdate + 1, link, now}).second) {
-            ++m_lastUpdate;
-            isUrgent = true;
-        }
+    const item origin{0, link, now};
+    isUrgent = mergeFingerprints(m_quarantined, updates.quarantined, origin) || isUrgent;
+    // All requests that were running on an upstream may be reported at once; only few of them caused its end.
+    mergeFingerprints(m_crashed, updates.crashed, origin);
     return isUrgent;
 }
 
+bool shared_state::mergeFingerprints(fingerprint_map &known, const std::vector<std::uint64_t> &received,
+                                     const item &origin)
+{
+    const auto before = m_lastUpdate;
+    for (const auto fingerprint : received)
+        if (known.try_emplace(fingerprint, item{m_lastUpdate + 1, origin.link, origin.receivedAt}).second)
+            ++m_lastUpdate;
+    return m_lastUpdate > before;
+}
+
 void shared_state::evictOldestTally()
 {
     std::map<tally_id, update_sequence> newest;
@@ -115,9 +132,15 @@
     return merge({.quarantined = {fingerprint}}, kNoLink, now);
 }
 
+void shared_state::addCrashed(std::uint64_t fingerprint, instant now)
+{
+    merge({.crashed = {fingerprint}}, kNoLink, now);
+}
+
 void shared_state::expireQuarantined(instant before)
 {
-    std::erase_if(m_quarantined, [before](const auto &pair) { return pair.second.receivedAt < before; });
+    for (auto *known : {&m_quarantined, &m_crashed})
+        std::erase_if(*known, [before](const auto &pair) { return pair.second.receivedAt < before; });
 }
 
 shared_updates shared_state::updatesAfter(update_sequence seen, link_number link) const
@@ -139,6 +162,9 @@
     for (const auto &[fingerprint, state] : m_quarantined)
         if (isUnsent(state))
             updates.quarantined.push_back(fingerprint);
+    for (const auto &[fingerprint, state] : m_crashed)
+        if (isUnsent(state))
+            updates.crashed.push_back(fingerprint);
     return updates;
 }
 
@@ -160,10 +186,12 @@
 
 std::vector<std::uint64_t> shared_state::quarantined() const
 {
-    std::vector<std::uint64_t> list;
-    for (const auto &[fingerprint, state] : m_quarantined)
-        list.push_back(fingerprint);
-    return list;
+    return keysOf(m_quarantined);
+}
+
+std::vector<std::uint64_t> shared_state::crashed() const
+{
+    return keysOf(m_crashed);
 }
 
 void delta_queue::add(const std::vector<shared_count> &counts)
--- a/src/relay_shared_p.h
+++ b/src/relay_shared_p.h
@@ -44,7 +44,11 @@
     std::vector<shared_tally> tallies;
     std::vector<std::string> haltedVersions;
     std::vector<std::uint64_t> quarantined;
-    [[nodiscard]] bool isEmpty() const { return tallies.empty() && haltedVersions.empty() && quarantined.empty(); }
+    std::vector<std::uint64_t> crashed; ///< fingerprints of requests that have crashed one upstream
+    [[nodiscard]] bool isEmpty() const
+    {
+        return tallies.empty() && haltedVersions.empty() && quarantined.empty() && crashed.empty();
+    }
 };
 
 /// Sequence number of an update of one host's shared state.
@@ -79,6 +83,8 @@
     /// @returns whether the fingerprint was not quarantined before.
     bool addQuarantined(std::uint64_t fingerprint, instant now);
 
+    void addCrashed(std::uint64_t fingerprint, instant now);
+
     /// Removes fingerprints that were received before the given time.
     void expireQuarantined(instant before);
 
@@ -92,6 +98,7 @@
 
     [[nodiscard]] std::vector<std::string> haltedVersions() const;
     [[nodiscard]] std::vector<std::uint64_t> quarantined() const;
+    [[nodiscard]] std::vector<std::uint64_t> crashed() const;
 
 private:
     struct item {
@@ -106,6 +113,10 @@
     };
     using tally_key = std::pair<tally_id, count_key>;
 
+    using fingerprint_map = std::map<std::uint64_t, item>;
+
+    /// @returns whether any fingerprint is new.
+    bool mergeFingerprints(fingerprint_map &known, const std::vector<std::uint64_t> &received, const item &origin);
     void recordGrowth(count_item &entry, link_number link);
     void evictOldestTally();
 
@@ -114,7 +125,8 @@
     std::uint32_t m_dampingDivisor = 0;
     std::map<tally_key, count_item> m_counts;
     std::map<std::string, item> m_halted;
-    std::map<std::uint64_t, item> m_quarantined;
+    fingerprint_map m_quarantined;
+    fingerprint_map m_crashed;
 };
 
 /// Counts to send to the root. Each is applied by at most one parent: counts are lost, rather than counted twice, if
--- a/src/relay_task_core.cpp
+++ b/src/relay_task_core.cpp
@@ -19,6 +19,19 @@
 /// Minimum relative change of a share that is sent to the core.
 constexpr double kMinShareChange = 0.02;
 
+/// Adds the fingerprints that are present to those published, and removes others: an expired entry may be added again
+/// and is then delivered again.
+/// @returns the fingerprints that were not published before.
+std::vector<std::uint64_t> takeUnpublished(std::set<std::uint64_t> &published,
+                                           const std::vector<std::uint64_t> &present)
+{
+    std::erase_if(published, [&](std::uint64_t known) { return std::ranges::find(present, known) == present.end(); });
+    std::vector<std::uint64_t> unpublished;
+    std::ranges::copy_if(present, std::back_inserter(unpublished),
+                         [&](std::uint64_t fingerprint) { return published.insert(fingerprint).second; });
+    return unpublished;
+}
+
 } // namespace
 
 void relay_task::share(const share_evidence &evidence)
@@ -42,8 +55,13 @@
 
 void relay_task::share(const share_quarantine &entry)
 {
-    m_publishedQuarantined.insert(entry.fingerprint);
-    m_relay.addQuarantined(entry.fingerprint, event_loop::now());
+    if (entry.isBlocked) {
+        m_publishedQuarantined.insert(entry.fingerprint);
+        m_relay.addQuarantined(entry.fingerprint, event_loop::now());
+    } else {
+        m_publishedCrashed.insert(entry.fingerprint);
+        m_relay.addCrashed(entry.fingerprint, event_loop::now());
+    }
     m_loop.post([this] { drive(); });
 }
 
@@ -108,15 +126,9 @@
         if (!estimates.counts.empty())
             m_deliver(std::move(estimates));
     }
-    quarantine_update quarantined;
-    const auto present = m_relay.shared().quarantined();
-    // An expired entry may be added again and is then delivered again.
-    std::erase_if(m_publishedQuarantined,
-                  [&](std::uint64_t published) { return std::ranges::find(present, published) == present.end(); });
-    for (const auto fingerprint : present)
-        if (m_publishedQuarantined.insert(fingerprint).second)
-            quarantined.fingerprints.push_back(fingerprint);
-    if (!quarantined.fingerprints.empty())
+    quarantine_update quarantined{takeUnpublished(m_publishedQuarantined, m_relay.shared().quarantined()),
+                                  takeUnpublished(m_publishedCrashed, m_relay.shared().crashed())};
+    if (!quarantined.fingerprints.empty() || !quarantined.crashed.empty())
         m_deliver(std::move(quarantined));
 }
 
--- a/src/relay_task_p.h
+++ b/src/relay_task_p.h
@@ -105,6 +105,7 @@
     std::map<count_key, count_values> m_publishedCounts;
     std::vector<std::string> m_publishedHalts;
     std::set<std::uint64_t> m_publishedQuarantined;
+    std::set<std::uint64_t> m_publishedCrashed;
     std::map<std::string, double> m_publishedShares;
 
     std::map<std::string, double> m_requestCounts; ///< requests by account since m_demandSince
--- a/src/router_core.cpp
+++ b/src/router_core.cpp
@@ -152,6 +152,8 @@
 {
     if (!m_config)
         return;
+    for (const auto fingerprint : input.crashed)
+        m_quarantine.recordCrash(fingerprint, m_config->tune, m_now);
     for (const auto fingerprint : input.fingerprints)
         m_quarantine.block(fingerprint, m_config->tune, m_now);
     ++m_planEpoch;
--- a/src/router_core_attempts.cpp
+++ b/src/router_core_attempts.cpp
@@ -117,11 +117,13 @@
     recordFailure(*request, attempt, failure);
     request->avoidUpstream = attempt.upstream;
     auto reason = reasonOf(failure);
-    if (failure == attempt_failure::connection_lost
-        && m_quarantine.recordCrash(request->fingerprint, m_config->tune, m_now)) {
-        record("quarantined", *request, "connections lost on two upstreams");
-        m_actions.emplace_back(share_quarantine{request->fingerprint});
-        reason = reason_code::quarantined;
+    if (failure == attempt_failure::connection_lost) {
+        const bool isBlocked = m_quarantine.recordCrash(request->fingerprint, m_config->tune, m_now);
+        if (isBlocked) {
+            record("quarantined", *request, "connections lost on two upstreams");
+            reason = reason_code::quarantined;
+        }
+        m_actions.emplace_back(share_quarantine{request->fingerprint, isBlocked});
     }
     retryOrFail(*request, reason, upstreamMayHaveRun(failure));
     dispatchQueued();
--- a/src/router_core_p.h
+++ b/src/router_core_p.h
@@ -116,8 +116,10 @@
 struct estimates_update {
     std::vector<estimate_counts> counts;
 };
+/// Requests that crashed upstreams on other hosts.
 struct quarantine_update {
-    std::vector<std::uint64_t> fingerprints;
+    std::vector<std::uint64_t> fingerprints; ///< blocked
+    std::vector<std::uint64_t> crashed; ///< have crashed one upstream
 };
 /// Share of an account's limits that this host may use.
 struct limit_shares {
@@ -216,6 +218,7 @@
 };
 struct share_quarantine {
     std::uint64_t fingerprint = 0;
+    bool isBlocked = true; ///< false: the request has crashed one upstream
 };
 /// One event for the event log.
 struct record_event {
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -2,11 +2,26 @@
 // entry.
 #include "quarantine_p.h"
 
+#include "golden_p.h"
+
 #include <doctest/doctest.h>
 
 using namespace foxtaildyke;
+using namespace foxtaildyke::test;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+quarantine_update updateOf(const share_quarantine &shared)
+{
+    const std::vector<std::uint64_t> fingerprints{shared.fingerprint};
+    return shared.isBlocked ? quarantine_update{.fingerprints = fingerprints}
+                            : quarantine_update{.crashed = fingerprints};
+}
+
+} // namespace
+
 TEST_CASE("a fingerprint is blocked at its second crash, until its lifetime ends")
 {
     quarantine entries;
@@ -46,3 +61,33 @@
     CHECK(entries.isBlocked(4500, 5000s));
     CHECK_FALSE(entries.isBlocked(4000, 5000s));
 }
+
+TEST_CASE("quarantine: crashes of an at-most-once request sent to different hosts add up")
+{
+    constexpr int kHosts = 5;
+    std::uint32_t crashes = 0;
+    std::vector<std::unique_ptr<core_simulation>> hosts;
+    for (int index = 0; index < kHosts; ++index) {
+        hosts.push_back(std::make_unique<core_simulation>(linShou(), linShouUpstreams(), index + 1));
+        auto &host = *hosts.back();
+        host.upstream = [&crashes](const start_attempt &) {
+            ++crashes;
+            return failing(attempt_failure::connection_lost);
+        };
+        // Each host delivers what it shares to the others.
+        host.observe = [&hosts, index](const core_action &action) {
+            const auto *shared = std::get_if<share_quarantine>(&action);
+            for (int other = 0; shared && other < kHosts; ++other)
+                if (other != index)
+                    hosts[other]->at(std::chrono::duration_cast<milliseconds>(hosts[index]->now()), updateOf(*shared));
+        };
+    }
+    // The caller sends the request again through each host in turn.
+    for (int index = 0; index < kHosts; ++index) {
+        const auto sentAt = 1s * (index + 1);
+        hosts[index]->submit(sentAt, "docket-status", [](caller_request &request) { request.prompt = "poison"; });
+        for (const auto &host : hosts)
+            host->run(sentAt + 500ms);
+    }
+    CHECK(crashes == quarantine::kCrashLimit);
+}
--- a/tests/test_relay_task.cpp
+++ b/tests/test_relay_task.cpp
@@ -45,6 +45,7 @@
     lease_changed lease;
     std::vector<std::string> halted;
     std::vector<std::uint64_t> quarantined;
+    std::vector<std::uint64_t> crashed;
     std::vector<version_evidence> totals;
     std::vector<estimate_counts> estimates;
     std::map<std::string, double> shares;
@@ -60,7 +61,8 @@
         else if (const auto *update = std::get_if<estimates_update>(&input))
             std::ranges::copy(update->counts, std::back_inserter(estimates));
         else if (const auto *entries = std::get_if<quarantine_update>(&input))
-            std::ranges::copy(entries->fingerprints, std::back_inserter(quarantined));
+            std::ranges::copy(entries->fingerprints, std::back_inserter(quarantined)),
+                std::ranges::copy(entries->crashed, std::back_inserter(crashed));
         else if (const auto *limits = std::get_if<limit_shares>(&input))
             shares = limits->shareByAccount;
     }
@@ -159,6 +161,7 @@
         [&] { return hosts.all([](const core_state &t) { return t.generation == 1 && t.mayDispatch(); }); }));
     hosts.tasks[2]->share(share_halt{"v7"});
     hosts.tasks[1]->share(share_quarantine{42});
+    hosts.tasks[1]->share(share_quarantine{43, false});
     hosts.tasks[1]->share(share_evidence{{"v7", 3, 4, 7, 7}});
     hosts.tasks[2]->share(share_estimates{{{"tone-check", "v7", 5, 6}}});
     CHECK(hosts.runUntil(
@@ -166,13 +169,16 @@
     const auto hasCounts = [&] {
         return !hosts.state[0].totals.empty() && hosts.state[0].totals[0].failed == 4
             && !hosts.state[0].estimates.empty() && !hosts.state[0].quarantined.empty()
-            && !hosts.state[2].quarantined.empty();
+            && !hosts.state[2].quarantined.empty() && !hosts.state[0].crashed.empty()
+            && !hosts.state[2].crashed.empty();
     };
     CHECK(hosts.runUntil(hasCounts));
     CHECK(hosts.state[0].estimates[0].missed == 6);
     // A host doesn't receive its own estimates and quarantine entries.
     CHECK(hosts.state[2].estimates.empty());
     CHECK(hosts.state[1].quarantined.empty());
+    CHECK(hosts.state[0].crashed == std::vector<std::uint64_t>{43});
+    CHECK(hosts.state[1].crashed.empty());
 }
 
 TEST_CASE("relay task: a Status call waits until all hosts acknowledge the generation")
--- a/tests/test_transcript.cpp
+++ b/tests/test_transcript.cpp
@@ -98,7 +98,8 @@
     }
     std::string operator()(const quarantine_update &input) const
     {
-        return "quarantine from other hosts: " + std::to_string(input.fingerprints.size()) + " requests";
+        return "quarantine from other hosts: " + std::to_string(input.fingerprints.size()) + " requests, "
+            + std::to_string(input.crashed.size()) + " that crashed an upstream";
     }
     std::string operator()(const limit_shares &) const { return "limit shares"; }
     std::string operator()(const timer_tick &) const { return "timer"; }
@@ -157,7 +158,10 @@
         return text;
     }
     std::string operator()(const share_halt &action) const { return "share halt of " + action.version; }
-    std::string operator()(const share_quarantine &) const { return "share quarantine"; }
+    std::string operator()(const share_quarantine &action) const
+    {
+        return action.isBlocked ? "share quarantine" : "share crash";
+    }
     std::string operator()(const record_event &action) const
     {
         const auto request = static_cast<std::uint64_t>(action.request);
