--- a/src/replica_registry.cpp
+++ b/src/replica_registry.cpp
@@ -16,8 +16,9 @@
     m_isReachable = isReachable;
 }
 
-/// Entries that are missing within the grace period after a store outage are retained, unless the replica is draining.
-/// Otherwise a missing replica has ended, or has had enough time to register again.
+/// Entries that are missing within the grace period after a store outage are retained, unless the replica is draining
+/// or removeDeparted() finds that it has left. Otherwise a missing replica has ended, or has had enough time to
+/// register again.
 bool replica_registry::shouldRetain(const registry_entry &known, instant now) const
 {
     return !known.entry.isDraining && m_reachableSince && now < *m_reachableSince + m_lapseGrace;
@@ -28,18 +29,44 @@
     std::map<std::string, registry_entry> next;
     for (auto &entry : entries) {
         const auto id = entry.id;
-        next.insert_or_assign(id, registry_entry{std::move(entry), std::nullopt});
+        next.insert_or_assign(id, registry_entry{std::move(entry), std::nullopt, false});
     }
     for (auto &[id, known] : m_entries)
         if (!next.contains(id) && shouldRetain(known, now))
-            next.insert_or_assign(id, registry_entry{known.entry, *m_reachableSince + m_lapseGrace});
+            next.insert_or_assign(id, registry_entry{known.entry, *m_reachableSince + m_lapseGrace, known.hasLapsed});
     m_entries = std::move(next);
+    removeDeparted();
+}
+
+/// Decides why entries are missing: in a store outage most entries of a service lapse together. Removals that arrive
+/// one by one are decided on together, at the next call.
+/// @returns whether any entry was removed.
+bool replica_registry::removeDeparted()
+{
+    struct service_counts {
+        std::size_t all = 0;
+        std::size_t missing = 0;
+    };
+    std::map<std::string, service_counts> services;
+    for (const auto &[id, known] : m_entries) {
+        auto &counts = services[known.entry.service];
+        ++counts.all;
+        counts.missing += known.retainedUntil ? 1 : 0;
+    }
+    for (auto &[id, known] : m_entries) {
+        const auto &counts = services.at(known.entry.service);
+        known.hasLapsed = known.retainedUntil && (known.hasLapsed || 2 * counts.missing > counts.all);
+    }
+    const auto hasLeft = [](const auto &item) {
+        return item.second.retainedUntil && !item.second.hasLapsed;
+    };
+    return std::erase_if(m_entries, hasLeft) > 0;
 }
 
 void replica_registry::upsert(replica_entry entry)
 {
     const auto id = entry.id;
-    m_entries.insert_or_assign(id, registry_entry{std::move(entry), std::nullopt});
+    m_entries.insert_or_assign(id, registry_entry{std::move(entry), std::nullopt, false});
 }
 
 void replica_registry::remove(const std::string &id, instant now)
@@ -55,10 +82,11 @@
 
 bool replica_registry::expire(instant now)
 {
-    return std::erase_if(
-               m_entries,
-               [now](const auto &known) { return known.second.retainedUntil && *known.second.retainedUntil <= now; })
-        > 0;
+    const bool hasDeparted = removeDeparted();
+    const auto expired = std::erase_if(m_entries, [now](const auto &known) {
+        return known.second.retainedUntil && *known.second.retainedUntil <= now;
+    });
+    return hasDeparted || expired > 0;
 }
 
 std::vector<replica_entry> replica_registry::entries() const
--- a/src/replica_registry_p.h
+++ b/src/replica_registry_p.h
@@ -1,5 +1,6 @@
 // Replicas registered in the store. Addresses store outages, after which most entries are missing at once: entries that
-// lapsed during an outage are retained until the replicas have had time to register again.
+// lapsed during an outage are retained until the replicas have had time to register again. Where few are missing, this
+// host was cut off from the store, and the replicas have left.
 #pragma once
 
 #include "gateway_model_p.h"
@@ -18,7 +19,8 @@
     void upsert(replica_entry entry);
     void remove(const std::string &id, instant now);
 
-    /// Removes retained entries whose grace period has ended. @returns whether there were any.
+    /// Removes retained entries whose grace period has ended, or that have left. To be called several times per second.
+    /// @returns whether there were any.
     bool expire(instant now);
 
     /// @returns registered and retained entries, ordered by id.
@@ -28,8 +30,10 @@
     struct registry_entry {
         replica_entry entry;
         std::optional<instant> retainedUntil; ///< set while the store has no such entry: end of its grace period
+        bool hasLapsed = false; ///< the entry is missing because of a store outage
     };
     [[nodiscard]] bool shouldRetain(const registry_entry &known, instant now) const;
+    bool removeDeparted();
 
     std::chrono::milliseconds m_lapseGrace;
     bool m_isReachable = true;
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -248,6 +248,40 @@
     CHECK(registry.entries().size() == 1);
 }
 
+TEST_CASE("registry: a replica that left while this host was cut off from the store isn't retained")
+{
+    for (const bool isListed : {true, false}) {
+        replica_registry registry(1800ms);
+        registry.replaceAll(makeEntries(9), 1s);
+        registry.setStoreReachable(false, 5s);
+        registry.setStoreReachable(true, 10s);
+        if (isListed) {
+            registry.replaceAll(makeEntries(8), 10s);
+        } else {
+            registry.remove("r8", 10s);
+            CHECK(registry.expire(10250ms));
+        }
+        CHECK(registry.entries().size() == 8);
+    }
+}
+
+TEST_CASE("registry: entries that lapse in a store outage are retained when they are removed one after the other")
+{
+    replica_registry registry(1800ms);
+    registry.replaceAll(makeEntries(9), 1s);
+    registry.setStoreReachable(false, 5s);
+    registry.setStoreReachable(true, 10s);
+    for (const auto &entry : makeEntries(7))
+        registry.remove(entry.id, 10s);
+    CHECK_FALSE(registry.expire(10250ms));
+    for (const auto &entry : makeEntries(6)) // all but r6 register again
+        registry.upsert(entry);
+    CHECK_FALSE(registry.expire(11s));
+    CHECK(registry.entries().size() == 9);
+    CHECK(registry.expire(11800ms));
+    CHECK(registry.entries().size() == 8);
+}
+
 TEST_CASE("model cascade: smallest model first, the largest on low confidence, within attempts and objective")
 {
     const cascade_settings settings;
