--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -148,6 +148,15 @@
     return std::chrono::ceil<std::chrono::milliseconds>(found->second.expiresAt - now);
 }
 
+std::set<std::uint64_t> crash_registry::blocked(instant now) const
+{
+    std::set<std::uint64_t> fingerprints;
+    for (const auto &[fingerprint, combined] : m_summaries)
+        if (blockedFor(fingerprint, now))
+            fingerprints.insert(fingerprint);
+    return fingerprints;
+}
+
 std::size_t crash_registry::crashes(std::uint64_t fingerprint) const
 {
     const auto found = m_summaries.find(fingerprint);
--- a/src/crash_registry_p.h
+++ b/src/crash_registry_p.h
@@ -38,6 +38,9 @@
     /// @returns the time until the request may be sent to a replica again; nothing if it isn't blocked.
     [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor(std::uint64_t fingerprint, instant now) const;
 
+    /// @returns the fingerprints of all blocked requests.
+    [[nodiscard]] std::set<std::uint64_t> blocked(instant now) const;
+
     /// @returns the number of crashes reported by all hosts.
     [[nodiscard]] std::size_t crashes(std::uint64_t fingerprint) const;
 
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include "text_hash_p.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace foxtaildyke
@@ -209,6 +210,7 @@
     m_triedReplicas.insert(replica.id);
     ++m_sends;
     m_sentAt = suspendAwareNow();
+    m_confidence.reset();
     m_firstByteAt.reset();
     m_firstEventAt.reset();
     m_eventCount = 0;
@@ -216,11 +218,36 @@
     m_body.clear();
     m_isStream = false;
     m_events.reset();
+    logAttempt();
     m_promptMs = m_state.replicas.recordStart(m_replica, promptKey(), promptWork(), m_sentAt);
     m_upstream = std::make_unique<upstream_exchange>(m_state.pool, upstreamRequest(replica),
                                                      static_cast<upstream_listener &>(*this));
 }
 
+/// Logs the chosen replica and model with the state of the replica that the choice was based on.
+void gateway_exchange::logAttempt() const
+{
+    const auto basis = m_state.replicas.basisOf(m_replica, promptKey(), m_sentAt);
+    nlohmann::ordered_json fields{{"request_id", m_metadata.id},
+                                  {"service", m_service},
+                                  {"upstream", m_replica},
+                                  {"version", m_replicaVersion},
+                                  {"sends", m_sends},
+                                  {"remaining_ms", remainingTime().count()},
+                                  {"running", basis.running},
+                                  {"backlog_ms", std::lround(basis.backlogMs)},
+                                  {"failure_percent", std::lround(basis.failureRate * 100)}};
+    if (!m_route->models.empty())
+        fields["model"] = m_route->models[m_model];
+    if (m_metadata.sharedPrefixHash != 0)
+        fields["prefix_cached"] = basis.hasCachedPrefix;
+    if (basis.othersAge) {
+        fields["others_running"] = std::lround(basis.othersRunning);
+        fields["others_age_ms"] = basis.othersAge->count();
+    }
+    m_state.log.write("attempt", fields, log_subject::request);
+}
+
 void gateway_exchange::onDeadline()
 {
     if (m_isFinished)
@@ -277,6 +304,8 @@
     }
     if (m_route && !m_route->models.empty())
         fields["model"] = m_route->models[m_model];
+    if (m_confidence)
+        fields["confidence"] = *m_confidence;
     if (m_config)
         fields["generation"] = m_config->version;
     if (m_state.configConfirmedAt)
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -84,6 +84,7 @@
     [[nodiscard]] const replica_entry *pickReplica();
     [[nodiscard]] const replica_entry *pickForVersion(const version_choice &choice, instant now);
     void send(const replica_entry &replica);
+    void logAttempt() const;
     [[nodiscard]] upstream_request upstreamRequest(const replica_entry &replica) const;
     [[nodiscard]] std::optional<std::size_t> escalation(const message_head &head);
     void escalate(std::size_t model);
@@ -130,6 +131,7 @@
     std::uint64_t m_crashId = 0; ///< of the replica, if it should end
     double m_promptMs = 0; ///< prompt time accounted to the replica until its first byte arrives
     instant m_sentAt{};
+    std::optional<std::uint64_t> m_confidence; ///< of the current or last response
     std::optional<instant> m_firstByteAt; ///< of the current attempt
     std::optional<instant> m_firstEventAt; ///< of the current attempt
     std::uint32_t m_eventCount = 0; ///< of the current attempt
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -71,6 +71,7 @@
 
 std::optional<std::size_t> gateway_exchange::escalation(const message_head &head)
 {
+    m_confidence = parseNumber(head.header(m_state.headerNames.confidence));
     if (m_route->models.empty() || m_hasStreamStarted)
         return std::nullopt;
     cascade_step step;
@@ -78,11 +79,25 @@
     step.current = m_model;
     step.sends = m_sends;
     step.maxSends = m_route->maxAttempts;
-    step.confidence = parseNumber(head.header(m_state.headerNames.confidence));
+    step.confidence = m_confidence;
     step.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(suspendAwareNow() - m_request.readAt);
     step.objective = m_route->objective;
     const auto next = nextModel(m_state.cascade, step);
-    return next && tryConsumeRetry(retry_reason::escalation) ? next : std::nullopt;
+    if (!next)
+        return std::nullopt;
+    const bool isAllowed = tryConsumeRetry(retry_reason::escalation);
+    m_state.log.write("escalation",
+                      {{"request_id", m_metadata.id},
+                       {"upstream", m_replica},
+                       {"from", m_route->models[m_model]},
+                       {"to", m_route->models[*next]},
+                       {"confidence", m_confidence.value_or(0)},
+                       {"threshold", m_state.cascade.confidenceToKeep},
+                       {"ms", step.elapsed.count()},
+                       {"sends", m_sends},
+                       {"outcome", isAllowed ? "escalated" : "denied by the retry budget"}},
+                      log_subject::request);
+    return isAllowed ? next : std::nullopt;
 }
 
 void gateway_exchange::escalate(std::size_t model)
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -63,6 +63,8 @@
     Gauge &configVersion = gauge(registry, "foxtaildyke_gateway_config_version", "Configuration in force");
     Gauge &configAge = gauge(registry, "foxtaildyke_gateway_config_age_seconds",
                              "Time since the configuration was known to be the newest");
+    Gauge &quarantined = gauge(registry, "foxtaildyke_gateway_quarantined_requests",
+                               "Requests that are refused because they have crashed several replicas");
     Gauge &replicas = gauge(registry, "foxtaildyke_gateway_replicas", "Registered replicas");
 };
 
@@ -128,6 +130,11 @@
     m_impl->replicas.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::setQuarantined(std::size_t requests)
+{
+    m_impl->quarantined.Set(static_cast<double>(requests));
+}
+
 std::string gateway_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -36,6 +36,7 @@
     void setConfigVersion(generation_number version);
     void setConfigAge(std::chrono::microseconds age);
     void setReplicas(std::size_t count);
+    void setQuarantined(std::size_t requests);
 
     /// @returns all metrics in the Prometheus text format.
     [[nodiscard]] std::string text() const;
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -238,6 +238,7 @@
 void gateway_task::shareCrashReports(instant now)
 {
     m_state.crashes.expire(now);
+    logQuarantines(now);
     if (!m_feed)
         return;
     if (const auto reports = m_state.crashes.takeUnpublished(now)) {
@@ -252,6 +253,21 @@
         m_feed->removeCrashReports(host);
 }
 
+/// Logs the requests that are blocked, or no longer blocked, by this host's reports or by those of other hosts.
+void gateway_task::logQuarantines(instant now)
+{
+    auto blocked = m_state.crashes.blocked(now);
+    for (const auto fingerprint : blocked)
+        if (!m_loggedQuarantines.contains(fingerprint))
+            m_log.write("quarantine_begun",
+                        {{"fingerprint", hexText(fingerprint)}, {"crashes", m_state.crashes.crashes(fingerprint)}});
+    for (const auto fingerprint : m_loggedQuarantines)
+        if (!blocked.contains(fingerprint))
+            m_log.write("quarantine_ended", {{"fingerprint", hexText(fingerprint)}});
+    m_metrics.setQuarantined(blocked.size());
+    m_loggedQuarantines = std::move(blocked);
+}
+
 void gateway_task::onFeedReachable(bool isReachable)
 {
     m_registry.setStoreReachable(isReachable, suspendAwareNow());
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -69,6 +69,7 @@
     void advanceRollouts();
     void recordCrash(const broken_attempt &attempt);
     void shareCrashReports(instant now);
+    void logQuarantines(instant now);
     void closeListener();
     void advanceStop();
     [[nodiscard]] bool hasActiveRequests() const;
@@ -100,6 +101,7 @@
     instant m_stopStartedAt{};
     instant m_nextRolloutCheck{};
     instant m_nextCrashReportPurge{};
+    std::set<std::uint64_t> m_loggedQuarantines; ///< fingerprints
 };
 
 } // namespace foxtaildyke
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -173,6 +173,19 @@
     return &(hasPrompt ? earliestFirstToken(available, query, now) : leastLoaded(available))->entry;
 }
 
+selection_basis replica_table::basisOf(const std::string &id, std::uint64_t sharedPrefixHash, instant now) const
+{
+    const auto found = m_replicas.find(id);
+    if (found == m_replicas.end())
+        return {};
+    const auto &known = found->second;
+    selection_basis basis{known.running,   known.othersRunning, std::nullopt,
+                          known.backlogMs, known.failureRate,   hasCachedPrefix(known, sharedPrefixHash, now)};
+    if (m_othersReportedAt)
+        basis.othersAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_othersReportedAt);
+    return basis;
+}
+
 double replica_table::recordStart(const std::string &id, std::uint64_t sharedPrefixHash, const prompt_work &work,
                                   instant now)
 {
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -27,6 +27,16 @@
     const std::set<std::string> *tried = nullptr; ///< replicas that this request has already been sent to
 };
 
+/// State of a replica that a selection was based on.
+struct selection_basis {
+    std::uint32_t running = 0; ///< outstanding attempts of this host
+    double othersRunning = 0; ///< of all other hosts
+    std::optional<std::chrono::milliseconds> othersAge; ///< of the report on the other hosts; unset: unknown
+    double backlogMs = 0; ///< prefill time of this host's prompts that aren't processed yet
+    double failureRate = 0; ///< moving average
+    bool hasCachedPrefix = false; ///< this host has sent the shared prefix to the replica
+};
+
 class replica_table
 {
 public:
@@ -38,6 +48,9 @@
     /// @returns a replica, or null if none is eligible. The pointer is valid until setReplicas().
     [[nodiscard]] const replica_entry *pick(const replica_query &query, instant now);
 
+    /// @returns the present state of a replica, for the log; all zero if it isn't registered.
+    [[nodiscard]] selection_basis basisOf(const std::string &id, std::uint64_t sharedPrefixHash, instant now) const;
+
     /// Records an attempt that is sent to a replica.
     /// @param sharedPrefixHash as in the query.
     /// @returns the prefill time of the part of the prompt that the replica doesn't have cached, in ms.
--- a/tests/failure_crashing_requests.cpp
+++ b/tests/failure_crashing_requests.cpp
@@ -76,6 +76,9 @@
     for (int repetition = 0; repetition < 10; ++repetition)
         CHECK(fixture.sendPoison(fixture.ports[repetition % 2]) == 503);
     CHECK(fixture.crashes() <= kMaxCrashes + kMaxLaterRetries);
+    for (const auto *host : {"\"host\":\"host-1\"", "\"host\":\"host-2\""})
+        CHECK(fixture.waitForLog(host, "\"event\":\"quarantine_begun\""));
+    CHECK(fixture.metrics().find("foxtaildyke_gateway_quarantined_requests 1") != std::string::npos);
     const auto other = requestText("POST", "/once/x", "id-other", {}, "another body");
     CHECK(fixture.sendRequest(other, fixture.ports[1]).head.status == 200);
 }
--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -364,6 +364,24 @@
     CHECK(fixture.sendRequest(requestText("POST", "/sized/x", "id-9", "Foxtaildyke-Model: *\r\n")).body
           == eventsText(1, 2));
     CHECK(fixture.replica.requests.back().head.header("Foxtaildyke-Model") == "large");
+    CHECK(fixture.waitForLog("\"event\":\"escalation\",\"request_id\":\"id-9\"",
+                             "\"from\":\"small\",\"to\":\"large\",\"confidence\":20"));
+    CHECK(fixture.waitForLog("\"event\":\"attempt\",\"request_id\":\"id-9\"", "\"model\":\"large\""));
+}
+
+TEST_CASE("gateway process: the chosen replica and model, escalations and their denial are logged")
+{
+    single_replica_fixture fixture("retry_ratio = 0\n", [](const received_request &request) {
+        return replica_script{.bytes = streamText(idOf(request), 1, 2, true, "Foxtaildyke-Confidence: 20\r\n")};
+    });
+    // Without a retry budget, the low confidence of the smallest model leads to no escalation.
+    CHECK(fixture.sendRequest(requestText("POST", "/sized/x", "id-denied", "Foxtaildyke-Model: *\r\n")).isComplete);
+    CHECK(fixture.waitForLog("\"event\":\"attempt\",\"request_id\":\"id-denied\"",
+                             "\"upstream\":\"r1\",\"version\":\"v1\",\"sends\":1"));
+    CHECK(fixture.waitForLog("\"event\":\"escalation\",\"request_id\":\"id-denied\"",
+                             "\"outcome\":\"denied by the retry budget\""));
+    CHECK(fixture.waitForLog("\"event\":\"request_end\",\"request_id\":\"id-denied\"",
+                             "\"model\":\"small\",\"confidence\":20"));
 }
 
 TEST_CASE("gateway process: retries after failures stay within the retry budget")
