--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -228,6 +228,40 @@
     CHECK(net.runUntil([&] { return net.allHaveReplica("later"); }));
 }
 
+TEST_CASE("feed relay: a host whose build doesn't know a kind waits for updates of the others")
+{
+    relayed_hosts net(1);
+    net.store.put("crash-reports", "host-9", {{"reports", nlohmann::json::array()}});
+    REQUIRE(net.runUntil([&] { return net.relay->recorder.crashReports.contains("host-9"); }));
+    http_client client{net.loop};
+    std::optional<http_response> response;
+    // The revisions of the kinds that the older build follows, as in store_feed::queryRelay().
+    const auto query = [&](std::uint64_t revision, int waitMs) {
+        const auto text = std::to_string(revision);
+        http_request call;
+        call.endpoint = net.address;
+        call.method = http_method::post;
+        call.path = std::string(platform::kFeedPath) + "?host=old&wait_ms=" + std::to_string(waitMs) + "&config=" + text
+            + "&servers=" + text + "&rollouts=" + text;
+        http_handlers handlers;
+        handlers.onDone = [&response](const http_response &received) {
+            response = received;
+        };
+        response.reset();
+        client.start(std::move(call), std::move(handlers));
+    };
+    query(0, 0);
+    REQUIRE(net.runUntil([&] { return response.has_value(); }));
+    REQUIRE(response->status == 200);
+    const auto feed = platform::decodeFeed(response->body);
+    REQUIRE(feed.has_value());
+    CHECK_FALSE(feed.value().kinds.contains("crash-reports"));
+    constexpr std::uint64_t kNewerThanAll = 1'000'000;
+    query(kNewerThanAll, 5000);
+    net.runFor(300ms);
+    CHECK_FALSE(response.has_value());
+}
+
 TEST_CASE("feed relay: in a small fleet, hosts read the store themselves")
 {
     relayed_hosts net(3);
