Crash reports: a restarted host adds its stored reports to what it has seen since

Cause: a host that recorded a crash of a request before it had read its own stored reports kept only the new crash of that request, and overwrote the earlier ones in the store, so that the count began anew.

Change: adoption merges the stored crashes of each request with those of this process.

Result: the new test failed first (no host blocked the request after its third crash) and passes.

--- a/src/crash_detector.cpp
+++ b/src/crash_detector.cpp
@@ -20,7 +20,7 @@
     auto &pending = m_pending[attempt.replica];
     if (!pending) {
         const auto replica = attempt.replica;
-        pending = std::make_unique<pending_check>(m_pool.loop(), [this, replica] { (void)finish(replica); });
+        pending = std::make_unique<pending_check>(m_pool.loop(), [this, replica] { finish(replica); });
         pending->socket = std::make_unique<stream_socket>(
             m_pool.loop(), attempt.address,
             stream_socket::handlers{.onConnected = [this, replica] { onConnected(replica); },
--- a/src/crash_detector_p.h
+++ b/src/crash_detector_p.h
@@ -11,7 +11,7 @@
 struct broken_attempt {
     std::string replica; ///< id
     http_endpoint address;
-    std::uint64_t crash = 0; ///< see crash_registry::crashId()
+    std::uint64_t crashId = 0; ///< see crash_registry::crashId()
     std::uint64_t fingerprint = 0; ///< of the request
     std::string requestId;
 };
@@ -39,7 +39,7 @@
     using check_ptr = std::unique_ptr<pending_check>;
 
     /// Removes a check. It is destroyed after the handler that called this has returned.
-    [[nodiscard]] std::vector<broken_attempt> finish(const std::string &replica);
+    std::vector<broken_attempt> finish(const std::string &replica);
     void onConnected(const std::string &replica);
     void onRefused(const std::string &replica);
 
--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -26,8 +26,8 @@
     return std::ranges::binary_search(m_published, fingerprint, {}, &crash_report::fingerprint);
 }
 
-/// @returns the report on the fingerprint, which is created if necessary, replacing the oldest one if there are too
-/// many.
+/// @returns the report on the fingerprint, which is created if necessary. If there are too many, it replaces the oldest
+/// one of those with the fewest crashes.
 crash_registry::known_report &crash_registry::addReport(report_map &reports, std::uint64_t fingerprint, instant now)
 {
     if (!reports.contains(fingerprint) && reports.size() >= kMaxReports)
@@ -95,12 +95,29 @@
     applyChange(kPublishDelay, now);
 }
 
+/// Adds the reports that an earlier process of this host has stored to those of this process.
+void crash_registry::adopt(std::vector<crash_report> stored, instant now)
+{
+    std::ranges::sort(stored, {}, &crash_report::fingerprint);
+    for (const auto &earlier : stored) {
+        auto &report = addReport(own(), earlier.fingerprint, now).report;
+        for (const auto crash : earlier.crashes)
+            if (std::ranges::find(report.crashes, crash) == report.crashes.end())
+                report.crashes.push_back(crash);
+        report.wasAnswered = report.wasAnswered || earlier.wasAnswered;
+    }
+    m_published = std::move(stored);
+}
+
 void crash_registry::setStoredReports(const crash_reports_by_host &reports, instant now)
 {
+    if (!m_hasAdopted && reports.contains(m_host))
+        adopt(reports.at(m_host), now);
+    m_hasAdopted = true;
     std::map<std::string, report_map> next;
     next[m_host] = std::move(own());
     for (const auto &[host, stored] : reports) {
-        if (host == m_host && m_hasAdopted)
+        if (host == m_host)
             continue;
         auto &entries = next[host];
         for (const auto &report : stored) {
@@ -109,11 +126,6 @@
             entries.try_emplace(report.fingerprint, known_report{report, isUnchanged ? before->second.since : now});
         }
     }
-    if (!m_hasAdopted && reports.contains(m_host)) {
-        m_published = reports.at(m_host);
-        std::ranges::sort(m_published, {}, &crash_report::fingerprint);
-    }
-    m_hasAdopted = true;
     m_reports = std::move(next);
     summarize(now);
     std::vector<std::uint64_t> contradicted;
--- a/src/crash_registry_p.h
+++ b/src/crash_registry_p.h
@@ -68,7 +68,7 @@
     /// Minimum time between two reports of this host; together with the delay well below the time in which the users
     /// expect the hosts to agree (3 s).
     static constexpr std::chrono::milliseconds kPublishInterval{1500};
-    /// Maximum number of requests that a host reports; the oldest reports are dropped.
+    /// Maximum number of requests that a host reports; the oldest reports with the fewest crashes are dropped.
     static constexpr std::size_t kMaxReports = 256;
     /// Number of recently answered requests that are remembered, at least.
     static constexpr std::size_t kMinAnswered = 4096;
@@ -91,6 +91,7 @@
     [[nodiscard]] bool isAnswered(std::uint64_t fingerprint) const;
     [[nodiscard]] bool isPublished(std::uint64_t fingerprint) const;
     [[nodiscard]] static known_report &addReport(report_map &reports, std::uint64_t fingerprint, instant now);
+    void adopt(std::vector<crash_report> stored, instant now);
     void exonerate(std::uint64_t fingerprint, instant now);
     /// Recomputes the combined reports, and schedules the storing of this host's reports.
     void applyChange(std::chrono::milliseconds delay, instant now);
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -222,7 +222,7 @@
 void gateway_task::recordCrash(const broken_attempt &attempt)
 {
     const auto now = suspendAwareNow();
-    const bool isNew = m_state.crashes.recordCrash(attempt.fingerprint, attempt.crash, now);
+    const bool isNew = m_state.crashes.recordCrash(attempt.fingerprint, attempt.crashId, now);
     m_metrics.recordCrash(isNew);
     m_log.write("replica_crashed",
                 {{"request_id", attempt.requestId},
--- a/tests/test_crash_registry.cpp
+++ b/tests/test_crash_registry.cpp
@@ -197,6 +197,18 @@
     CHECK(fleet.stored["host-0"].size() == 2);
 }
 
+TEST_CASE("crash registry: crashes that a restarted host sees before it has read its reports are added to them")
+{
+    shared_registries fleet(2);
+    fleet.hosts[0].recordCrash(kRequest, 1, fleet.now);
+    fleet.hosts[0].recordCrash(kRequest, 2, fleet.now);
+    fleet.advance(kAgreementTime);
+    fleet.hosts[0] = crash_registry("host-0");
+    fleet.hosts[0].recordCrash(kRequest, 3, fleet.now);
+    fleet.advance(kAgreementTime);
+    CHECK(fleet.blocking() == 2);
+}
+
 TEST_CASE("crash registry: the reports of a host that is gone expire and are then removed from the store")
 {
     shared_registries fleet(2);
@@ -213,10 +225,13 @@
     CHECK(remaining.abandonedHosts(storedAt + 2 * crash_registry::kLifetime) == std::vector<std::string>{"host-0"});
 }
 
-TEST_CASE("crash registry: the number of reports of a host is bounded, and the newest remain")
+TEST_CASE("crash registry: the number of reports of a host is bounded; blocked requests and the newest remain")
 {
     crash_registry registry("host-0");
     registry.setStoredReports({}, 0s);
+    constexpr std::uint64_t kBlocked = 1'000'000;
+    for (std::uint64_t crash = 0; crash < crash_registry::kCrashLimit; ++crash)
+        registry.recordCrash(kBlocked, crash, 0s);
     for (std::uint64_t request = 0; request < 2 * crash_registry::kMaxReports; ++request)
         registry.recordCrash(request, 1, std::chrono::milliseconds(request));
     const auto reports = registry.takeUnpublished(10s);
