Crash reports: keep blocked requests when there are too many reports

Cause: beyond 256 reported requests a host dropped its oldest report, which may be that of the one request that crashes replicas, when a replica with many innocent requests ended later.

Change: the oldest of the reports with the fewest crashes is dropped.

Result: the extended test failed first and passes.

--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -31,7 +31,9 @@
 crash_registry::known_report &crash_registry::addReport(report_map &reports, std::uint64_t fingerprint, instant now)
 {
     if (!reports.contains(fingerprint) && reports.size() >= kMaxReports)
-        reports.erase(std::ranges::min_element(reports, {}, [](const auto &entry) { return entry.second.since; }));
+        reports.erase(std::ranges::min_element(reports, {}, [](const auto &entry) {
+            return std::pair(entry.second.report.crashes.size(), entry.second.since);
+        }));
     auto &known = reports[fingerprint];
     known.report.fingerprint = fingerprint;
     known.since = now;
--- a/tests/test_crash_registry.cpp
+++ b/tests/test_crash_registry.cpp
@@ -237,6 +237,7 @@
     const auto reports = registry.takeUnpublished(10s);
     REQUIRE(reports);
     CHECK(reports->size() == crash_registry::kMaxReports);
+    CHECK(registry.blockedFor(kBlocked, 10s));
     CHECK(registry.crashes(0) == 0);
     CHECK(registry.crashes(2 * crash_registry::kMaxReports - 1) == 1);
 }
