--- a/src/relay_ledger.cpp
+++ b/src/relay_ledger.cpp
@@ -193,6 +193,7 @@
 
 void relay_ledger::drive()
 {
+    m_nextTickAt.reset();
     m_service.tick(event_loop::now(), unixSeconds());
     schedule();
 }
@@ -200,8 +201,12 @@
 void relay_ledger::schedule()
 {
     const auto now = event_loop::now();
-    const auto due = m_service.nextTick().value_or(now + kIdlePeriod);
-    m_timer.start(std::clamp<std::chrono::microseconds>(due - now, std::chrono::microseconds{0}, kIdlePeriod));
+    const instant due = std::min<instant>(m_service.nextTick().value_or(now + kIdlePeriod), now + kIdlePeriod);
+    // Calls that arrive in quick succession must not put off a tick that is already scheduled.
+    if (m_nextTickAt && *m_nextTickAt <= due)
+        return;
+    m_nextTickAt = due;
+    m_timer.start(std::max<instant>(due - now, instant{0}));
 }
 
 } // namespace foxtaildyke
--- a/src/relay_ledger_p.h
+++ b/src/relay_ledger_p.h
@@ -38,6 +38,7 @@
     core_sink m_deliver;
     ledger_service m_service;
     loop_timer m_timer;
+    std::optional<instant> m_nextTickAt; ///< for which m_timer is set; unset: not set
     router_config_ptr m_config;
     std::vector<listed_host> m_listedHosts; ///< entry hosts in the platform's host list
     std::size_t m_openRecords = 0; ///< records without a response
