Tests: crashing requests wait for events instead of fixed times

Cause: three waits of fixed length in the process tests (for the detection of a crash, the new incarnation of a replica, and the agreement of the hosts) would have made the verdict depend on the machine's load.

Change: the tests wait for the log line or the stored report that they need, and crashed replicas stay down.

--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -36,6 +36,7 @@
     /// Creates an object or replaces its spec; its status is retained. @returns its revision.
     std::uint64_t put(const std::string &kind, const std::string &name, nlohmann::json spec);
     void remove(const std::string &kind, const std::string &name);
+    [[nodiscard]] nlohmann::json specOf(const std::string &kind, const std::string &name) const;
     [[nodiscard]] nlohmann::json statusOf(const std::string &kind, const std::string &name) const;
 
     /// Discards all changes so far; watches from an older revision get 410.
@@ -72,6 +73,7 @@
     };
     using object_map = std::map<std::string, stored_object>; ///< by name
 
+    [[nodiscard]] const stored_object *find(const std::string &kind, const std::string &name) const;
     void serve(const http_exchange_ptr &exchange);
     bool handleFailureState(const http_exchange_ptr &exchange);
     void serveList(const std::string &kind, const http_exchange_ptr &exchange);
