Peer client: don't deliver a result that arrived just before its destruction

Cause: a result is posted to the event loop by gRPC's thread. If the client was destroyed between the post and its run, the callback ran on a destroyed owner; the header promises that no result is delivered then.

Change: the posted result is dropped if the client has stopped.

--- a/src/peer_client.cpp
+++ b/src/peer_client.cpp
@@ -77,6 +77,7 @@
                peer_done<response_type> done, method<request_type, response_type> call);
 
     void end(std::shared_ptr<grpc::ClientContext> context, std::function<void()> deliver);
+    [[nodiscard]] bool hasStopped();
 
     event_loop &loop;
     std::map<std::string, std::unique_ptr<peer::Stub>> stubs; ///< by target; on the event loop only
@@ -139,10 +140,19 @@
     if (isStopped)
         undelivered.push_back(std::move(deliver));
     else
-        loop.post(std::move(deliver));
+        loop.post([self = shared_from_this(), deliver = std::move(deliver)] {
+            if (!self->hasStopped()) // the client may have been destroyed since
+                deliver();
+        });
     callEnded.notify_all();
 }
 
+bool peer_client::implementation::hasStopped()
+{
+    const std::lock_guard guard(lock);
+    return isStopped;
+}
+
 peer_client::peer_client(event_loop &loop)
     : m_impl(std::make_shared<implementation>(loop))
 {
--- a/tests/test_status_client.cpp
+++ b/tests/test_status_client.cpp
@@ -78,6 +78,21 @@
     server->Shutdown();
 }
 
+TEST_CASE("a result that arrives just before its client is destroyed is not delivered afterwards")
+{
+    event_loop loop;
+    bool isDelivered = false;
+    {
+        peer_client client(loop);
+        client.status({"127.0.0.1", 1}, {}, std::chrono::seconds(5),
+                      [&](const result<status_reply> &) { isDelivered = true; });
+        std::this_thread::sleep_for(std::chrono::milliseconds(500)); // the refusal arrives, the loop doesn't run yet
+    }
+    loop.post([&loop] { loop.stop(); });
+    loop.run();
+    CHECK_FALSE(isDelivered);
+}
+
 TEST_CASE("a client destroyed with an open call reports an error for that call")
 {
     event_loop loop;
