Log and count how streams of replicas are framed and whether they end inside an event

Both lines now carry framing, events and unfinished_bytes for streams; the counter foxtaildyke_gateway_stream_ends_total has framing, result and inside_event. No decision changes.

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -306,6 +306,7 @@
         fields["model"] = m_route->models[m_model];
     if (m_confidence)
         fields["confidence"] = *m_confidence;
+    addStreamFields(fields);
     if (m_config)
         fields["generation"] = m_config->version;
     if (m_state.configConfirmedAt)
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -92,6 +92,8 @@
     void beginStream();
     [[nodiscard]] attempt_result classify(upstream_end end) const;
     void recordAttempt(attempt_result result);
+    /// Adds to a log line how the current or last response, if it is a stream, was framed and where it ended.
+    void addStreamFields(nlohmann::ordered_json &fields) const;
     void recordVersionResponse(attempt_result result);
     void recordCrashEvidence(attempt_result result);
     void releaseCrashReport();
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -183,19 +183,30 @@
 {
     const auto now = suspendAwareNow();
     m_state.metrics.recordAttempt(m_service, m_replicaVersion, nameOf(result));
+    if (m_isStream)
+        m_state.metrics.recordStreamEnd(nameOf(m_response.framing), nameOf(result), !m_events.rest().empty());
     recordVersionResponse(result);
     if (result == attempt_result::answered)
         return;
-    m_state.log.write("attempt_failed",
-                      {{"request_id", m_metadata.id},
-                       {"fingerprint", hexText(m_fingerprint)},
-                       {"upstream", m_replica},
-                       {"version", m_replicaVersion},
-                       {"result", nameOf(result)},
-                       {"status", m_response.status},
-                       {"ms", (now - m_sentAt).count() / 1000},
-                       {"sends", m_sends}},
-                      log_subject::request);
+    nlohmann::ordered_json fields{{"request_id", m_metadata.id},
+                                  {"fingerprint", hexText(m_fingerprint)},
+                                  {"upstream", m_replica},
+                                  {"version", m_replicaVersion},
+                                  {"result", nameOf(result)},
+                                  {"status", m_response.status},
+                                  {"ms", (now - m_sentAt).count() / 1000},
+                                  {"sends", m_sends}};
+    addStreamFields(fields);
+    m_state.log.write("attempt_failed", fields, log_subject::request);
+}
+
+void gateway_exchange::addStreamFields(nlohmann::ordered_json &fields) const
+{
+    if (!m_isStream)
+        return;
+    fields["framing"] = nameOf(m_response.framing);
+    fields["events"] = m_eventCount;
+    fields["unfinished_bytes"] = m_events.rest().size();
 }
 
 void gateway_exchange::recordVersionResponse(attempt_result result)
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -50,6 +50,9 @@
         counter(registry, "foxtaildyke_gateway_requests_total", "Finished requests by route, status and reason");
     Family<Counter> &attempts =
         counter(registry, "foxtaildyke_gateway_attempts_total", "Ended attempts by service, version and result");
+    Family<Counter> &streamEnds =
+        counter(registry, "foxtaildyke_gateway_stream_ends_total",
+                "Ended streams of replicas by framing, result, and whether they ended inside an event");
     Family<Counter> &retries = counter(registry, "foxtaildyke_gateway_retries_total",
                                        "Retries by service, reason, and whether the retry budget allowed them");
     Family<Counter> &crashes =
@@ -96,6 +99,15 @@
         .Increment();
 }
 
+void gateway_metrics::recordStreamEnd(std::string_view framing, std::string_view result, bool endsInsideEvent)
+{
+    m_impl->streamEnds
+        .Add({{"framing", std::string(framing)},
+              {"result", std::string(result)},
+              {"inside_event", endsInsideEvent ? "true" : "false"}})
+        .Increment();
+}
+
 void gateway_metrics::recordRetry(std::string_view service, std::string_view reason, bool isAllowed)
 {
     m_impl->retries
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -24,6 +24,9 @@
     /// Counts an ended attempt at a replica.
     void recordAttempt(std::string_view service, std::string_view version, std::string_view result);
 
+    /// Counts an ended stream of a replica. @param endsInsideEvent whether bytes followed its last complete event.
+    void recordStreamEnd(std::string_view framing, std::string_view result, bool endsInsideEvent);
+
     /// Counts a retry that the budget allowed or denied.
     void recordRetry(std::string_view service, std::string_view reason, bool isAllowed);
 
--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -56,7 +56,6 @@
 {
     htparser_init(m_parser.get(), m_type == message_type::request ? htp_type_request : htp_type_response);
     m_state = parse_state::head;
-    m_untilClose = false;
     m_isDone = false;
     m_headBytes.clear();
     m_head = {};
@@ -138,8 +137,13 @@
                                                                : hasToken(m_head.header("Connection"), "keep-alive");
     const bool hasNoBody = m_head.status == http_status::kNoContent || m_head.status == http_status::kNotModified
         || (m_head.status > 0 && m_head.status <= kLastInformational);
-    m_untilClose = m_type == message_type::response && !hasNoBody && !m_head.length && !m_head.isChunked;
-    m_state = hasEnded && !m_untilClose ? parse_state::complete : parse_state::body;
+    if (m_head.isChunked)
+        m_head.framing = body_framing::chunks;
+    else if (m_head.length)
+        m_head.framing = body_framing::length;
+    else if (m_type == message_type::response && !hasNoBody)
+        m_head.framing = body_framing::connection_end;
+    m_state = hasEnded && !isDelimitedByClose() ? parse_state::complete : parse_state::body;
 }
 
 /// Determines the message's body length from its headers. @returns whether it is valid and unambiguous.
@@ -165,7 +169,7 @@
 
 std::size_t http_parser::consumeBody(std::string_view bytes, const body_sink &onBody)
 {
-    if (m_untilClose) {
+    if (isDelimitedByClose()) {
         onBody(bytes);
         return bytes.size();
     }
@@ -195,7 +199,7 @@
 
 bool http_parser::finishAtClose()
 {
-    if (m_state == parse_state::body && m_untilClose)
+    if (m_state == parse_state::body && isDelimitedByClose())
         m_state = parse_state::complete;
     return m_state == parse_state::complete;
 }
--- a/src/http_parser_p.h
+++ b/src/http_parser_p.h
@@ -12,6 +12,20 @@
 
 enum class message_type : std::uint8_t { request, response, count };
 
+/// How the end of a message's body is determined.
+enum class body_framing : std::uint8_t {
+    none, ///< the message has no body
+    length, ///< Content-Length
+    chunks, ///< chunked transfer encoding
+    connection_end, ///< of a response: the body extends to the end of the connection
+    count
+};
+
+template <>
+struct enum_names<body_framing> {
+    static constexpr std::array kNames{"none", "length", "chunks", "connection_end"};
+};
+
 /// Start line and headers of a message.
 struct message_head {
     std::string method; ///< of a request
@@ -20,6 +34,7 @@
     http_headers headers; ///< in the order received
     std::optional<std::uint64_t> length; ///< Content-Length
     bool isChunked = false;
+    body_framing framing = body_framing::none;
     bool keepAlive = true; ///< HTTP version and Connection header allow another message on the connection
 
     /// @returns the value of the first header with this name (ignoring ASCII case), or an empty string.
@@ -63,7 +78,7 @@
     [[nodiscard]] bool hasBegun() const { return !m_headBytes.empty() || m_state != parse_state::head; }
 
     /// @returns whether the body is delimited by the end of the connection.
-    [[nodiscard]] bool isDelimitedByClose() const { return m_untilClose; }
+    [[nodiscard]] bool isDelimitedByClose() const { return m_head.framing == body_framing::connection_end; }
 
 private:
     std::size_t consumeHead(std::string_view bytes);
@@ -76,7 +91,6 @@
     std::unique_ptr<htparser, void (*)(void *)> m_parser;
     std::size_t m_headLimit = 64U << 10U; ///< bytes
     parse_state m_state = parse_state::head;
-    bool m_untilClose = false;
     bool m_isDone = false; ///< the parser has reached the end of the message
     std::string m_headBytes;
     message_head m_head;
--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -472,3 +472,18 @@
     CHECK(gateway.waitExit().value_or(0) != 0);
     CHECK(gateway.hasLogged("gateway/retry_ratio", ""));
 }
+
+TEST_CASE("gateway process: logs and metrics state how a stream was framed and whether it ended inside an event")
+{
+    single_replica_fixture fixture({}, [](const received_request &request) {
+        return replica_script{.bytes = "HTTP/1.1 200 OK\r\nFoxtaildyke-Request-Id: " + idOf(request)
+                                  + "\r\nFoxtaildyke-Server-Stamp: s\r\n\r\n" + eventsText(1, 2) + "id: 3\nda",
+                              .resets = true};
+    });
+    (void)fixture.sendRequest(requestText("POST", "/stream/x", "id-1"));
+    CHECK(fixture.waitForLog("\"event\":\"attempt_failed\",\"request_id\":\"id-1\"",
+                             "\"framing\":\"connection_end\",\"events\":2,\"unfinished_bytes\":8"));
+    CHECK(fixture.metrics().find(
+              "foxtaildyke_gateway_stream_ends_total{framing=\"connection_end\",inside_event=\"true\",")
+          != std::string::npos);
+}
