Callers: a response that is broken off delivers the events received before

Cause: abort() destroyed the connection together with the bytes that had not reached the kernel yet. A caller could lose events that the gateway had received, in the worst case the whole response, and so the event id to resume from.

Change: abort() flushes like the end of a response with Connection: close, but without the last chunk. A caller that doesn't read is closed after the linger timeout as before.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -196,8 +196,10 @@
 
 void caller_connection::abort()
 {
-    if (m_phase == phase::serving)
-        end();
+    if (m_phase != phase::serving)
+        return;
+    m_finishedWork = std::move(m_work);
+    beginClose();
 }
 
 std::size_t caller_connection::pendingBytes() const
--- a/src/caller_connection_p.h
+++ b/src/caller_connection_p.h
@@ -31,7 +31,8 @@
     virtual void streamBytes(std::string_view bytes) = 0;
     virtual void endStream() = 0;
 
-    /// Closes the connection, so that the caller detects a response already started as incomplete.
+    /// Closes the connection after the bytes written so far, so that the caller detects a response already started as
+    /// incomplete.
     virtual void abort() = 0;
 
     /// @returns the number of bytes not yet handed to the kernel.
