Gateway: a stream is complete only if its content is, whatever its framing says

What callers saw: a stream that a replica had broken off, framed as complete, with the unfinished event at its end.

Cause: the gateway inferred the end of the answer from the transport alone. The parser reports a response as complete at the last chunk, at its length, or, where the head states neither, at an orderly close of the connection; the process of a replica that crashes closes its connections in an orderly way. Bytes after the last whole event were then passed on, followed by the last chunk. The same misjudgement counted the attempt as a good answer of the replica, as evidence for its version, and cleared the request of suspected crashes.

Change: at the end of its framing, a stream is whole only if it ends between two events; one that is framed by the end of its connection must also have had an event. Otherwise the attempt is 'truncated' and handled like a broken one: resumed after the last whole event, or broken off towards the caller; the replica is checked for a crash. The event splitter accepts CRLF, LF and CR, as the format allows, so that no whole stream is mistaken for a cut one. A response on a stream route that states another content type is passed on as a whole body.

--- a/src/attempt_rules_p.h
+++ b/src/attempt_rules_p.h
@@ -15,14 +15,15 @@
     wrong_replica, ///< the address belongs to another replica; not run
     not_connected, ///< nothing was sent
     broken, ///< incomplete or missing response; the request may have run
+    truncated, ///< the response's framing is complete, but its content isn't; the request may have run
     unusable, ///< untrusted response: without stamp, encoded, or not HTTP
     count
 };
 
 template <>
 struct enum_names<attempt_result> {
-    static constexpr std::array kNames{"answered",      "server_error", "not_run", "wrong_replica",
-                                       "not_connected", "broken",       "unusable"};
+    static constexpr std::array kNames{"answered",      "server_error", "not_run",   "wrong_replica",
+                                       "not_connected", "broken",       "truncated", "unusable"};
 };
 
 /// @returns whether it is certain that the replica has not run the request.
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -90,7 +90,9 @@
     void escalate(std::size_t model);
     void forwardEvent(std::string_view event, std::optional<std::uint64_t> id);
     void beginStream();
-    [[nodiscard]] attempt_result classify(upstream_end end) const;
+    /// @returns whether the events received are a whole stream, provided that its framing is complete.
+    [[nodiscard]] bool isWholeStream();
+    [[nodiscard]] attempt_result classify(upstream_end end);
     void recordAttempt(attempt_result result);
     /// Adds to a log line how the current or last response, if it is a stream, was framed and where it ended.
     void addStreamFields(nlohmann::ordered_json &fields) const;
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -28,6 +28,13 @@
     return status >= http_status::kOk && status < kFirstRedirect;
 }
 
+/// @returns whether the body is an event stream, which is assumed if the head doesn't state its type.
+bool isEventStream(const message_head &head)
+{
+    const auto type = head.header("Content-Type");
+    return type.empty() || isSameHeader(trimmed(type.substr(0, type.find(';'))), "text/event-stream");
+}
+
 /// @returns whether a status implies that the request has not run.
 bool impliesNotRun(int status)
 {
@@ -66,7 +73,7 @@
         return;
     if (const auto model = escalation(head))
         return escalate(*model);
-    m_isStream = m_route->retryRule == retry_rule::stream;
+    m_isStream = m_route->retryRule == retry_rule::stream && isEventStream(head);
 }
 
 std::optional<std::size_t> gateway_exchange::escalation(const message_head &head)
@@ -143,7 +150,15 @@
     m_callerResponse.startStream(m_response.status, forwardedResponseHeaders(m_response));
 }
 
-attempt_result gateway_exchange::classify(upstream_end end) const
+bool gateway_exchange::isWholeStream()
+{
+    const bool endsBetweenEvents =
+        m_events.finish([this](std::string_view event, std::optional<std::uint64_t> id) { forwardEvent(event, id); });
+    // A connection that is closed before the first event says nothing about the events that were to follow.
+    return endsBetweenEvents && (m_eventCount > 0 || m_response.framing != body_framing::connection_end);
+}
+
+attempt_result gateway_exchange::classify(upstream_end end)
 {
     if (end == upstream_end::not_connected)
         return attempt_result::not_connected;
@@ -164,7 +179,7 @@
     const bool isStamped = !m_response.header(m_state.headerNames.stamp).empty();
     if (!isBodyUsable || (isSuccess(m_response.status) && !isStamped) || impliesNotRun(m_response.status))
         return attempt_result::unusable;
-    return attempt_result::answered;
+    return m_isStream && !isWholeStream() ? attempt_result::truncated : attempt_result::answered;
 }
 
 void gateway_exchange::onUpstreamEnd(upstream_end end)
@@ -235,7 +250,7 @@
 {
     if (result == attempt_result::answered || result == attempt_result::server_error)
         return m_state.crashes.recordResponse(m_fingerprint, suspendAwareNow());
-    if (result != attempt_result::broken)
+    if (result != attempt_result::broken && result != attempt_result::truncated)
         return;
     if (!std::exchange(m_holdsCrashReport, true))
         m_state.crashes.holdReport(m_fingerprint);
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -529,6 +529,48 @@
     }
 }
 
+TEST_CASE("event splitter: lines may end with CRLF, LF or CR, for input split at any size")
+{
+    for (const std::string end : {"\r\n", "\n", "\r"}) {
+        CAPTURE(end);
+        const std::string text = "id: 1" + end + "data: a" + end + end + "id: 2" + end + "data: b" + end + end;
+        for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+            event_splitter splitter;
+            std::vector<std::optional<std::uint64_t>> ids;
+            std::string emitted;
+            const auto collect = [&](std::string_view event, auto id) {
+                emitted.append(event);
+                ids.push_back(id);
+            };
+            for (std::size_t at = 0; at < text.size(); at += piece)
+                splitter.feed(std::string_view(text).substr(at, piece), collect);
+            CHECK(splitter.finish(collect));
+            CHECK(emitted + std::string(splitter.rest()) == text);
+            CHECK(ids == std::vector<std::optional<std::uint64_t>>{1, 2});
+        }
+    }
+}
+
+TEST_CASE("event splitter: a stream ends between two events only after a blank line or complete comments")
+{
+    const auto endsBetweenEvents = [](const std::string &text) {
+        event_splitter splitter;
+        const auto ignore = [](std::string_view, std::optional<std::uint64_t>) {
+        };
+        splitter.feed(text, ignore);
+        return splitter.finish(ignore);
+    };
+    for (const std::string whole : {"", "id: 1\ndata: a\n\n", "data: a\r\r", "data: a\n\n: ping\n", "data: a\n\n\n"}) {
+        CAPTURE(whole);
+        CHECK(endsBetweenEvents(whole));
+    }
+    for (const std::string cut : {"id", "id: 1\n", "id: 1\ndata: a\n", "data: a\n\nd", "data: a\r\n", "data: a\n\n: pi",
+                                  "data: a\n\n: ping\nid: 2\n"}) {
+        CAPTURE(cut);
+        CHECK_FALSE(endsBetweenEvents(cut));
+    }
+}
+
 TEST_CASE("gateway settings: required keys, ranges, and unknown keys")
 {
     const std::map<std::string, std::string> valid{{"host", "h1"},
--- a/tests/test_stream_endings.cpp
+++ b/tests/test_stream_endings.cpp
@@ -101,6 +101,14 @@
     }
 }
 
+TEST_CASE("stream ending: a stream that breaks off delivers all events received before")
+{
+    interrupted_stream stream({.bytes = streamText("id1", 1, 3, false) + "bad chunk size\r\n"}, false);
+    const auto &response = stream.request();
+    CHECK_FALSE(response.isComplete);
+    CHECK(response.body == eventsText(1, 3));
+}
+
 TEST_CASE("stream ending: a stream that ends inside its first event is sent again or fails")
 {
     for (const bool isResumable : {true, false}) {
