HTTP parser: skip interim responses

Cause: libevhtp's parser doesn't support responses with a status of 1xx: it stops within the head. An answer that a replica preceded by '100 Continue' or '103 Early Hints' became a 502.

Change: the head of an interim response is read without libevhtp; it has no body.

Result: the new test (100 and 103 before a 200) failed with 502 before and passes.

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
-constexpr int kLastInformational = 199;
 constexpr int kStopParsing = -1;
 
 message_head &headOf(htparser *parser)
@@ -36,6 +35,18 @@
     return line.substr(start + 1, line.find(' ', start + 1) - start - 1);
 }
 
+/// @returns the status if the head is that of an interim response, which libevhtp's parser doesn't support.
+std::optional<int> interimStatus(std::string_view head)
+{
+    constexpr std::string_view kPrefix = "HTTP/1.1 1";
+    constexpr std::size_t kStatusAt = 9;
+    constexpr std::size_t kStatusSize = 3;
+    if (!head.starts_with(kPrefix) || head.find_first_of(" \r", kStatusAt) != kStatusAt + kStatusSize)
+        return std::nullopt;
+    const auto status = parseNumber(head.substr(kStatusAt, kStatusSize));
+    return status ? std::optional(static_cast<int>(*status)) : std::nullopt;
+}
+
 } // namespace
 
 std::string_view message_head::header(std::string_view name) const
@@ -114,6 +125,11 @@
 
 void http_parser::parseHead()
 {
+    if (const auto interim = interimStatus(m_headBytes); interim && m_type == message_type::response) {
+        m_head.status = *interim;
+        m_state = parse_state::complete;
+        return;
+    }
     auto table = hooks();
     table.on_hdrs_complete = [](htparser *) {
         return 0;
@@ -135,13 +151,14 @@
     m_head.status = m_type == message_type::response ? static_cast<int>(htparser_get_status(m_parser.get())) : 0;
     m_head.keepAlive = htparser_get_minor(m_parser.get()) >= 1 ? !hasToken(m_head.header("Connection"), "close")
                                                                : hasToken(m_head.header("Connection"), "keep-alive");
-    const bool hasNoBody = m_head.status == http_status::kNoContent || m_head.status == http_status::kNotModified
-        || (m_head.status > 0 && m_head.status <= kLastInformational);
-    if (m_head.isChunked)
+    const bool hasNoBody = m_head.status == http_status::kNoContent || m_head.status == http_status::kNotModified;
+    if (hasNoBody)
+        m_head.framing = body_framing::none;
+    else if (m_head.isChunked)
         m_head.framing = body_framing::chunks;
     else if (m_head.length)
         m_head.framing = body_framing::length;
-    else if (m_type == message_type::response && !hasNoBody)
+    else if (m_type == message_type::response)
         m_head.framing = body_framing::connection_end;
     m_state = hasEnded && !isDelimitedByClose() ? parse_state::complete : parse_state::body;
 }
--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -185,6 +185,22 @@
     CHECK(caller.responses[0].body == "yours");
 }
 
+TEST_CASE("gateway: an interim response before the final one is skipped")
+{
+    gateway_harness harness;
+    scripted_replica replica(harness.loop, "r1", [](const received_request &) {
+        return replica_script{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                              + responseText(200, "id1", "final")};
+    });
+    harness.publish(gateway_harness::makeConfig());
+    harness.publishReplicas({replica.entry("s")});
+    scripted_caller caller(harness.loop, harness.task.callerPort());
+    caller.send(requestText("POST", "/once/x", "id1"));
+    REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, 1); }));
+    CHECK(caller.responses[0].head.status == 200);
+    CHECK(caller.responses[0].body == "final");
+}
+
 TEST_CASE("gateway: an interrupted stream resumes at another replica without missing or duplicate events")
 {
     gateway_harness harness;
