Gateway: end an attempt whose response exceeds a limit

Only the head was limited. Bodies over 16 MiB were read and discarded until the deadline; an event without a blank line and responses to other requests were read without limit; bodies of many requests together could exceed the memory of a host.

Change: an attempt ends as malformed when its body exceeds 16 MiB, the bodies held by all requests 64 MiB, one event 256 KiB, or skipped responses 1 MiB. Its connection is closed.

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -45,6 +45,7 @@
     if (m_upstream)
         closeAttempt(std::nullopt);
     releaseCrashReport();
+    clearBody();
 }
 
 void gateway_exchange::begin()
@@ -215,7 +216,7 @@
     m_firstEventAt.reset();
     m_eventCount = 0;
     m_response = {};
-    m_body.clear();
+    clearBody();
     m_isStream = false;
     m_events.reset();
     logAttempt();
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -38,6 +38,7 @@
     crash_registry crashes;
     crash_detector crashDetector;
     std::mt19937_64 random;
+    std::size_t bufferedBodyBytes = 0; ///< sum of the non-streamed responses held by all requests
 
     /// @returns whether keys may be accepted: the configuration is recent enough that no accepted key can have been
     /// withdrawn for longer than the key lease.
@@ -75,9 +76,11 @@
     static const refusal_row &rowOf(refusal reason);
 
     void onUpstreamHead(const message_head &head) override;
-    void onUpstreamBody(std::string_view bytes) override;
+    [[nodiscard]] bool onUpstreamBody(std::string_view bytes) override;
     void onUpstreamEnd(upstream_end end) override;
 
+    [[nodiscard]] bool bufferBody(std::string_view bytes);
+    void clearBody();
     [[nodiscard]] std::optional<refusal> validate();
     void chooseService();
     void attempt();
@@ -140,7 +143,7 @@
     std::optional<instant> m_firstEventAt; ///< of the current attempt
     std::uint32_t m_eventCount = 0; ///< of the current attempt
     message_head m_response; ///< head of the current or last attempt's response
-    std::string m_body; ///< of a non-streamed response
+    std::string m_body; ///< of a non-streamed response; counted in gateway_state::bufferedBodyBytes
     bool m_isStream = false; ///< the current response is forwarded event by event
     event_splitter m_events;
 
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -18,6 +18,10 @@
 
 /// Largest non-streamed response; such a response is buffered until it is complete.
 constexpr std::size_t kMaxBodyBytes = 16U << 20U;
+/// The same for all requests of a host together: a quarter of the memory of the smallest hosts (260 MB).
+constexpr std::size_t kMaxBufferedBytes = 64U << 20U;
+/// Largest event of a stream. Events hold a few tokens; a longer one is no event of a model.
+constexpr std::size_t kMaxEventBytes = 256U << 10U;
 
 /// Range of the Retry-After value; it is randomized so that refused callers don't retry at the same time.
 constexpr double kMinRetryAfterS = 0.3;
@@ -117,16 +121,29 @@
     attempt();
 }
 
-void gateway_exchange::onUpstreamBody(std::string_view bytes)
+bool gateway_exchange::bufferBody(std::string_view bytes)
 {
-    if (!m_isStream) {
-        if (m_body.size() <= kMaxBodyBytes)
-            m_body.append(bytes);
-        return;
-    }
+    if (m_body.size() + bytes.size() > kMaxBodyBytes || m_state.bufferedBodyBytes + bytes.size() > kMaxBufferedBytes)
+        return false;
+    m_body.append(bytes);
+    m_state.bufferedBodyBytes += bytes.size();
+    return true;
+}
+
+void gateway_exchange::clearBody()
+{
+    m_state.bufferedBodyBytes -= m_body.size();
+    m_body = {};
+}
+
+bool gateway_exchange::onUpstreamBody(std::string_view bytes)
+{
+    if (!m_isStream)
+        return bufferBody(bytes);
     m_events.feed(bytes, [this](std::string_view event, std::optional<std::uint64_t> id) { forwardEvent(event, id); });
     if (m_callerResponse.pendingBytes() > kMaxCallerBacklogBytes)
         m_upstream->setReading(false);
+    return m_events.rest().size() <= kMaxEventBytes;
 }
 
 void gateway_exchange::forwardEvent(std::string_view event, std::optional<std::uint64_t> id)
@@ -175,9 +192,9 @@
     // The caller has received the beginning of a stream; only events of that stream can follow.
     if (m_hasStreamStarted && !m_isStream)
         return attempt_result::unusable;
-    const bool isBodyUsable = m_body.size() <= kMaxBodyBytes && m_response.header("Content-Encoding").empty();
+    const bool isEncoded = !m_response.header("Content-Encoding").empty();
     const bool isStamped = !m_response.header(m_state.headerNames.stamp).empty();
-    if (!isBodyUsable || (isSuccess(m_response.status) && !isStamped) || impliesNotRun(m_response.status))
+    if (isEncoded || (isSuccess(m_response.status) && !isStamped) || impliesNotRun(m_response.status))
         return attempt_result::unusable;
     return m_isStream && !isWholeStream() ? attempt_result::truncated : attempt_result::answered;
 }
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -127,18 +127,28 @@
     const auto &head = m_parser.head();
     const auto echoed = head.header(m_pool.requestIdHeader());
     m_isForeignResponse = !echoed.empty() && echoed != m_request.requestId;
-    if (m_isForeignResponse || head.status <= kLastInformational)
+    if (m_isForeignResponse || head.status <= kLastInformational) {
+        m_skippedBytes += kSkippedHeadBytes;
         return;
+    }
     m_hasHead = true;
     m_listener.onUpstreamHead(head);
 }
 
+/// @returns whether the body is within its limit.
+bool upstream_exchange::acceptBody(std::string_view bytes)
+{
+    if (!m_isForeignResponse)
+        return m_listener.onUpstreamBody(bytes);
+    m_skippedBytes += bytes.size();
+    return true;
+}
+
 void upstream_exchange::onReadable()
 {
     const auto alive = m_alive;
-    const auto onBody = [this, alive](std::string_view bytes) {
-        if (*alive && !m_isForeignResponse)
-            m_listener.onUpstreamBody(bytes);
+    const auto onBody = [this](std::string_view bytes) {
+        m_isOverLimit = m_isOverLimit || !acceptBody(bytes);
     };
     while (*alive && m_socket) {
         const auto bytes = m_socket->received();
@@ -152,13 +162,15 @@
             return;
         m_socket->consume(used);
         const auto state = m_parser.state();
-        if (state == parse_state::malformed || state == parse_state::head_too_large)
+        if (state == parse_state::malformed || state == parse_state::head_too_large || m_isOverLimit)
             return finish(upstream_end::malformed);
         if (wasHead && state != parse_state::head) {
             handleHead();
             if (!*alive)
                 return;
         }
+        if (m_skippedBytes > kMaxSkippedBytes)
+            return finish(upstream_end::malformed);
         if (state != parse_state::complete)
             continue;
         if (m_hasHead)
--- a/src/upstream_exchange_p.h
+++ b/src/upstream_exchange_p.h
@@ -16,7 +16,7 @@
     complete, ///< the response was received completely
     not_connected, ///< no connection was established: nothing was sent
     broken, ///< the connection was lost after the request was written to it
-    malformed, ///< the response was not HTTP, or its length was ambiguous
+    malformed, ///< the response was not HTTP, its length was ambiguous, or it exceeded a limit
     count
 };
 
@@ -31,7 +31,8 @@
 public:
     virtual ~upstream_listener() = default;
     virtual void onUpstreamHead(const message_head &head) = 0; ///< may destroy the exchange
-    virtual void onUpstreamBody(std::string_view bytes) = 0; ///< must not destroy the exchange
+    /// Must not destroy the exchange. @returns false to end it as malformed, because the response exceeds a limit.
+    [[nodiscard]] virtual bool onUpstreamBody(std::string_view bytes) = 0;
     virtual void onUpstreamEnd(upstream_end end) = 0; ///< may destroy the exchange
 };
 
@@ -62,6 +63,7 @@
     void onReadable();
     void onSocketEnd(socket_end end);
     void handleHead();
+    [[nodiscard]] bool acceptBody(std::string_view bytes);
     void finish(upstream_end end);
 
     connection_pool &m_pool;
@@ -73,7 +75,14 @@
     bool m_isConnected = false;
     bool m_hasHead = false; ///< the head of this request's response has been passed to the listener
     bool m_isForeignResponse = false; ///< the response being read belongs to another request
+    bool m_isOverLimit = false; ///< the listener or kMaxSkippedBytes rejected body bytes
+    std::size_t m_skippedBytes = 0; ///< of foreign and interim responses
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+
+    /// Bytes of foreign and interim responses at which the exchange ends: a replica may send them without end.
+    static constexpr std::size_t kMaxSkippedBytes = 1U << 20U;
+    /// Bytes that each skipped head counts for, at least.
+    static constexpr std::size_t kSkippedHeadBytes = 16U << 10U;
 };
 
 /// Idle connections to replicas, for reuse by later requests.
