HTTP client: limit heads and bodies of responses

The same fault as in the gateway's attempts: the client of the store, of the router's upstreams and of their load reports read heads and bodies without limit until the timeout of the call. Heads are limited to 64 KiB, bodies to 16 MiB.

--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -205,6 +205,8 @@
     m_mayHaveRun = m_mayHaveRun || !hasCertainlyNotRun(result);
     recordAttempt(result);
     recordCrashEvidence(result);
+    if (result != attempt_result::answered && result != attempt_result::server_error)
+        clearBody();
     if (result == attempt_result::wrong_replica || result == attempt_result::not_connected)
         m_state.replicas.recordUnreachable(m_replica, suspendAwareNow());
     closeAttempt(result == attempt_result::answered);
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
+constexpr ev_ssize_t kMaxHeadBytes = 64 << 10;
 
 constexpr std::array kMethods{EVHTTP_REQ_GET, EVHTTP_REQ_POST, EVHTTP_REQ_PUT, EVHTTP_REQ_DELETE};
 static_assert(kMethods.size() == static_cast<std::size_t>(http_method::count));
@@ -194,6 +195,8 @@
     auto *request = evhttp_request_new(onDone, &open);
     evhttp_request_set_chunked_cb(request, onChunk);
     evhttp_connection_set_timeout(open.connection, secondsOf(open.request.timeout) + 1);
+    evhttp_connection_set_max_headers_size(open.connection, kMaxHeadBytes);
+    evhttp_connection_set_max_body_size(open.connection, static_cast<ev_ssize_t>(open.request.maxBodyBytes));
     auto *headers = evhttp_request_get_output_headers(request);
     const auto &endpoint = open.request.endpoint;
     evhttp_add_header(headers, "Host", (endpoint.address + ':' + std::to_string(endpoint.port)).c_str());
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -34,13 +34,14 @@
     http_headers headers;
     std::string body;
     std::chrono::milliseconds timeout{5000}; ///< for the whole call
+    std::size_t maxBodyBytes = 16U << 20U; ///< of the response
 };
 
 /// How a call ended.
 enum class http_end : std::uint8_t {
     complete, ///< status and headers are set; a chunked or sized body was received completely
     not_connected, ///< no connection was established: nothing was sent
-    broken, ///< the connection was lost after the request was handed to it
+    broken, ///< the connection was lost after the request was handed to it, or the response exceeded a limit
     timed_out, ///< the overall timeout expired; the request may have been sent
     count
 };
