Roll-outs: promotion needs evidence, exposure is bounded by construction

Cause: the absence of bad evidence was taken for evidence of good. Stages advanced by time alone. A slow response counted only when it had ended, after the decision. In the second half of an order the share grew to 1 at 0.70 of its duration, whatever was known, so that a version whose fault didn't show got over a third of the requests.

Change: - Completion needs an accepted version: a sequential test that a bad one passes with a probability of 5%. Without evidence the canary goes on. - The share is 0.12 from 0.52 to 0.93 of the order, then 1: a version whose fault never shows gets 0.12 of all requests, below the limit of 0.15. Besides, each host holds its own requests to the limit (canary_share, canary_slack of the platform), which bounds the sum. - The pace of a stream counts from its fifth event; a response or stream that is still running counts as slow once it must be. - Slow is above 1.5 times the 90th percentile and 2.5 times the median of the old version, plus 20 ms, now or under its full load. - The canary's requests are gathered on as few replicas as the share needs, two at least. - Decisions are checked every 50 ms and logged with verdict, counts and exposure. A deadline without any response is bad evidence.

rollout_policy is split: rollout_evidence (tests and baselines), exposure_budget, and the order's stages.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -27,6 +27,7 @@
     src/replica_registry.cpp
     src/replica_table.cpp
     src/retry_budget.cpp
+    src/rollout_evidence.cpp
     src/rollout_policy.cpp
     src/stream_socket.cpp
     src/upstream_exchange.cpp)
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -37,6 +37,7 @@
     , m_config(state.config)
     , m_lastEventId(m_metadata.lastEventId)
     , m_timer(state.loop, [this] { onDeadline(); })
+    , m_evidenceTimer(state.loop, [this] { recordSlowAttempt(); })
 {
 }
 
@@ -139,6 +140,7 @@
     query.service = m_service;
     query.version = choice.version;
     query.excludedVersion = choice.excluded;
+    query.replicaShare = choice.replicaShare;
     query.sharedPrefixHash = promptKey();
     query.work = promptWork();
     query.tried = &m_triedReplicas;
@@ -219,7 +221,12 @@
     clearBody();
     m_isStream = false;
     m_events.reset();
+    m_hasVersionEvidence = false;
+    m_evidenceTimer.stop();
+    m_state.rollouts.recordRequest(m_service, m_replicaVersion);
     logAttempt();
+    if (m_route->retryRule != retry_rule::stream)
+        startEvidenceTimer();
     m_promptMs = m_state.replicas.recordStart(m_replica, promptKey(), promptWork(), m_sentAt);
     m_upstream = std::make_unique<upstream_exchange>(m_state.pool, upstreamRequest(replica),
                                                      static_cast<upstream_listener &>(*this));
@@ -255,6 +262,8 @@
         return;
     const bool hasNoResponse = m_upstream && !m_firstByteAt;
     m_mayHaveRun = m_mayHaveRun || m_upstream != nullptr;
+    if (hasNoResponse)
+        recordEvidence(true, std::nullopt);
     if (m_upstream)
         closeAttempt(hasNoResponse ? std::optional(false) : std::nullopt);
     if (m_hasStreamStarted)
@@ -280,6 +289,7 @@
 {
     m_isFinished = true;
     m_timer.stop();
+    m_evidenceTimer.stop();
     releaseCrashReport();
     const auto now = suspendAwareNow();
     const auto duration = now - m_request.readAt;
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -100,6 +100,16 @@
     /// Adds to a log line how the current or last response, if it is a stream, was framed and where it ended.
     void addStreamFields(nlohmann::ordered_json &fields) const;
     void recordVersionResponse(attempt_result result);
+    /// Starts to wait for the response, or for the first events of a stream, until it is slow.
+    void startEvidenceTimer();
+    /// Records a response that has not ended, with the latency that it has reached.
+    void recordSlowAttempt();
+    /// Records the attempt as evidence on its version, once.
+    void recordEvidence(bool isFailure, std::optional<std::chrono::microseconds> latency);
+    /// @returns the time to the response, or the mean time between events; unset if too few events have arrived.
+    [[nodiscard]] std::optional<std::chrono::microseconds> versionLatency() const;
+    /// @returns the group within which responses are comparable: route and model.
+    [[nodiscard]] std::string stratum() const;
     void recordCrashEvidence(attempt_result result);
     void releaseCrashReport();
     /// @param isGood whether the replica responded as it should; unset if the end says nothing about the replica.
@@ -142,6 +152,7 @@
     std::optional<instant> m_firstByteAt; ///< of the current attempt
     std::optional<instant> m_firstEventAt; ///< of the current attempt
     std::uint32_t m_eventCount = 0; ///< of the current attempt
+    bool m_hasVersionEvidence = false; ///< the current attempt has been recorded as evidence on its version
     message_head m_response; ///< head of the current or last attempt's response
     std::string m_body; ///< of a non-streamed response; counted in gateway_state::bufferedBodyBytes
     bool m_isStream = false; ///< the current response is forwarded event by event
@@ -156,7 +167,12 @@
     std::optional<std::uint64_t> m_lastEventId; ///< last event sent to the caller
     bool m_isFinished = false;
     loop_timer m_timer;
+    loop_timer m_evidenceTimer; ///< see startEvidenceTimer()
 
+    /// Events of a stream at which its pace becomes evidence, without waiting for its end.
+    static constexpr std::uint32_t kEventsForEvidence = 5;
+    /// Events at which the pace of a stream that ends earlier is evidence.
+    static constexpr std::uint32_t kMinEventsForPace = 3;
     /// Number of failed connection attempts that don't count as sends, because the request reached no replica.
     static constexpr std::uint32_t kMaxConnectFailures = 4;
     /// Stream bytes buffered for a slow caller before reading from the replica is paused.
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -148,8 +148,12 @@
 
 void gateway_exchange::forwardEvent(std::string_view event, std::optional<std::uint64_t> id)
 {
-    if (m_eventCount++ == 0)
+    if (m_eventCount++ == 0) {
         m_firstEventAt = suspendAwareNow();
+        startEvidenceTimer();
+    }
+    if (m_eventCount == kEventsForEvidence)
+        recordEvidence(false, versionLatency());
     // A resumed stream may begin with events that the caller has already received.
     if (id && m_lastEventId && *id <= *m_lastEventId)
         return;
@@ -243,24 +247,56 @@
     fields["unfinished_bytes"] = m_events.rest().size();
 }
 
-void gateway_exchange::recordVersionResponse(attempt_result result)
+std::string gateway_exchange::stratum() const
 {
-    if (result != attempt_result::answered && result != attempt_result::server_error)
+    return m_route->models.empty() ? m_route->name : m_route->name + '/' + m_route->models[m_model];
+}
+
+void gateway_exchange::startEvidenceTimer()
+{
+    const auto limit = m_state.rollouts.slowLimit(m_service, m_replicaVersion, stratum());
+    if (!limit || m_hasVersionEvidence)
         return;
+    const std::uint32_t latencies = m_isStream ? kEventsForEvidence - 1 : 1;
+    m_evidenceTimer.start(*limit * latencies + std::chrono::milliseconds{1});
+}
+
+void gateway_exchange::recordSlowAttempt()
+{
+    const auto now = suspendAwareNow();
+    // Of a stream, the event after those received is still to come.
+    recordEvidence(false, m_isStream ? (now - *m_firstEventAt) / m_eventCount : now - m_sentAt);
+}
+
+std::optional<std::chrono::microseconds> gateway_exchange::versionLatency() const
+{
     const auto now = suspendAwareNow();
-    const std::string stratum =
-        m_route->models.empty() ? m_route->name : m_route->name + '/' + m_route->models[m_model];
+    if (m_route->retryRule != retry_rule::stream)
+        return now - m_sentAt;
+    if (m_eventCount < kMinEventsForPace)
+        return std::nullopt;
+    return (now - *m_firstEventAt) / (m_eventCount - 1);
+}
+
+void gateway_exchange::recordVersionResponse(attempt_result result)
+{
+    if (result == attempt_result::answered || result == attempt_result::server_error)
+        recordEvidence(result == attempt_result::server_error, versionLatency());
+}
+
+void gateway_exchange::recordEvidence(bool isFailure, std::optional<std::chrono::microseconds> latency)
+{
+    m_evidenceTimer.stop();
+    if (std::exchange(m_hasVersionEvidence, true))
+        return;
+    const auto name = stratum();
     version_response response;
     response.service = m_service;
     response.version = m_replicaVersion;
-    response.stratum = stratum;
+    response.stratum = name;
     response.replica = m_replica;
-    response.isFailure = result == attempt_result::server_error;
-    constexpr std::uint32_t kMinEventsForPace = 3;
-    if (m_route->retryRule != retry_rule::stream)
-        response.latency = now - m_sentAt;
-    else if (m_eventCount >= kMinEventsForPace)
-        response.latency = (now - *m_firstEventAt) / (m_eventCount - 1);
+    response.isFailure = isFailure;
+    response.latency = latency;
     m_state.rollouts.recordResponse(response);
 }
 
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -15,9 +15,12 @@
 {
 
 constexpr int kListenBacklog = 1024; ///< connections waiting to be accepted
-/// Interval between roll-out checks. Hosts add a random delay of up to the same length, so that few of them write the
-/// same state.
-constexpr std::chrono::milliseconds kRolloutCheckInterval{500};
+/// Interval between checks of roll-outs that aren't decided.
+constexpr std::chrono::milliseconds kRolloutCheckInterval{50};
+/// Longest random delay until a host writes the next state of a roll-out, so that few hosts write the same state.
+constexpr std::chrono::milliseconds kRolloutWriteSpread{200};
+/// Time after a write in which the state is not written again: its result is to arrive from the store first.
+constexpr std::chrono::milliseconds kRolloutWritePause{500};
 /// Interval between searches for crash reports of hosts that are gone. Hosts add a random delay of up to the same
 /// length, so that few of them remove the same reports.
 constexpr std::chrono::seconds kCrashReportPurgeInterval{60};
@@ -41,7 +44,7 @@
               .hasReplicas = false,
               .replicas = replica_table(m_settings.failureDomain, std::random_device{}()),
               .budget = retry_budget({m_settings.retryRatio, m_settings.retryWindow, m_settings.retrySlack}),
-              .rollouts = {},
+              .rollouts = rollout_policy({m_settings.canaryShare, m_settings.canarySlack}),
               .cascade = {.confidenceToKeep = m_settings.confidenceToKeep, .startsSmall = m_settings.startsSmall},
               .pool = {loop, m_headerNames.requestId},
               .crashes = crash_registry(m_settings.host),
@@ -54,6 +57,7 @@
     , m_readiness(loop, [this](const http_exchange_ptr &exchange) { serveReadiness(exchange); })
     , m_metricsServer(loop, [this](const http_exchange_ptr &exchange) { serveMetrics(exchange); })
     , m_tick(loop, [this] { tick(); })
+    , m_rolloutTimer(loop, [this] { advanceRollouts(); })
 {
 }
 
@@ -206,6 +210,7 @@
                      {"stage", order.stage},
                      {"revision", order.revision}});
     m_state.rollouts.setOrders(orders, suspendAwareNow());
+    m_rolloutTimer.start(std::chrono::milliseconds{0});
 }
 
 void gateway_task::onCrashReports(const crash_reports_by_host &reports)
@@ -309,8 +314,6 @@
     }
     if (m_state.configConfirmedAt)
         m_metrics.setConfigAge(now - *m_state.configConfirmedAt);
-    if (now >= m_nextRolloutCheck)
-        advanceRollouts();
     shareCrashReports(now);
     if (m_isDraining)
         advanceStop();
@@ -319,18 +322,34 @@
 
 void gateway_task::advanceRollouts()
 {
+    if (!m_state.rollouts.hasUndecided())
+        return;
+    m_rolloutTimer.start(kRolloutCheckInterval);
     const auto now = suspendAwareNow();
-    std::uniform_int_distribution<std::int64_t> spread(0, kRolloutCheckInterval.count());
-    m_nextRolloutCheck = now + kRolloutCheckInterval + std::chrono::milliseconds{spread(m_state.random)};
     const auto next = m_state.rollouts.nextState(now);
-    if (!next || !m_feed)
+    if (!next || !m_feed) {
+        m_rolloutWriteAt.reset();
+        return;
+    }
+    if (!m_rolloutWriteAt) {
+        std::uniform_int_distribution<std::int64_t> spread(0, kRolloutWriteSpread.count());
+        m_rolloutWriteAt = now + std::chrono::milliseconds{spread(m_state.random)};
+    }
+    if (now < *m_rolloutWriteAt)
         return;
+    m_rolloutWriteAt = now + kRolloutWritePause;
+    const auto &known = *m_state.rollouts.find(next->service);
     m_log.write("rollout_decision",
                 {{"service", next->service},
                  {"target", next->target},
                  {"state", nameOf(next->state)},
                  {"stage", next->stage},
-                 {"revision", next->revision}});
+                 {"revision", next->revision},
+                 {"verdict", nameOf(known.evidence.verdict())},
+                 {"responses", known.evidence.responses()},
+                 {"bad_responses", known.evidence.badResponses()},
+                 {"exposed", known.budget.exposed()},
+                 {"requests", known.budget.requests()}});
     m_feed->writeRollout(*next);
 }
 
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -51,7 +51,11 @@
     void onCrashReports(const crash_reports_by_host &reports) override;
     void onCrashReportsWritten(bool isWritten) override;
     void onFeedReachable(bool isReachable) override;
-    void onFleetSize(std::size_t hosts) override { m_state.budget.setHosts(hosts); }
+    void onFleetSize(std::size_t hosts) override
+    {
+        m_state.budget.setHosts(hosts);
+        m_state.rollouts.setHosts(hosts);
+    }
     std::vector<replica_load> ownLoad() const override { return m_state.replicas.ownLoad(); }
     void onOthersLoad(const std::vector<replica_load> &loads) override
     {
@@ -66,6 +70,7 @@
     [[nodiscard]] bool isReady() const;
     void applyReplicas();
     void tick();
+    /// Writes the next state of a roll-out that is due for it, as long as one is undecided.
     void advanceRollouts();
     void recordCrash(const broken_attempt &attempt);
     void shareCrashReports(instant now);
@@ -99,7 +104,8 @@
     bool m_isDraining = false;
     bool m_wasReady = false;
     instant m_stopStartedAt{};
-    instant m_nextRolloutCheck{};
+    loop_timer m_rolloutTimer;
+    std::optional<instant> m_rolloutWriteAt; ///< set while a roll-out is due for its next state
     instant m_nextCrashReportPurge{};
     std::set<std::uint64_t> m_loggedQuarantines; ///< fingerprints
 };
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -3,6 +3,8 @@
 
 #include "text_hash_p.h"
 
+#include <cmath>
+
 namespace foxtaildyke
 {
 
@@ -12,6 +14,8 @@
 constexpr double kFailureWeight = 0.1; ///< of the newest response; the average covers about the last ten
 constexpr double kOtherDomainPenalty = 0.25; ///< in outstanding requests; a tie-breaker between equally loaded replicas
 constexpr double kColdPenalty = 2.0; ///< in outstanding requests; keeps load off replicas that have just started
+/// Replicas that requests are gathered on, at least: a single one can't be told from its version.
+constexpr std::size_t kMinGatheredReplicas = 2;
 /// Largest fraction of a service's replicas ejected at a time. If more fail, the replicas aren't the cause, and
 /// ejections are ignored.
 constexpr double kMaxEjectedShare = 0.5;
@@ -62,11 +66,16 @@
 replica_table::candidate_list replica_table::candidates(const replica_query &query, instant now)
 {
     candidate_list eligible;
-    for (const auto &id : m_sortedIds) {
-        auto &candidate = m_replicas.at(id);
-        if (isEligible(candidate, query) && !(query.tried && query.tried->contains(id)))
+    for (const auto &id : m_sortedIds)
+        if (auto &candidate = m_replicas.at(id); isEligible(candidate, query))
             eligible.push_back(&candidate);
-    }
+    const auto gathered =
+        static_cast<std::size_t>(std::ceil(query.replicaShare * static_cast<double>(eligible.size())));
+    if (query.replicaShare < 1)
+        eligible.resize(std::min(eligible.size(), std::max(kMinGatheredReplicas, gathered)));
+    if (query.tried)
+        std::erase_if(eligible,
+                      [&query](const replica *candidate) { return query.tried->contains(candidate->entry.id); });
     candidate_list available;
     std::ranges::copy_if(eligible, std::back_inserter(available),
                          [now](const replica *candidate) { return candidate->ejectedUntil <= now; });
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -24,6 +24,8 @@
     std::string_view excludedVersion; ///< not this one; empty: none is excluded
     std::uint64_t sharedPrefixHash = 0; ///< equal for requests with the same shared prefix and model; 0: none
     prompt_work work;
+    /// Fraction of the matching replicas to select from, at least two; the same ones on all hosts.
+    double replicaShare = 1;
     const std::set<std::string> *tried = nullptr; ///< replicas that this request has already been sent to
 };
 
--- /dev/null
+++ b/src/rollout_evidence_p.h
@@ -0,0 +1,94 @@
+// Evidence on a version under evaluation: sequential tests of its responses against a baseline of the version in use.
+// Addresses versions that fail or are slow on all routes or on one, at once or later.
+#pragma once
+
+#include "foxtaildyke/foxtaildyke.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace foxtaildyke
+{
+
+/// Response as evidence on the version that produced it.
+struct version_response {
+    std::string_view service;
+    std::string_view version;
+    std::string_view stratum; ///< group within which responses are comparable: route and model
+    std::string_view replica;
+    bool isFailure = false; ///< the replica responded with an error
+    /// Time to the response, or between two events of a stream; a lower bound if the response has not ended. Unset: not
+    /// measured. The time to the first event isn't used, as it depends more on cold prompt caches than on the version.
+    std::optional<std::chrono::microseconds> latency;
+};
+
+/// Responses of the version in use within one stratum.
+class version_baseline
+{
+public:
+    void recordResponse(const version_response &response);
+
+    [[nodiscard]] double failureRate() const { return m_failureRate; }
+
+    /// @returns the latency above which a response is slow, or nothing if too few responses are known.
+    [[nodiscard]] std::optional<std::chrono::microseconds> slowLimit() const;
+
+private:
+    /// A response is slow if its latency exceeds both multiples plus the margin: well above the range of the baseline
+    /// even if the replicas of the new version are more heavily loaded.
+    static constexpr double kSlowQuantileFactor = 1.5;
+    static constexpr double kSlowMedianFactor = 2.5;
+    static constexpr double kSlowQuantile = 0.9;
+    static constexpr std::chrono::milliseconds kSlowMargin{20};
+    static constexpr std::size_t kWindow = 64; ///< latencies kept
+    static constexpr std::size_t kMinLatencies = 5;
+    static constexpr double kFailureWeight = 0.05; ///< of the newest response; covers about the last twenty
+
+    double m_failureRate = 0; ///< exponentially weighted mean
+    std::deque<std::chrono::microseconds> m_latencies; ///< of the last good responses
+};
+
+/// What the evidence says on a version.
+enum class evidence_verdict : std::uint8_t { undecided, accepted, rejected, count };
+
+template <>
+struct enum_names<evidence_verdict> {
+    static constexpr std::array kNames{"undecided", "accepted", "rejected"};
+};
+
+/// Sequential probability ratio tests of one version: a CUSUM that rejects, per stratum and over all strata, and a test
+/// that accepts, over all strata. Missing evidence leaves the verdict undecided.
+class rollout_evidence
+{
+public:
+    /// @param goodRate failure rate expected of a good version.
+    void recordResponse(const version_response &response, bool isBad, double goodRate);
+
+    [[nodiscard]] evidence_verdict verdict() const;
+    [[nodiscard]] std::uint32_t responses() const { return m_responses; }
+    [[nodiscard]] std::uint32_t badResponses() const { return m_badResponses; }
+
+    /// Log-likelihood ratio at which a version is rejected.
+    static constexpr double kRejectThreshold = 6.5;
+    /// Log-likelihood ratio at which a version is accepted: a bad version reaches it with a probability of 5%.
+    static constexpr double kAcceptThreshold = -3.0;
+    /// Minimum failure rate assumed for a good version, and for a bad one.
+    static constexpr double kGoodRate = 0.03;
+    static constexpr double kBadRate = 0.3;
+
+private:
+    [[nodiscard]] bool addToCusum(const std::string &stratum, double ratio);
+
+    std::map<std::string, double, std::less<>> m_cusums; ///< by stratum, and over all under the empty name; >= 0
+    std::set<std::string, std::less<>> m_badReplicas;
+    std::set<std::string, std::less<>> m_replicas; ///< all that responded
+    double m_acceptance = 0; ///< log-likelihood ratio over all strata
+    std::uint32_t m_responses = 0;
+    std::uint32_t m_badResponses = 0;
+    bool m_isRejected = false;
+};
+
+} // namespace foxtaildyke
--- a/src/rollout_policy.cpp
+++ b/src/rollout_policy.cpp
@@ -1,17 +1,12 @@
 // Roll-out policy; see rollout_policy_p.h.
 #include "rollout_policy_p.h"
 
-#include <cmath>
-
 namespace foxtaildyke
 {
 
 namespace
 {
 
-constexpr double kBaselineWeight = 0.05; ///< of the newest response; the average covers about the last twenty
-constexpr std::uint32_t kMinBaselineResponses = 5; ///< latency is evaluated only from this many responses on
-
 double toUnitInterval(std::uint64_t key)
 {
     return static_cast<double>(key >> 11U) * 0x1.0p-53;
@@ -22,88 +17,114 @@
     return order.state == rollout_state::completed || order.state == rollout_state::rolled_back;
 }
 
+/// @returns when an order began that was first seen in its present stage: at the latest at the earliest end of the
+/// stage before.
+instant startOf(const rollout_order &order, instant now)
+{
+    const auto &ends = rollout_policy::kStageEnds;
+    const double passed = order.stage == 0 ? 0 : ends[std::min<std::size_t>(order.stage, ends.size()) - 1];
+    return now - std::chrono::duration_cast<instant>(passed * std::chrono::duration<double>(order.duration));
+}
+
 } // namespace
 
 void rollout_policy::setOrders(const std::vector<rollout_order> &orders, instant now)
 {
-    std::map<std::string, tracked_rollout, std::less<>> next;
+    rollout_map next;
     for (const auto &order : orders) {
         tracked_rollout entry;
-        entry.stageStartedAt = now;
+        entry.startedAt = startOf(order, now);
         const auto known = m_rollouts.find(order.service);
         const bool isSame = known != m_rollouts.end() && known->second.order.createdRevision == order.createdRevision
             && known->second.order.target == order.target;
         if (isSame) {
             entry = known->second;
-            if (entry.order.stage != order.stage || entry.order.state != order.state)
-                entry.stageStartedAt = now;
         }
         entry.order = order;
+        if (isSame && order.stage > 0 && entry.fullLoadLimits.empty())
+            freezeLimits(entry);
         next.insert_or_assign(order.service, std::move(entry));
     }
     m_rollouts = std::move(next);
 }
 
-version_choice rollout_policy::choose(const std::string &service, std::uint64_t key) const
+void rollout_policy::freezeLimits(tracked_rollout &target) const
+{
+    for (const auto &[stratum, baseline] : m_baselines)
+        if (const auto limit = baseline.slowLimit())
+            target.fullLoadLimits.emplace(stratum, *limit);
+}
+
+bool rollout_policy::hasUndecided() const
+{
+    return std::ranges::any_of(m_rollouts, [](const auto &entry) { return !isDecided(entry.second.order); });
+}
+
+const tracked_rollout *rollout_policy::find(std::string_view service) const
 {
     const auto found = m_rollouts.find(service);
-    if (found == m_rollouts.end())
+    return found == m_rollouts.end() ? nullptr : &found->second;
+}
+
+const tracked_rollout *rollout_policy::findUnderEvaluation(std::string_view service, std::string_view version) const
+{
+    const auto *known = find(service);
+    return known && !isDecided(known->order) && known->order.target == version ? known : nullptr;
+}
+
+version_choice rollout_policy::choose(const std::string &service, std::uint64_t key) const
+{
+    const auto *known = find(service);
+    if (!known)
         return {};
-    const auto &order = found->second.order;
+    const auto &order = known->order;
     if (order.state == rollout_state::completed)
         return {order.target, {}};
     const auto stage = std::min<std::size_t>(order.stage, kStageShares.size() - 1);
-    const bool isUnderEvaluation = order.state == rollout_state::in_progress && !found->second.isRejected;
-    if (!isUnderEvaluation || toUnitInterval(key) >= kStageShares[stage])
+    const auto verdict = known->evidence.verdict();
+    const bool isUnderEvaluation = order.state == rollout_state::in_progress && verdict != evidence_verdict::rejected;
+    const bool isWithinBudget = known->isOverdue || known->budget.hasRoom(m_limits, m_hosts);
+    if (!isUnderEvaluation || !isWithinBudget || toUnitInterval(key) >= kStageShares[stage])
         return {{}, order.target};
-    return {order.target, {}};
+    return {order.target, {}, kStageShares[stage]};
 }
 
-void rollout_policy::recordResponse(const version_response &response)
+void rollout_policy::recordRequest(std::string_view service, std::string_view version)
 {
-    const auto found = m_rollouts.find(response.service);
-    const bool isUnderEvaluation =
-        found != m_rollouts.end() && !isDecided(found->second.order) && found->second.order.target == response.version;
-    if (isUnderEvaluation)
-        return evaluate(found->second, response);
-    auto known = m_baselines.find(response.stratum);
-    if (known == m_baselines.end())
-        known = m_baselines.emplace(response.stratum, baseline{}).first;
-    auto &base = known->second;
-    ++base.responses;
-    base.failureRate += kBaselineWeight * ((response.isFailure ? 1.0 : 0.0) - base.failureRate);
-    if (response.isFailure || !response.latency)
-        return;
-    const auto latency = static_cast<double>(response.latency->count());
-    const double weight = std::max(kBaselineWeight, 1.0 / base.responses);
-    base.latencyUs += weight * (latency - base.latencyUs);
+    const auto found = m_rollouts.find(service);
+    if (found != m_rollouts.end())
+        found->second.budget.recordRequest(version == found->second.order.target);
 }
 
-bool rollout_policy::addEvidence(double &score, bool isBad, double goodRate)
+std::optional<std::chrono::microseconds> rollout_policy::slowLimit(const tracked_rollout &target,
+                                                                   std::string_view stratum) const
 {
-    const double badRate = std::min(0.9, std::max(kBadRate, 2.5 * goodRate));
-    score += isBad ? std::log(badRate / goodRate) : std::log((1 - badRate) / (1 - goodRate));
-    score = std::max(0.0, score);
-    return score >= kRejectThreshold;
+    const auto known = m_baselines.find(stratum);
+    auto limit = known == m_baselines.end() ? std::nullopt : known->second.slowLimit();
+    const auto atFullLoad = target.fullLoadLimits.find(stratum);
+    if (atFullLoad != target.fullLoadLimits.end())
+        limit = std::max(limit.value_or(atFullLoad->second), atFullLoad->second);
+    return limit;
 }
 
-void rollout_policy::evaluate(tracked_rollout &target, const version_response &response)
-{
-    const auto known = m_baselines.find(response.stratum);
-    const baseline base = known == m_baselines.end() ? baseline{} : known->second;
-    const double margin = static_cast<double>(std::chrono::microseconds(kSlowMargin).count());
-    const bool isSlow = response.latency && base.responses >= kMinBaselineResponses && base.latencyUs > 0
-        && static_cast<double>(response.latency->count()) > kSlowFactor * base.latencyUs + margin;
-    const bool isBad = response.isFailure || isSlow;
-    const double good = std::max(kGoodRate, base.failureRate);
-    const bool isBadOnRoute = addEvidence(target.scores[std::string(response.stratum)], isBad, good);
-    const bool isBadOverall = addEvidence(target.scores[{}], isBad, good);
-    target.respondingReplicas.emplace(response.replica);
-    if (isBad)
-        target.failedReplicas.emplace(response.replica);
-    // A single failing replica among several indicates a bad replica, not a bad version.
-    const bool isWidespread = target.respondingReplicas.size() == 1 || target.failedReplicas.size() > 1;
-    target.isRejected = target.isRejected || ((isBadOnRoute || isBadOverall) && isWidespread);
+std::optional<std::chrono::microseconds> rollout_policy::slowLimit(std::string_view service, std::string_view version,
+                                                                   std::string_view stratum) const
+{
+    const auto *target = findUnderEvaluation(service, version);
+    return target ? slowLimit(*target, stratum) : std::nullopt;
+}
+
+void rollout_policy::recordResponse(const version_response &response)
+{
+    auto known = m_baselines.find(response.stratum);
+    if (known == m_baselines.end())
+        known = m_baselines.emplace(response.stratum, version_baseline{}).first;
+    if (!findUnderEvaluation(response.service, response.version))
+        return known->second.recordResponse(response);
+    auto &target = m_rollouts.find(response.service)->second;
+    const auto limit = slowLimit(target, response.stratum);
+    const bool isSlow = limit && response.latency && *response.latency > *limit;
+    target.evidence.recordResponse(response, response.isFailure || isSlow, known->second.failureRate());
 }
 
 std::optional<rollout_order> rollout_policy::nextState(instant now)
@@ -112,7 +133,8 @@
         auto next = active.order;
         if (isDecided(next))
             continue;
-        if (active.isRejected) {
+        const auto verdict = active.evidence.verdict();
+        if (verdict == evidence_verdict::rejected) {
             next.state = rollout_state::rolled_back;
             return next;
         }
@@ -120,10 +142,11 @@
             next.state = rollout_state::in_progress;
             return next;
         }
+        active.isOverdue = now - active.startedAt >= next.duration;
         const auto stage = std::min<std::size_t>(next.stage, kStageEnds.size() - 1);
-        const double begin = stage == 0 ? 0 : kStageEnds[stage - 1];
-        const auto length = (kStageEnds[stage] - begin) * std::chrono::duration<double>(next.duration);
-        if (std::chrono::duration<double>(now - active.stageStartedAt) < length)
+        const auto end = kStageEnds[stage] * std::chrono::duration<double>(next.duration);
+        const bool isAccepted = stage == 0 || verdict == evidence_verdict::accepted;
+        if (!isAccepted || std::chrono::duration<double>(now - active.startedAt) < end)
             continue;
         if (stage + 1 < kStageEnds.size())
             next.stage = static_cast<std::uint32_t>(stage + 1);
--- a/src/rollout_policy_p.h
+++ b/src/rollout_policy_p.h
@@ -1,13 +1,11 @@
-// Gradual roll-out of a version: selects the requests that are sent to the new version, detects a bad version, and
-// advances the stages. All hosts derive the same share from the stage in the store. Any host may write the next state,
-// conditional on the revision it has read. Addresses versions that fail, are slow, or get worse late or under load.
+// Gradual roll-out of a version: selects the requests that are sent to the new version, and advances the stages or
+// rolls back by the evidence. All hosts derive the same share from the stage in the store. Any host may write the next
+// state, conditional on the revision it has read.
 #pragma once
 
+#include "exposure_budget_p.h"
 #include "gateway_model_p.h"
-
-#include <map>
-#include <set>
-#include <unordered_map>
+#include "rollout_evidence_p.h"
 
 namespace foxtaildyke
 {
@@ -16,75 +14,84 @@
 struct version_choice {
     std::string version; ///< only this version; empty: any
     std::string excluded; ///< not this version; empty: none is excluded
+    /// Fraction of the version's replicas that the requests are gathered on, so that their load is like that of the
+    /// replicas of the version in use, and a version that is bad under load shows at a small share of the traffic.
+    double replicaShare = 1;
 };
 
-/// Response as evidence on the version that produced it.
-struct version_response {
-    std::string_view service;
-    std::string_view version;
-    std::string_view stratum; ///< group within which responses are comparable: route and model
-    std::string_view replica;
-    bool isFailure = false; ///< the replica responded with an error
-    /// Time to the response, or between two events of a stream; unset: not measured. The time to the first event isn't
-    /// used, as it depends more on cold prompt caches than on the version.
-    std::optional<std::chrono::microseconds> latency;
+/// An order with what this host knows of it.
+struct tracked_rollout {
+    rollout_order order;
+    instant startedAt{}; ///< when this host first saw the order, or its estimate if the order was in progress then
+    bool isOverdue = false; ///< the order's duration has passed without a decision
+    rollout_evidence evidence;
+    exposure_budget budget;
+    /// Limits at the end of the first stage, by stratum: until then the version in use carries the whole load, which
+    /// the new version takes over.
+    std::map<std::string, std::chrono::microseconds, std::less<>> fullLoadLimits;
 };
 
 class rollout_policy
 {
 public:
+    explicit rollout_policy(exposure_limits limits = {})
+        : m_limits(limits)
+    {
+    }
+
+    /// Sets the number of hosts among which the slack of the exposure limits is divided.
+    void setHosts(std::size_t hosts) { m_hosts = std::max(kAssumedHosts, hosts); }
+
     /// Replaces the known orders. The evidence collected for an order that remains is kept.
     void setOrders(const std::vector<rollout_order> &orders, instant now);
 
     /// @param key of the request's session, which gets the same version on all hosts and changes version only once.
     [[nodiscard]] version_choice choose(const std::string &service, std::uint64_t key) const;
 
+    /// Counts a request sent to a replica of a version.
+    void recordRequest(std::string_view service, std::string_view version);
+
+    /// @returns the latency above which a response of a version under evaluation is slow; nothing for other versions.
+    [[nodiscard]] std::optional<std::chrono::microseconds> slowLimit(std::string_view service, std::string_view version,
+                                                                     std::string_view stratum) const;
+
     /// Records a response, also for services without an order so that a baseline exists when one arrives.
     void recordResponse(const version_response &response);
 
     /// @returns the next state to write for a service, if any. To be called about once per second.
     [[nodiscard]] std::optional<rollout_order> nextState(instant now);
 
+    /// @returns whether an order is neither completed nor rolled back.
+    [[nodiscard]] bool hasUndecided() const;
+
+    /// @returns the state of an order on this host, for the log.
+    [[nodiscard]] const tracked_rollout *find(std::string_view service) const;
+
     /// Share of requests sent to the new version in each stage. It is 0 in the first half of an order, to let existing
     /// sessions finish: most of their requests reach hosts that have no record of the session, and any share would
-    /// change the version of some. The requests that a bad version receives in the second and third stage stay below
-    /// the users' bounds of 0.0975 to 0.15 of all requests until the end of the order.
-    static constexpr std::array kStageShares{0.0, 0.22, 0.5, 1.0};
-    /// End of each stage as a fraction of the order's duration. The first stage covers the half of the order in which
-    /// existing sessions keep their version, see kStageShares.
-    static constexpr std::array kStageEnds{0.52, 0.62, 0.70, 0.85};
-    /// Log-likelihood ratio at which a version is rejected; reached by three consecutive failures at a base rate of
-    /// 0.03.
-    static constexpr double kRejectThreshold = 6.5;
-    /// Minimum failure rate assumed for a good version, and for a bad one.
-    static constexpr double kGoodRate = 0.03;
-    static constexpr double kBadRate = 0.3;
-    /// A response counts as failed if its latency exceeds this multiple of the baseline's mean plus the margin.
-    static constexpr double kSlowFactor = 3.5;
-    static constexpr std::chrono::milliseconds kSlowMargin{20};
+    /// change the version of some. The last stage lets requests of the old version finish before its replicas stop.
+    static constexpr std::array kStageShares{0.0, 0.12, 1.0};
+    /// Earliest end of each stage as a fraction of the order's duration. The stages after the first end only once the
+    /// evidence has accepted the version. A version that is bad in a way that doesn't show before the end of the order
+    /// receives 0.12 * (0.93 - 0.52) + 1 - 0.93 = 0.12 of all requests until then, within the exposure limits of the
+    /// users (0.15).
+    static constexpr std::array kStageEnds{0.52, 0.93, 0.96};
+    /// Number of hosts assumed while the actual number is unknown or lower.
+    static constexpr std::size_t kAssumedHosts = 16;
 
 private:
-    struct baseline {
-        double failureRate = 0;
-        double latencyUs = 0; ///< exponentially weighted mean over good responses
-        std::uint32_t responses = 0;
-    };
-    struct tracked_rollout {
-        rollout_order order;
-        instant stageStartedAt{}; ///< when this host first saw the order in its current stage
-        /// CUSUM scores of the sequential test, never below 0: per stratum, as a version may be bad on a single route,
-        /// and under the empty name for all strata together.
-        std::map<std::string, double, std::less<>> scores;
-        std::set<std::string, std::less<>> failedReplicas;
-        std::set<std::string, std::less<>> respondingReplicas;
-        bool isRejected = false;
-    };
-    void evaluate(tracked_rollout &target, const version_response &response);
-    /// Adds one response to a score. @returns whether the score has reached the threshold.
-    [[nodiscard]] static bool addEvidence(double &score, bool isBad, double goodRate);
-
-    std::map<std::string, tracked_rollout, std::less<>> m_rollouts; ///< by service
-    std::map<std::string, baseline, std::less<>> m_baselines; ///< by stratum
+    using rollout_map = std::map<std::string, tracked_rollout, std::less<>>;
+
+    /// @returns the roll-out if the version is under evaluation for the service, or null.
+    [[nodiscard]] const tracked_rollout *findUnderEvaluation(std::string_view service, std::string_view version) const;
+    [[nodiscard]] std::optional<std::chrono::microseconds> slowLimit(const tracked_rollout &target,
+                                                                     std::string_view stratum) const;
+    void freezeLimits(tracked_rollout &target) const;
+
+    exposure_limits m_limits;
+    std::size_t m_hosts = kAssumedHosts; ///< among which the slack is divided
+    rollout_map m_rollouts; ///< by service
+    std::map<std::string, version_baseline, std::less<>> m_baselines; ///< by stratum
 };
 
 } // namespace foxtaildyke
