Roll-outs: pool the evidence of all hosts

Cause: each host judged a version by its own responses. A service with 30 calls a second gives a host under one response a second from a canary of 0.12.

Change: the object that a host keeps in the store for its crash reports becomes its report, with its evidence on roll-outs: the sum of its log-likelihood ratios, counts and replicas, written at most once a second and only while an order is undecided. All hosts add the others' evidence to theirs; increments go into a CUSUM over all hosts, so that a version that turns bad late isn't hidden by its good beginning. The report of a restarted host adds to what it had reported before. A host that can't read the reports goes on with its own evidence: it may reject, and accepts only what its own responses show. Log events are renamed to host_report_*.

Evidence: two new tests; before, 20 hosts with one response each decided nothing.

--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -187,16 +187,25 @@
         summarize(now);
 }
 
+std::vector<crash_report> crash_registry::ownReports() const
+{
+    std::vector<crash_report> reports;
+    const auto found = m_reports.find(m_host);
+    if (found == m_reports.end())
+        return reports;
+    for (const auto &[fingerprint, known] : found->second)
+        if (!m_heldReports.contains(fingerprint) || isPublished(fingerprint))
+            reports.push_back(known.report);
+    return reports;
+}
+
 std::optional<std::vector<crash_report>> crash_registry::takeUnpublished(instant now)
 {
     // Until the stored reports have been read, storing new ones would replace them.
     if (!m_publishDueAt || now < *m_publishDueAt || !m_hasAdopted)
         return std::nullopt;
     m_publishDueAt.reset();
-    std::vector<crash_report> reports;
-    for (const auto &[fingerprint, known] : own())
-        if (!m_heldReports.contains(fingerprint) || isPublished(fingerprint))
-            reports.push_back(known.report);
+    auto reports = ownReports();
     if (reports == m_published && !m_hasPublishFailed)
         return std::nullopt;
     m_publishedAt = now;
--- a/src/crash_registry_p.h
+++ b/src/crash_registry_p.h
@@ -47,6 +47,12 @@
     /// Drops reports whose lifetime has ended. To be called from time to time.
     void expire(instant now);
 
+    /// @returns this host's reports, as they are to be stored.
+    [[nodiscard]] std::vector<crash_report> ownReports() const;
+
+    /// @returns whether the stored reports of this host have been read. Until then, storing would replace them.
+    [[nodiscard]] bool hasAdopted() const { return m_hasAdopted; }
+
     /// @returns this host's reports if they have changed and are due to be stored. If there are none left, the stored
     /// ones must be removed.
     [[nodiscard]] std::optional<std::vector<crash_report>> takeUnpublished(instant now);
--- a/src/fleet_feed_p.h
+++ b/src/fleet_feed_p.h
@@ -1,4 +1,4 @@
-// Port for the configuration, replicas and roll-outs that the platform publishes, and for the crash reports that hosts
+// Port for the configuration, replicas and roll-outs that the platform publishes, and for the reports that hosts
 // share. Implemented by platform/store_feed.
 #pragma once
 
@@ -31,11 +31,11 @@
     /// All roll-out orders; sent after each change.
     virtual void onRollouts(const std::vector<rollout_order> &orders) = 0;
 
-    /// The stored crash reports of all hosts; sent after the start and after each change.
-    virtual void onCrashReports(const crash_reports_by_host &reports) = 0;
+    /// The stored reports of all hosts; sent after the start and after each change.
+    virtual void onHostReports(const host_reports &reports) = 0;
 
-    /// A write of this host's crash reports has ended; if it has failed, it may still have been carried out.
-    virtual void onCrashReportsWritten(bool isWritten) = 0;
+    /// A write of this host's report has ended; if it has failed, it may still have been carried out.
+    virtual void onHostReportWritten(bool isWritten) = 0;
 
     /// The source of the replicas became reachable or unreachable.
     virtual void onFeedReachable(bool isReachable) = 0;
@@ -64,11 +64,11 @@
     /// onRollouts().
     virtual void writeRollout(const rollout_order &order) = 0;
 
-    /// Replaces the stored crash reports of this host. Its end is reported through onCrashReportsWritten().
-    virtual void writeCrashReports(const std::vector<crash_report> &reports) = 0;
+    /// Replaces the stored report of this host. Its end is reported through onHostReportWritten().
+    virtual void writeHostReport(const host_report &report) = 0;
 
-    /// Removes the stored crash reports of a host that is gone.
-    virtual void removeCrashReports(const std::string &host) = 0;
+    /// Removes the stored report of a host that is gone.
+    virtual void removeHostReport(const std::string &host) = 0;
 };
 
 } // namespace foxtaildyke
--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -5,6 +5,7 @@
 #include "http_client_p.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace foxtaildyke
@@ -126,6 +127,30 @@
 
 using crash_reports_by_host = std::map<std::string, std::vector<crash_report>>;
 
+/// Evidence of one host on the target of a roll-out; see rollout_evidence.
+struct rollout_report {
+    std::string service;
+    std::string target; ///< version
+    std::uint64_t createdRevision = 0; ///< of the order
+    double ratio = 0; ///< sum of the log-likelihood ratios of the host's responses
+    std::uint32_t responses = 0;
+    std::uint32_t badResponses = 0;
+    std::set<std::string> replicas; ///< ids of those that responded
+    std::set<std::string> badReplicas; ///< ids of those with bad responses
+    bool operator==(const rollout_report &) const = default;
+};
+
+/// What one host shares with all others through the store.
+struct host_report {
+    std::vector<crash_report> crashes;
+    std::vector<rollout_report> rollouts;
+
+    [[nodiscard]] bool isEmpty() const { return crashes.empty() && rollouts.empty(); }
+    bool operator==(const host_report &) const = default;
+};
+
+using host_reports = std::map<std::string, host_report>; ///< by host
+
 /// State of a roll-out, agreed between the hosts through the store.
 enum class rollout_state : std::uint8_t { ordered, in_progress, completed, rolled_back, count };
 
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kRolloutWriteSpread{200};
 /// Time after a write in which the state is not written again: its result is to arrive from the store first.
 constexpr std::chrono::milliseconds kRolloutWritePause{500};
+/// Shortest interval between writes of this host's evidence on roll-outs.
+constexpr std::chrono::milliseconds kEvidenceShareInterval{1000};
 /// Interval between searches for crash reports of hosts that are gone. Hosts add a random delay of up to the same
 /// length, so that few of them remove the same reports.
 constexpr std::chrono::seconds kCrashReportPurgeInterval{60};
@@ -210,18 +212,39 @@
                      {"stage", order.stage},
                      {"revision", order.revision}});
     m_state.rollouts.setOrders(orders, suspendAwareNow());
+    applyPeerEvidence();
     m_rolloutTimer.start(std::chrono::milliseconds{0});
 }
 
-void gateway_task::onCrashReports(const crash_reports_by_host &reports)
+void gateway_task::onHostReports(const host_reports &reports)
 {
-    m_state.crashes.setStoredReports(reports, suspendAwareNow());
+    m_hostReports = reports;
+    crash_reports_by_host crashes;
+    for (const auto &[host, report] : reports) {
+        const bool hasOpenEvidence = std::ranges::any_of(
+            report.rollouts, [this](const rollout_report &entry) { return m_state.rollouts.isUndecided(entry); });
+        // Without crashes and evidence in use, the registry treats the report as that of a host that is gone.
+        if (!report.crashes.empty() || !hasOpenEvidence)
+            crashes.emplace(host, report.crashes);
+    }
+    applyPeerEvidence();
+    m_state.crashes.setStoredReports(crashes, suspendAwareNow());
 }
 
-void gateway_task::onCrashReportsWritten(bool isWritten)
+/// Passes the other hosts' evidence to the orders that it belongs to; the store may deliver it before the order.
+void gateway_task::applyPeerEvidence()
 {
-    if (!isWritten)
-        m_state.crashes.recordPublishFailure();
+    for (const auto &[host, report] : m_hostReports)
+        if (host != m_settings.host)
+            m_state.rollouts.setPeerReports(host, report.rollouts);
+}
+
+void gateway_task::onHostReportWritten(bool isWritten)
+{
+    if (isWritten)
+        return;
+    m_state.crashes.recordPublishFailure();
+    m_sharedEvidence.clear(); // shared again at the next interval
 }
 
 void gateway_task::recordCrash(const broken_attempt &attempt)
@@ -239,23 +262,29 @@
                 log_subject::request);
 }
 
-/// Stores this host's crash reports after a change, and removes those of hosts that are gone.
-void gateway_task::shareCrashReports(instant now)
+/// Stores this host's report after a change, and removes those of hosts that are gone.
+void gateway_task::shareHostReport(instant now)
 {
     m_state.crashes.expire(now);
     logQuarantines(now);
     if (!m_feed)
         return;
-    if (const auto reports = m_state.crashes.takeUnpublished(now)) {
-        m_log.write("crash_reports_shared", {{"reports", reports->size()}});
-        m_feed->writeCrashReports(*reports);
+    const bool hasCrashes = m_state.crashes.takeUnpublished(now).has_value();
+    auto evidence = m_state.rollouts.reports();
+    const bool hasEvidence = now >= m_nextEvidenceShare && m_state.crashes.hasAdopted() && evidence != m_sharedEvidence;
+    if (hasCrashes || hasEvidence) {
+        m_nextEvidenceShare = now + kEvidenceShareInterval;
+        m_sharedEvidence = evidence;
+        const host_report report{m_state.crashes.ownReports(), std::move(evidence)};
+        m_log.write("host_report_shared", {{"crashes", report.crashes.size()}, {"rollouts", report.rollouts.size()}});
+        m_feed->writeHostReport(report);
     }
     if (now < m_nextCrashReportPurge)
         return;
     std::uniform_int_distribution<std::int64_t> spread(0, kCrashReportPurgeInterval.count());
     m_nextCrashReportPurge = now + kCrashReportPurgeInterval + std::chrono::seconds{spread(m_state.random)};
     for (const auto &host : m_state.crashes.abandonedHosts(now))
-        m_feed->removeCrashReports(host);
+        m_feed->removeHostReport(host);
 }
 
 /// Logs the requests that are blocked, or no longer blocked, by this host's reports or by those of other hosts.
@@ -314,7 +343,7 @@
     }
     if (m_state.configConfirmedAt)
         m_metrics.setConfigAge(now - *m_state.configConfirmedAt);
-    shareCrashReports(now);
+    shareHostReport(now);
     if (m_isDraining)
         advanceStop();
     m_tick.start(kTickInterval);
@@ -348,6 +377,7 @@
                  {"verdict", nameOf(known.evidence.verdict())},
                  {"responses", known.evidence.responses()},
                  {"bad_responses", known.evidence.badResponses()},
+                 {"peer_responses", known.evidence.peerResponses()},
                  {"exposed", known.budget.exposed()},
                  {"requests", known.budget.requests()}});
     m_feed->writeRollout(*next);
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -48,8 +48,8 @@
     void onReplicaChanged(replica_entry replica) override;
     void onReplicaRemoved(const std::string &id) override;
     void onRollouts(const std::vector<rollout_order> &orders) override;
-    void onCrashReports(const crash_reports_by_host &reports) override;
-    void onCrashReportsWritten(bool isWritten) override;
+    void onHostReports(const host_reports &reports) override;
+    void onHostReportWritten(bool isWritten) override;
     void onFeedReachable(bool isReachable) override;
     void onFleetSize(std::size_t hosts) override
     {
@@ -70,10 +70,11 @@
     [[nodiscard]] bool isReady() const;
     void applyReplicas();
     void tick();
+    void applyPeerEvidence();
     /// Writes the next state of a roll-out that is due for it, as long as one is undecided.
     void advanceRollouts();
     void recordCrash(const broken_attempt &attempt);
-    void shareCrashReports(instant now);
+    void shareHostReport(instant now);
     void logQuarantines(instant now);
     void closeListener();
     void advanceStop();
@@ -104,6 +105,9 @@
     bool m_isDraining = false;
     bool m_wasReady = false;
     instant m_stopStartedAt{};
+    host_reports m_hostReports; ///< of all hosts, as last delivered by the store
+    std::vector<rollout_report> m_sharedEvidence; ///< last written
+    instant m_nextEvidenceShare{};
     loop_timer m_rolloutTimer;
     std::optional<instant> m_rolloutWriteAt; ///< set while a roll-out is due for its next state
     instant m_nextCrashReportPurge{};
--- a/src/rollout_evidence.cpp
+++ b/src/rollout_evidence.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <vector>
 
 namespace foxtaildyke
@@ -32,11 +33,18 @@
     return std::chrono::microseconds{static_cast<std::int64_t>(limit)} + kSlowMargin;
 }
 
-bool rollout_evidence::addToCusum(const std::string &stratum, double ratio)
+void rollout_evidence::addToCusum(const std::string &stratum, double ratio)
 {
     auto &score = m_cusums[stratum];
     score = std::max(0.0, score + ratio);
-    return score >= kRejectThreshold;
+}
+
+void rollout_evidence::updateRejection()
+{
+    const bool hasReached =
+        std::ranges::any_of(m_cusums, [](const auto &entry) { return entry.second >= kRejectThreshold; });
+    const bool isWidespread = m_replicas.size() == 1 || m_badReplicas.size() > 1;
+    m_isRejected = m_isRejected || (hasReached && isWidespread);
 }
 
 void rollout_evidence::recordResponse(const version_response &response, bool isBad, double goodRate)
@@ -44,24 +52,46 @@
     const double good = std::max(kGoodRate, goodRate);
     const double bad = std::min(0.9, std::max(kBadRate, 2.5 * good));
     const double ratio = isBad ? std::log(bad / good) : std::log((1 - bad) / (1 - good));
-    const bool isBadInStratum = addToCusum(std::string(response.stratum), ratio);
-    const bool isBadOverall = addToCusum({}, ratio);
-    m_acceptance += ratio;
-    ++m_responses;
-    m_badResponses += isBad ? 1 : 0;
-    m_replicas.emplace(response.replica);
-    if (isBad)
-        m_badReplicas.emplace(response.replica);
-    // A single failing replica among several indicates a bad replica, not a bad version.
-    const bool isWidespread = m_replicas.size() == 1 || m_badReplicas.size() > 1;
-    m_isRejected = m_isRejected || ((isBadInStratum || isBadOverall) && isWidespread);
+    const std::string replica(response.replica);
+    m_own.ratio += ratio;
+    ++m_own.responses;
+    m_own.replicas.insert(replica);
+    m_replicas.insert(replica);
+    if (isBad) {
+        ++m_own.badResponses;
+        m_own.badReplicas.insert(replica);
+        m_badReplicas.insert(replica);
+    }
+    m_ratio += ratio;
+    addToCusum(std::string(response.stratum), ratio);
+    addToCusum({}, ratio);
+    updateRejection();
+}
+
+void rollout_evidence::setPeerReport(const std::string &host, const rollout_report &report)
+{
+    auto &known = m_peers[host];
+    const bool hasRestarted = report.responses < known.responses;
+    const double added = report.ratio - (hasRestarted ? 0.0 : known.ratio);
+    known = report;
+    m_ratio += added;
+    addToCusum({}, added);
+    m_replicas.insert(report.replicas.begin(), report.replicas.end());
+    m_badReplicas.insert(report.badReplicas.begin(), report.badReplicas.end());
+    updateRejection();
+}
+
+std::uint32_t rollout_evidence::peerResponses() const
+{
+    return std::accumulate(m_peers.begin(), m_peers.end(), 0U,
+                           [](std::uint32_t sum, const auto &entry) { return sum + entry.second.responses; });
 }
 
 evidence_verdict rollout_evidence::verdict() const
 {
     if (m_isRejected)
         return evidence_verdict::rejected;
-    return m_acceptance <= kAcceptThreshold ? evidence_verdict::accepted : evidence_verdict::undecided;
+    return m_ratio <= kAcceptThreshold ? evidence_verdict::accepted : evidence_verdict::undecided;
 }
 
 } // namespace foxtaildyke
--- a/src/rollout_evidence_p.h
+++ b/src/rollout_evidence_p.h
@@ -2,7 +2,7 @@
 // Addresses versions that fail or are slow on all routes or on one, at once or later.
 #pragma once
 
-#include "foxtaildyke/foxtaildyke.h"
+#include "gateway_model_p.h"
 
 #include <deque>
 #include <map>
@@ -59,17 +59,26 @@
     static constexpr std::array kNames{"undecided", "accepted", "rejected"};
 };
 
-/// Sequential probability ratio tests of one version: a CUSUM that rejects, per stratum and over all strata, and a test
-/// that accepts, over all strata. Missing evidence leaves the verdict undecided.
+/// Sequential probability ratio tests of one version: CUSUMs that reject, over this host's responses per stratum and
+/// over the responses of all hosts, and a test that accepts, over the responses of all hosts. Missing evidence leaves
+/// the verdict undecided, so a host that doesn't receive the others' reports never accepts by their silence.
 class rollout_evidence
 {
 public:
     /// @param goodRate failure rate expected of a good version.
     void recordResponse(const version_response &response, bool isBad, double goodRate);
 
+    /// Replaces the evidence of another host. A report with fewer responses than the one before is that of a restarted
+    /// host and adds to it.
+    void setPeerReport(const std::string &host, const rollout_report &report);
+
     [[nodiscard]] evidence_verdict verdict() const;
-    [[nodiscard]] std::uint32_t responses() const { return m_responses; }
-    [[nodiscard]] std::uint32_t badResponses() const { return m_badResponses; }
+
+    /// @returns this host's evidence; the order's fields are empty.
+    [[nodiscard]] const rollout_report &own() const { return m_own; }
+    [[nodiscard]] std::uint32_t responses() const { return m_own.responses; }
+    [[nodiscard]] std::uint32_t badResponses() const { return m_own.badResponses; }
+    [[nodiscard]] std::uint32_t peerResponses() const;
 
     /// Log-likelihood ratio at which a version is rejected.
     static constexpr double kRejectThreshold = 6.5;
@@ -80,14 +89,16 @@
     static constexpr double kBadRate = 0.3;
 
 private:
-    [[nodiscard]] bool addToCusum(const std::string &stratum, double ratio);
-
-    std::map<std::string, double, std::less<>> m_cusums; ///< by stratum, and over all under the empty name; >= 0
-    std::set<std::string, std::less<>> m_badReplicas;
-    std::set<std::string, std::less<>> m_replicas; ///< all that responded
-    double m_acceptance = 0; ///< log-likelihood ratio over all strata
-    std::uint32_t m_responses = 0;
-    std::uint32_t m_badResponses = 0;
+    void addToCusum(const std::string &stratum, double ratio);
+    /// Rejects the version if a CUSUM has reached the threshold and not only a single one of several replicas is bad.
+    void updateRejection();
+
+    rollout_report m_own;
+    std::map<std::string, rollout_report> m_peers; ///< by host
+    double m_ratio = 0; ///< sum of the log-likelihood ratios of all hosts' responses
+    std::map<std::string, double, std::less<>> m_cusums; ///< by stratum, and of all hosts under the empty name; >= 0
+    std::set<std::string> m_replicas; ///< all that responded, to any host
+    std::set<std::string> m_badReplicas;
     bool m_isRejected = false;
 };
 
--- a/src/rollout_policy.cpp
+++ b/src/rollout_policy.cpp
@@ -127,6 +127,34 @@
     target.evidence.recordResponse(response, response.isFailure || isSlow, known->second.failureRate());
 }
 
+std::vector<rollout_report> rollout_policy::reports() const
+{
+    std::vector<rollout_report> reports;
+    for (const auto &[service, active] : m_rollouts) {
+        if (isDecided(active.order) || active.evidence.responses() == 0)
+            continue;
+        auto report = active.evidence.own();
+        report.service = service;
+        report.target = active.order.target;
+        report.createdRevision = active.order.createdRevision;
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+bool rollout_policy::isUndecided(const rollout_report &report) const
+{
+    const auto *known = findUnderEvaluation(report.service, report.target);
+    return known && known->order.createdRevision == report.createdRevision;
+}
+
+void rollout_policy::setPeerReports(const std::string &host, const std::vector<rollout_report> &reports)
+{
+    for (const auto &report : reports)
+        if (isUndecided(report))
+            m_rollouts.find(report.service)->second.evidence.setPeerReport(host, report);
+}
+
 std::optional<rollout_order> rollout_policy::nextState(instant now)
 {
     for (auto &[service, active] : m_rollouts) {
--- a/src/rollout_policy_p.h
+++ b/src/rollout_policy_p.h
@@ -58,6 +58,15 @@
     /// Records a response, also for services without an order so that a baseline exists when one arrives.
     void recordResponse(const version_response &response);
 
+    /// @returns this host's evidence on undecided orders, for the other hosts; empty without responses.
+    [[nodiscard]] std::vector<rollout_report> reports() const;
+
+    /// Replaces the evidence of another host.
+    void setPeerReports(const std::string &host, const std::vector<rollout_report> &reports);
+
+    /// @returns whether a report belongs to an order that is neither completed nor rolled back.
+    [[nodiscard]] bool isUndecided(const rollout_report &report) const;
+
     /// @returns the next state to write for a service, if any. To be called about once per second.
     [[nodiscard]] std::optional<rollout_order> nextState(instant now);
 
--- a/tests/feed_recorder.h
+++ b/tests/feed_recorder.h
@@ -11,7 +11,7 @@
     int confirmations = 0;
     std::vector<std::string> replicas; ///< ids of the current replicas
     std::vector<rollout_order> orders;
-    crash_reports_by_host crashReports;
+    host_reports hostReports;
     std::vector<bool> reportWrites; ///< results of this host's writes of crash reports
     std::vector<std::string> events;
     bool isReachable = false;
@@ -34,8 +34,8 @@
     }
     void onReplicaRemoved(const std::string &id) override { std::erase(replicas, id); }
     void onRollouts(const std::vector<rollout_order> &all) override { orders = all; }
-    void onCrashReports(const crash_reports_by_host &reports) override { crashReports = reports; }
-    void onCrashReportsWritten(bool isWritten) override { reportWrites.push_back(isWritten); }
+    void onHostReports(const host_reports &reports) override { hostReports = reports; }
+    void onHostReportWritten(bool isWritten) override { reportWrites.push_back(isWritten); }
     void onFeedReachable(bool isReachableNow) override { isReachable = isReachableNow; }
     void onFleetSize(std::size_t hosts) override { fleetSize = hosts; }
     std::vector<replica_load> ownLoad() const override { return ownLoads; }
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -15,12 +15,12 @@
 struct scripted_feed : fleet_feed {
     fleet_listener *listener = nullptr;
     std::vector<rollout_order> written;
-    std::vector<crash_report> writtenReports; ///< last written
+    host_report writtenReport; ///< last written
 
     void start(fleet_listener &target) override { listener = &target; }
     void writeRollout(const rollout_order &order) override { written.push_back(order); }
-    void writeCrashReports(const std::vector<crash_report> &reports) override { writtenReports = reports; }
-    void removeCrashReports(const std::string &) override { }
+    void writeHostReport(const host_report &report) override { writtenReport = report; }
+    void removeHostReport(const std::string &) override { }
 };
 
 /// A request as received by a replica.
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -232,7 +232,7 @@
 {
     relayed_hosts net(1);
     net.store.put("crash-reports", "host-9", {{"reports", nlohmann::json::array()}});
-    REQUIRE(net.runUntil([&] { return net.relay->recorder.crashReports.contains("host-9"); }));
+    REQUIRE(net.runUntil([&] { return net.relay->recorder.hostReports.contains("host-9"); }));
     http_client client{net.loop};
     std::optional<http_response> response;
     // The revisions of the kinds that the older build follows, as in store_feed::queryRelay().
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -527,6 +527,52 @@
         CHECK_FALSE(policy.nextState(now));
 }
 
+TEST_CASE("roll-out: the evidence of hosts that see one request each is pooled")
+{
+    constexpr std::size_t kHosts = 20;
+    for (const bool isBad : {false, true}) {
+        CAPTURE(isBad);
+        std::vector<rollout_policy> policies(kHosts);
+        for (std::size_t i = 0; i < kHosts; ++i) {
+            policies[i].setOrders({makeOrder(rollout_state::in_progress, 1)}, 1s);
+            policies[i].recordResponse(makeResponse("v2", i % 2 ? "n1" : "n2", isBad && i % 2 == 0));
+        }
+        CHECK_FALSE(policies[0].nextState(20s)); // its own response decides nothing
+        for (std::size_t i = 1; i < kHosts; ++i) {
+            const auto reports = policies[i].reports();
+            REQUIRE(reports.size() == 1);
+            for (int repeat = 0; repeat < 3; ++repeat) // delivered again with each change of any host's report
+                policies[0].setPeerReports("h" + std::to_string(i), reports);
+        }
+        const auto next = policies[0].nextState(20s);
+        // Only one replica is bad: that is no reason to roll back, and none to accept either.
+        CHECK(next.has_value() == !isBad);
+        if (!isBad)
+            continue;
+        policies[1].recordResponse(makeResponse("v2", "n1", true));
+        policies[0].setPeerReports("h1", policies[1].reports());
+        REQUIRE(policies[0].nextState(20s));
+        CHECK(policies[0].nextState(20s)->state == rollout_state::rolled_back);
+    }
+}
+
+TEST_CASE("roll-out: evidence of a restarted host adds to that from before, and that of another order is ignored")
+{
+    rollout_policy policy;
+    policy.setOrders({makeOrder(rollout_state::in_progress, 1)}, 1s);
+    rollout_report report{"s", "v2", 3, -2, 6, 0, {"n1"}, {}};
+    policy.setPeerReports("h1", {report});
+    CHECK_FALSE(policy.nextState(20s));
+    auto other = report;
+    other.createdRevision = 2;
+    policy.setPeerReports("h2", {other});
+    CHECK_FALSE(policy.nextState(20s));
+    report.responses = 4; // fewer than before: the host has restarted
+    report.ratio = -1.3;
+    policy.setPeerReports("h1", {report});
+    CHECK(policy.nextState(20s));
+}
+
 TEST_CASE("roll-out: a version that is bad unnoticed stays within the exposure limit, for any distribution of requests")
 {
     const exposure_limits limits{0.15, 30};
--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -203,36 +203,37 @@
         {"fingerprint":"2b","crashes":"none","answered":true},null]})")
         + "," + object("host-3", "17"));
     store.feed.start(store.recorder);
-    REQUIRE(store.runUntil([&] { return !store.recorder.crashReports.empty(); }));
+    REQUIRE(store.runUntil([&] { return !store.recorder.hostReports.empty(); }));
     const std::vector<crash_report> expected{{0x2a, {1, 0xff}, false}, {0x2b, {}, true}};
-    CHECK(store.recorder.crashReports.at("host-2") == expected);
-    CHECK(store.recorder.crashReports.at("host-3").empty());
+    CHECK(store.recorder.hostReports.at("host-2").crashes == expected);
+    CHECK(store.recorder.hostReports.at("host-3").isEmpty());
 }
 
-TEST_CASE("store feed: a host creates, replaces and removes its crash reports, and a stale write fails")
+TEST_CASE("store feed: a host creates, replaces and removes its report, and a stale write fails")
 {
     test_loop loop;
     standin_store store{loop.loop};
     feed_recorder recorder;
     platform::store_feed feed{loop.loop, store.endpoint, {200ms, 200ms}, {"host-1", {}, {}}};
     feed.start(recorder);
-    const std::vector<crash_report> first{{0x2a, {1}, false}};
-    const std::vector<crash_report> second{{0x2a, {1, 2}, false}, {0x2b, {}, true}};
+    const host_report first{{{0x2a, {1}, false}}, {}};
+    const host_report second{{{0x2a, {1, 2}, false}, {0x2b, {}, true}},
+                             {{"s", "v2", 7, -1.25, 9, 1, {"n1", "n2"}, {"n2"}}}};
     REQUIRE(loop.runUntil([&] { return recorder.isReachable; }));
-    for (const auto &reports : {first, second}) {
-        feed.writeCrashReports(reports);
+    for (const auto &report : {first, second}) {
+        feed.writeHostReport(report);
         REQUIRE(loop.runUntil(
-            [&] { return recorder.crashReports.contains("host-1") && recorder.crashReports.at("host-1") == reports; }));
+            [&] { return recorder.hostReports.contains("host-1") && recorder.hostReports.at("host-1") == report; }));
     }
     // Two writes based on the same revision: only the first is carried out.
     store.writeOutcome = write_outcome::late;
-    feed.writeCrashReports(first);
+    feed.writeHostReport(first);
     loop.runFor(50ms);
     store.writeOutcome = write_outcome::answered;
-    feed.writeCrashReports({});
-    REQUIRE(loop.runUntil([&] { return recorder.crashReports.empty(); }));
+    feed.writeHostReport({});
+    REQUIRE(loop.runUntil([&] { return recorder.hostReports.empty(); }));
     loop.runFor(2 * store.writeDelay);
-    CHECK(recorder.crashReports.empty());
+    CHECK(recorder.hostReports.empty());
     CHECK(store.statusOf("crash-reports", "host-1").is_null());
 }
 
@@ -247,9 +248,9 @@
     REQUIRE(loop.runUntil([&] { return recorder.isReachable; }));
     store.setState(store_state::silent);
     REQUIRE(loop.runUntil([&] { return recorder.hasEvent("store_lost config"); }));
-    feed.writeCrashReports({{0x2a, {1}, false}});
+    feed.writeHostReport({{{0x2a, {1}, false}}, {}});
     CHECK(recorder.reportWrites == std::vector<bool>{false}); // not even tried
     store.put("crash-reports", "host-2", {{"reports", {{{"fingerprint", "2a"}, {"crashes", {"1"}}}}}});
     store.setState(store_state::serving);
-    CHECK(loop.runUntil([&] { return recorder.crashReports.contains("host-2"); }));
+    CHECK(loop.runUntil([&] { return recorder.hostReports.contains("host-2"); }));
 }
