--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -40,7 +40,10 @@
     harness.publishReplicas({replica.entry("s")});
     scripted_caller caller(harness.loop, harness.task.callerPort());
     caller.send(requestText("POST", "/once/a%20b?c=d&e", "id1",
-                            "X-Own: kept\r\nFoxtaildyke-Pin-Ms: 99\r\nFoxtaildyke-Tenant: forged\r\n", "the body"));
+                            "X-Own: kept\r\nFoxtaildyke-Pin-Ms: 99\r\nFoxtaildyke-Tenant: forged\r\n"
+                            "Kv-From: 10.0.0.1:1/other\r\nFoxtaildyke-Kv-Backup: 10.0.0.1:1\r\n"
+                            "Foxtaildyke-Retention: 1\r\n",
+                            "the body"));
     REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, 1); }));
     CHECK(caller.responses[0].head.status == 200);
     CHECK(caller.responses[0].body == "whole body");
@@ -53,7 +56,9 @@
     CHECK(forwarded.head.header("X-Own") == "kept");
     CHECK(forwarded.head.header("Foxtaildyke-Tenant") == "account-1");
     CHECK(forwarded.head.header("Foxtaildyke-Expect-Replica") == "r1");
-    CHECK(forwarded.head.header("Foxtaildyke-Pin-Ms").empty());
+    for (const std::string_view reserved :
+         {"Foxtaildyke-Pin-Ms", "Kv-From", "Foxtaildyke-Kv-Backup", "Foxtaildyke-Retention"})
+        CHECK(forwarded.head.header(reserved).empty());
     CHECK(forwarded.head.header("Authorization").empty());
 }
 
@@ -170,6 +175,49 @@
     CHECK(statusOf("id6") == 200);
 }
 
+TEST_CASE("gateway: a failure of the gateway's own never carries a replica's stamp")
+{
+    gateway_harness harness;
+    std::string bytes;
+    scripted_replica replica(harness.loop, "r1",
+                             [&](const received_request &) { return replica_script{.bytes = bytes, .closes = true}; });
+    harness.publish(gateway_harness::makeConfig());
+    harness.publishReplicas({replica.entry("s")});
+    for (const auto &[target, response, status] :
+         {std::tuple{"/once/x", responseText(503, "id1", "busy"), 502},
+          std::tuple{"/once/x", responseText(200, "id1", "zip", "Content-Encoding: gzip\r\n"), 502},
+          std::tuple{"/once/x", responseText(200, "id1", "whole").substr(0, 100), 502},
+          std::tuple{"/stream/x", streamText("id1", 1, 0, false), 502}}) {
+        bytes = response;
+        scripted_caller caller(harness.loop, harness.task.callerPort());
+        caller.send(requestText("POST", target, "id1"));
+        REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, 1); }));
+        CHECK(caller.responses[0].head.status == status);
+        CHECK(caller.responses[0].head.header("Foxtaildyke-Server-Stamp").empty());
+    }
+}
+
+TEST_CASE("gateway: bytes after a response are never taken for the response to the next request")
+{
+    gateway_harness harness;
+    int requests = 0;
+    scripted_replica replica(harness.loop, "r1", [&](const received_request &) {
+        // The extra response carries no id, so only its position shows that it belongs to no request.
+        const std::string extra = "HTTP/1.1 200 OK\r\nFoxtaildyke-Server-Stamp: s\r\nContent-Length: 5\r\n\r\nextra";
+        return replica_script{responseText(200, "id" + std::to_string(++requests), "own") + extra};
+    });
+    harness.publish(gateway_harness::makeConfig());
+    harness.publishReplicas({replica.entry("s")});
+    scripted_caller caller(harness.loop, harness.task.callerPort());
+    for (std::size_t i = 1; i <= 3; ++i) {
+        caller.send(requestText("POST", "/once/x", "id" + std::to_string(i)));
+        REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, i); }));
+        harness.runFor(std::chrono::milliseconds(20));
+        CHECK(caller.responses.size() == i);
+        CHECK(caller.responses[i - 1].body == "own");
+    }
+}
+
 TEST_CASE("gateway: a response to another request on a persistent connection is skipped")
 {
     gateway_harness harness;
--- a/tests/test_stream_endings.cpp
+++ b/tests/test_stream_endings.cpp
@@ -48,7 +48,8 @@
             return script;
         const auto after = request.head.header("Last-Event-Id");
         resumedAfter = std::string(after);
-        return {streamText("id1", after.empty() ? 1 : std::stoi(std::string(after)) + 1, 4)};
+        const int next = after.empty() ? 1 : std::stoi(std::string(after)) + 1;
+        return {streamText("id1", firstResumed.value_or(next), 4)};
     }
 
     /// Sends a request and runs until its response is complete or broken off.
@@ -63,6 +64,7 @@
 
     replica_script script;
     int attempts = 0;
+    std::optional<int> firstResumed; ///< first event of a resumed stream, if not the one after Last-Event-Id
     std::string resumedAfter;
     scripted_replica one{loop, "r1", [this](const received_request &request) {
                              return respond(request);
@@ -132,6 +134,16 @@
     CHECK(stream.attempts == 2);
 }
 
+TEST_CASE("stream ending: events that a resumed stream repeats reach the caller once")
+{
+    interrupted_stream stream({.bytes = streamText("id1", 1, 3, false), .closes = true});
+    stream.firstResumed = 1;
+    const auto &response = stream.request();
+    CHECK(response.isComplete);
+    CHECK(response.body == eventsText(1, 4));
+    CHECK(stream.resumedAfter == "3");
+}
+
 TEST_CASE("stream ending: a whole stream is complete with each framing")
 {
     for (const auto framing : kFramings) {
