--- a/spec/rollout.pml
+++ b/spec/rollout.pml
@@ -2,9 +2,9 @@
  * carry the revision that was read and may take effect at any later time. docs/MODELS.md maps the steps to the code.
  *
  * Properties: a decided order never changes; each host sends at most LIMIT requests to the bad version, whatever the
- * store does, unless the order was completed; a good version is never rolled back.
+ * store does; a bad version is never completed; a good version is never rolled back.
  *
- * Broken variants: UNCONDITIONAL, NO_LOCAL_STOP, EVIDENCE_KEPT, REVISION_OF_KIND. */
+ * Broken variants: UNCONDITIONAL, NO_LOCAL_STOP, EVIDENCE_KEPT, REVISION_OF_KIND, TIME_ALONE, REPORT_OF_ANY_ORDER. */
 
 #define HOSTS 2
 #define LIMIT 2  /* bad responses after which a host rejects the version */
@@ -26,7 +26,13 @@
 byte pendingStage[HOSTS];
 byte pendingOrder[HOSTS];
 
-byte sent[HOSTS]; /* requests to the bad version before its order was completed */
+byte sent[HOSTS]; /* requests to the bad version */
+
+/* Evidence that each host shares with the other: the order for which it has accepted the version; 0: none. */
+byte reportedOrder[HOSTS];
+
+/* The first and the third order are for bad versions. */
+#define IS_BAD(number) (number != 2)
 
 proctype Store() {
     byte h;
@@ -47,7 +53,8 @@
         :: pendingRevision[h] == revision ->
 #endif
             assert(state == IN_PROGRESS);
-            assert(pendingState[h] != ROLLED_BACK || order == 1);
+            assert(pendingState[h] != ROLLED_BACK || IS_BAD(order));
+            assert(pendingState[h] != COMPLETED || !IS_BAD(order));
             state = pendingState[h];
             stage = pendingStage[h];
             revision++
@@ -57,7 +64,7 @@
     od
 }
 
-/* Orders the roll-out of the good version once the first order is decided. */
+/* Orders the roll-out of the good version once the first order is decided, and then of a bad one again. */
 proctype Operator() {
     atomic { state != IN_PROGRESS && order == 1 ->
         order = 2;
@@ -65,8 +72,22 @@
         stage = 0;
         revision++
     }
+    atomic { state != IN_PROGRESS && order == 2 ->
+        order = 3;
+        state = IN_PROGRESS;
+        stage = 0;
+        revision++
+    }
 }
 
+#ifdef TIME_ALONE
+#define IS_ACCEPTED 1
+#elif defined(REPORT_OF_ANY_ORDER)
+#define IS_ACCEPTED (reportedOrder[0] != 0 || reportedOrder[1] != 0)
+#else
+#define IS_ACCEPTED (reportedOrder[0] == seenOrder || reportedOrder[1] == seenOrder)
+#endif
+
 #ifdef NO_LOCAL_STOP
 #define MAY_SEND (sent[h] <= LIMIT)
 #else
@@ -98,6 +119,7 @@
         if
         :: seenOrder != order ->
             seenOrder = order;
+            sent[h] = 0;
 #ifndef EVIDENCE_KEPT
             bad = 0;
             isRejected = 0
@@ -106,12 +128,13 @@
         fi
     }
     /* A request to the version in roll-out, and its response. */
-    :: atomic { seenOrder == 1 && seenState == IN_PROGRESS && MAY_SEND ->
+    :: atomic { IS_BAD(seenOrder) && seenOrder > 0 && seenState == IN_PROGRESS && MAY_SEND ->
         sent[h]++;
         assert(sent[h] <= LIMIT);
         bad++;
         isRejected = (bad >= LIMIT)
     }
+    :: atomic { seenOrder == 2 && seenState == IN_PROGRESS && reportedOrder[h] != 2 -> reportedOrder[h] = 2 }
     /* Records the roll-back. */
     :: atomic { isRejected && seenState == IN_PROGRESS && !isPending[h] && seenRevision > 0 ->
         submit(ROLLED_BACK, seenStage)
@@ -120,7 +143,8 @@
     :: atomic { !isRejected && seenState == IN_PROGRESS && !isPending[h] && seenRevision > 0 ->
         if
         :: seenStage + 1 < STAGES -> submit(IN_PROGRESS, seenStage + 1)
-        :: else -> submit(COMPLETED, seenStage)
+        :: seenStage + 1 >= STAGES && IS_ACCEPTED -> submit(COMPLETED, seenStage)
+        :: else -> skip
         fi
     }
     od
--- a/tests/spec.sh
+++ b/tests/spec.sh
@@ -83,7 +83,7 @@
 
 check_rollout() {
     check SOUND rollout
-    for variant in UNCONDITIONAL NO_LOCAL_STOP EVIDENCE_KEPT REVISION_OF_KIND; do
+    for variant in UNCONDITIONAL NO_LOCAL_STOP EVIDENCE_KEPT REVISION_OF_KIND TIME_ALONE REPORT_OF_ANY_ORDER; do
         check BROKEN rollout -D$variant
     done
 }
