Store: content and revisions belong to an era of the store

Cause of what would go wrong: the feed and the relays compare revisions alone. A watch from a revision that has been given out again hides the changes in between for good; a follower ahead of its relay keeps its content; a host never writes its lost report again; a roll-out that was rolled back runs again; a replica that drained is ready again in the copy.

Change: the feed reads the era of all responses to its lists and watches. When it rises, all kinds are listed again; responses of an older era are ignored. A host's report is written again. Roll-outs keep the state they had reached and write it again. Replicas that had left or drained stay out until they write again; those registered since the copy are retained like lapsed ones.

A host that starts in the window knows only the older configuration and serves it until the operator's is written again. Tests: a replica's failure is passed on unchanged.

--- a/src/fleet_feed_p.h
+++ b/src/fleet_feed_p.h
@@ -37,6 +37,10 @@
     /// A write of this host's report has ended; if it has failed, it may still have been carried out.
     virtual void onHostReportWritten(bool isWritten) = 0;
 
+    /// The store has come back from an older copy: what was written since may be gone, also by this host. Everything
+    /// is listed again.
+    virtual void onStoreRewound() = 0;
+
     /// The source of the replicas became reachable or unreachable.
     virtual void onFeedReachable(bool isReachable) = 0;
 
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -185,7 +185,7 @@
                  {"version", replica.version},
                  {"draining", replica.isDraining},
                  {"address", replica.address.address + ':' + std::to_string(replica.address.port)}});
-    m_registry.upsert(std::move(replica));
+    m_registry.upsert(std::move(replica), suspendAwareNow());
     applyReplicas();
 }
 
@@ -302,6 +302,14 @@
     m_loggedQuarantines = std::move(blocked);
 }
 
+void gateway_task::onStoreRewound()
+{
+    m_registry.recordRewind(suspendAwareNow());
+    // This host's report may be gone; it is written again.
+    m_state.crashes.recordPublishFailure();
+    m_sharedEvidence.clear();
+}
+
 void gateway_task::onFeedReachable(bool isReachable)
 {
     m_registry.setStoreReachable(isReachable, suspendAwareNow());
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -50,6 +50,7 @@
     void onRollouts(const std::vector<rollout_order> &orders) override;
     void onHostReports(const host_reports &reports) override;
     void onHostReportWritten(bool isWritten) override;
+    void onStoreRewound() override;
     void onFeedReachable(bool isReachable) override;
     void onFleetSize(std::size_t hosts) override
     {
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -35,6 +35,15 @@
     return static_cast<int>(std::chrono::ceil<std::chrono::seconds>(time).count());
 }
 
+http_headers headersOf(evhttp_request *evhttpResponse)
+{
+    http_headers headers;
+    for (const auto *entry = evhttp_request_get_input_headers(evhttpResponse)->tqh_first; entry;
+         entry = entry->next.tqe_next)
+        headers.emplace_back(entry->key, entry->value);
+    return headers;
+}
+
 std::string headerOf(evhttp_request *evhttpResponse, const char *name)
 {
     const char *value = evhttp_find_header(evhttp_request_get_input_headers(evhttpResponse), name);
@@ -245,6 +254,7 @@
     response.body += drainBuffer(evhttp_request_get_input_buffer(evhttpResponse));
     response.etag = headerOf(evhttpResponse, "ETag");
     response.retryAfter = headerOf(evhttpResponse, "Retry-After");
+    response.headers = headersOf(evhttpResponse);
     finish(open, std::move(response));
 }
 
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -53,6 +53,7 @@
     std::string body; ///< empty if the call has an onData handler
     std::string etag;
     std::string retryAfter;
+    http_headers headers; ///< of a complete response
 };
 
 enum class http_call_id : std::uint64_t {};
--- a/src/replica_registry.cpp
+++ b/src/replica_registry.cpp
@@ -16,6 +16,23 @@
     m_isReachable = isReachable;
 }
 
+void replica_registry::recordRewind(instant now)
+{
+    m_isAfterRewind = true;
+    m_reachableSince = now;
+}
+
+void replica_registry::recordDeparture(const replica_entry &entry, instant now)
+{
+    m_departures.insert_or_assign(entry.id, departure{entry.startedAtMs, now});
+}
+
+bool replica_registry::hasDeparted(const replica_entry &entry) const
+{
+    const auto known = m_departures.find(entry.id);
+    return known != m_departures.end() && known->second.startedAtMs == entry.startedAtMs;
+}
+
 /// Entries that are missing within the grace period after a store outage are retained, unless the replica is draining
 /// or removeDeparted() finds that it has left. Otherwise a missing replica has ended, or has had enough time to
 /// register again.
@@ -29,11 +46,22 @@
     std::map<std::string, registry_entry> next;
     for (auto &entry : entries) {
         const auto id = entry.id;
+        if (entry.isDraining)
+            recordDeparture(entry, now);
+        else if (m_isAfterRewind && hasDeparted(entry))
+            entry.isDraining = true;
         next.insert_or_assign(id, registry_entry{std::move(entry), std::nullopt, false});
     }
-    for (auto &[id, known] : m_entries)
-        if (!next.contains(id) && shouldRetain(known, now))
-            next.insert_or_assign(id, registry_entry{known.entry, *m_reachableSince + m_lapseGrace, known.hasLapsed});
+    for (auto &[id, known] : m_entries) {
+        if (next.contains(id))
+            continue;
+        if (shouldRetain(known, now))
+            next.insert_or_assign(
+                id, registry_entry{known.entry, *m_reachableSince + m_lapseGrace, known.hasLapsed || m_isAfterRewind});
+        else
+            recordDeparture(known.entry, now);
+    }
+    m_isAfterRewind = false;
     m_entries = std::move(next);
     removeDeparted();
 }
@@ -63,9 +91,11 @@
     return std::erase_if(m_entries, hasLeft) > 0;
 }
 
-void replica_registry::upsert(replica_entry entry)
+void replica_registry::upsert(replica_entry entry, instant now)
 {
     const auto id = entry.id;
+    if (entry.isDraining)
+        recordDeparture(entry, now);
     m_entries.insert_or_assign(id, registry_entry{std::move(entry), std::nullopt, false});
 }
 
@@ -76,12 +106,15 @@
         return;
     if (shouldRetain(found->second, now))
         found->second.retainedUntil = *m_reachableSince + m_lapseGrace;
-    else
+    else {
+        recordDeparture(found->second.entry, now);
         m_entries.erase(found);
+    }
 }
 
 bool replica_registry::expire(instant now)
 {
+    std::erase_if(m_departures, [now](const auto &item) { return now - item.second.at >= kDepartureLifetime; });
     const bool hasDeparted = removeDeparted();
     const auto expired = std::erase_if(m_entries, [now](const auto &known) {
         return known.second.retainedUntil && *known.second.retainedUntil <= now;
--- a/src/rollout_policy.cpp
+++ b/src/rollout_policy.cpp
@@ -26,6 +26,20 @@
     return now - std::chrono::duration_cast<instant>(passed * std::chrono::duration<double>(order.duration));
 }
 
+/// Keeps the state that an order had reached if a store that came back from an older copy shows an earlier one.
+void keepProgress(tracked_rollout &entry, const rollout_order &before)
+{
+    auto &order = entry.order;
+    const auto progress = [](const rollout_order &of) {
+        return std::pair(static_cast<int>(isDecided(of) ? rollout_state::completed : of.state), of.stage);
+    };
+    entry.isAheadOfStore = progress(before) > progress(order);
+    if (!entry.isAheadOfStore)
+        return;
+    order.state = before.state;
+    order.stage = before.stage;
+}
+
 } // namespace
 
 void rollout_policy::setOrders(const std::vector<rollout_order> &orders, instant now)
@@ -41,7 +55,9 @@
             entry = known->second;
         }
         entry.order = order;
-        if (isSame && order.stage > 0 && entry.fullLoadLimits.empty())
+        if (isSame)
+            keepProgress(entry, known->second.order);
+        if (isSame && entry.order.stage > 0 && entry.fullLoadLimits.empty())
             freezeLimits(entry);
         next.insert_or_assign(order.service, std::move(entry));
     }
@@ -57,7 +73,8 @@
 
 bool rollout_policy::hasUndecided() const
 {
-    return std::ranges::any_of(m_rollouts, [](const auto &entry) { return !isDecided(entry.second.order); });
+    return std::ranges::any_of(
+        m_rollouts, [](const auto &entry) { return !isDecided(entry.second.order) || entry.second.isAheadOfStore; });
 }
 
 const tracked_rollout *rollout_policy::find(std::string_view service) const
@@ -159,6 +176,8 @@
 {
     for (auto &[service, active] : m_rollouts) {
         auto next = active.order;
+        if (active.isAheadOfStore)
+            return next;
         if (isDecided(next))
             continue;
         const auto verdict = active.evidence.verdict();
--- a/src/rollout_policy_p.h
+++ b/src/rollout_policy_p.h
@@ -23,6 +23,7 @@
 struct tracked_rollout {
     rollout_order order;
     instant startedAt{}; ///< when this host first saw the order, or its estimate if the order was in progress then
+    bool isAheadOfStore = false; ///< the store shows an earlier state of the order, which is to be written again
     bool isOverdue = false; ///< the order's duration has passed without a decision
     rollout_evidence evidence;
     exposure_budget budget;
--- a/tests/feed_recorder.h
+++ b/tests/feed_recorder.h
@@ -15,6 +15,7 @@
     std::vector<bool> reportWrites; ///< results of this host's writes of crash reports
     std::vector<std::string> events;
     bool isReachable = false;
+    int rewinds = 0;
     std::size_t fleetSize = 0;
     std::vector<replica_load> ownLoads; ///< load that this host reports, set by the test
     std::vector<replica_load> othersLoads; ///< load of the other hosts as last received
@@ -36,6 +37,7 @@
     void onRollouts(const std::vector<rollout_order> &all) override { orders = all; }
     void onHostReports(const host_reports &reports) override { hostReports = reports; }
     void onHostReportWritten(bool isWritten) override { reportWrites.push_back(isWritten); }
+    void onStoreRewound() override { ++rewinds; }
     void onFeedReachable(bool isReachableNow) override { isReachable = isReachableNow; }
     void onFleetSize(std::size_t hosts) override { fleetSize = hosts; }
     std::vector<replica_load> ownLoad() const override { return ownLoads; }
--- a/tests/standin_store.cpp
+++ b/tests/standin_store.cpp
@@ -50,16 +50,16 @@
 
 std::uint64_t standin_store::put(const std::string &kind, const std::string &name, json spec)
 {
-    auto &object = m_objects[kind][name];
+    auto &object = m_content.objects[kind][name];
     object.spec = std::move(spec);
     recordChange(kind, name, false);
-    return m_revision;
+    return m_content.revision;
 }
 
 void standin_store::remove(const std::string &kind, const std::string &name)
 {
     recordChange(kind, name, true);
-    m_objects[kind].erase(name);
+    m_content.objects[kind].erase(name);
 }
 
 json standin_store::specOf(const std::string &kind, const std::string &name) const
@@ -76,8 +76,8 @@
 
 const standin_store::stored_object *standin_store::find(const std::string &kind, const std::string &name) const
 {
-    const auto objects = m_objects.find(kind);
-    if (objects == m_objects.end() || !objects->second.contains(name))
+    const auto objects = m_content.objects.find(kind);
+    if (objects == m_content.objects.end() || !objects->second.contains(name))
         return nullptr;
     return &objects->second.at(name);
 }
@@ -85,22 +85,48 @@
 /// Assigns the object the next revision and responds to the open watches of its kind.
 void standin_store::recordChange(const std::string &kind, const std::string &name, bool isRemoved)
 {
-    auto &object = m_objects[kind][name];
-    object.revision = ++m_revision;
+    auto &object = m_content.objects[kind][name];
+    object.revision = ++m_content.revision;
     if (object.created == 0)
-        object.created = m_revision;
-    m_changes.push_back({m_revision, kind, name, isRemoved, render(name, object)});
+        object.created = m_content.revision;
+    m_content.changes.push_back({m_content.revision, kind, name, isRemoved, render(name, object)});
     std::erase_if(m_waiting, [this](const auto &watch) { return respondToWatch(watch, false); });
 }
 
 void standin_store::discardHistory()
 {
-    m_changes.clear();
-    m_oldestRevision = ++m_revision;
+    m_content.changes.clear();
+    m_content.oldestRevision = ++m_content.revision;
     for (auto &watch : std::exchange(m_waiting, {}))
         watch.exchange->drop();
 }
 
+std::vector<std::string> standin_store::names(const std::string &kind) const
+{
+    std::vector<std::string> names;
+    const auto found = m_content.objects.find(kind);
+    if (found != m_content.objects.end())
+        std::ranges::transform(found->second, std::back_inserter(names), [](const auto &entry) { return entry.first; });
+    return names;
+}
+
+void standin_store::takeCopy()
+{
+    m_copy = m_content;
+}
+
+void standin_store::rewind()
+{
+    m_content = m_copy;
+    ++era;
+    setState(m_state);
+}
+
+void standin_store::respond(const http_exchange_ptr &exchange, int status, const std::string &body)
+{
+    exchange->respond(status, body, {{"Store-Era", std::to_string(era)}});
+}
+
 void standin_store::setState(store_state state)
 {
     m_state = state;
@@ -116,7 +142,7 @@
     if (handleFailureState(exchange))
         return;
     if (!exchange->path.starts_with(kPrefix))
-        return exchange->respond(http_status::kNotFound, {});
+        return respond(exchange, http_status::kNotFound, {});
     const auto parts = splitPath(exchange->path);
     const bool isStatus = parts.size() == 3 && parts[2] == "status";
     if (exchange->method == http_method::put && parts.size() >= 2)
@@ -124,13 +150,13 @@
     if (exchange->method == http_method::post && parts.size() == 1)
         return serveWrite(parts[0], {}, false, exchange);
     if (exchange->method == http_method::remove && parts.size() == 2) {
-        if (!m_objects[parts[0]].contains(parts[1]))
-            return exchange->respond(http_status::kNotFound, {});
+        if (!m_content.objects[parts[0]].contains(parts[1]))
+            return respond(exchange, http_status::kNotFound, {});
         remove(parts[0], parts[1]);
-        return exchange->respond(http_status::kOk, {});
+        return respond(exchange, http_status::kOk, {});
     }
     if (exchange->method != http_method::get || parts.size() != 1)
-        return exchange->respond(http_status::kNotFound, {});
+        return respond(exchange, http_status::kNotFound, {});
     if (exchange->query.contains("watch"))
         return serveWatch(parts[0], exchange);
     serveList(parts[0], exchange);
@@ -140,9 +166,9 @@
 bool standin_store::handleFailureState(const http_exchange_ptr &exchange)
 {
     if (m_state == store_state::refusing)
-        exchange->respond(http_status::kServiceUnavailable, {});
+        respond(exchange, http_status::kServiceUnavailable, {});
     else if (m_state == store_state::limiting)
-        exchange->respond(http_status::kTooManyRequests, {});
+        respond(exchange, http_status::kTooManyRequests, {});
     else if (m_state == store_state::dropping)
         exchange->drop();
     else if (m_state == store_state::silent)
@@ -156,7 +182,7 @@
     const auto after = exchange->query.find("after");
     json items = json::array();
     bool isTruncated = false;
-    for (const auto &[name, object] : m_objects[kind]) {
+    for (const auto &[name, object] : m_content.objects[kind]) {
         if (after != exchange->query.end() && name <= after->second)
             continue;
         isTruncated = items.size() == pageItems;
@@ -164,15 +190,16 @@
             break;
         items.push_back(render(name, object));
     }
-    exchange->respond(http_status::kOk, json{{"items", items}, {"truncated", isTruncated}, {"at", m_revision}}.dump());
+    respond(exchange, http_status::kOk,
+            json{{"items", items}, {"truncated", isTruncated}, {"at", m_content.revision}}.dump());
 }
 
 void standin_store::serveWatch(const std::string &kind, const http_exchange_ptr &exchange)
 {
     const auto after = queryNumber(exchange->query, "watch");
-    if (after < m_oldestRevision) {
+    if (after < m_content.oldestRevision || after > m_content.revision) {
         ++goneResponses;
-        return exchange->respond(http_status::kGone, {});
+        return respond(exchange, http_status::kGone, {});
     }
     const waiting_watch watch{kind, after, exchange};
     if (respondToWatch(watch, false))
@@ -194,12 +221,12 @@
 bool standin_store::respondToWatch(const waiting_watch &watch, bool hasWaitEnded)
 {
     json events = json::array();
-    for (const auto &entry : m_changes)
+    for (const auto &entry : m_content.changes)
         if (entry.kind == watch.kind && entry.revision > watch.after)
             events.push_back({{"object", entry.object}, {"removed", entry.isRemoved}});
     if (events.empty() && !hasWaitEnded)
         return false;
-    watch.exchange->respond(http_status::kOk, json{{"events", events}, {"at", m_revision}}.dump());
+    respond(watch.exchange, http_status::kOk, json{{"events", events}, {"at", m_content.revision}}.dump());
     return true;
 }
 
@@ -219,7 +246,7 @@
     if (writeOutcome == write_outcome::response_lost)
         m_openExchanges.push_back(exchange);
     else
-        exchange->respond(status, {});
+        respond(exchange, status, {});
 }
 
 int standin_store::create(const std::string &kind, const json &body)
@@ -227,7 +254,7 @@
     const auto name = body.value("metadata", json::object()).value("name", std::string());
     if (name.empty())
         return http_status::kBadRequest;
-    if (m_objects[kind].contains(name))
+    if (m_content.objects[kind].contains(name))
         return http_status::kConflict;
     put(kind, name, body.value("spec", json()));
     return http_status::kOk;
@@ -237,9 +264,9 @@
 {
     if (body.is_discarded())
         return http_status::kNotFound;
-    if (!m_objects[kind].contains(name))
+    if (!m_content.objects[kind].contains(name))
         return http_status::kNotFound;
-    auto &object = m_objects[kind][name];
+    auto &object = m_content.objects[kind][name];
     const auto expectedRevision = body.value("metadata", json::object()).value("revision", object.revision);
     if (expectedRevision != object.revision)
         return http_status::kConflict;
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -39,8 +39,15 @@
     [[nodiscard]] nlohmann::json specOf(const std::string &kind, const std::string &name) const;
     [[nodiscard]] nlohmann::json statusOf(const std::string &kind, const std::string &name) const;
 
+    /// @returns the names of a kind's objects, ordered.
+    [[nodiscard]] std::vector<std::string> names(const std::string &kind) const;
+
     /// Discards all changes so far; watches from an older revision get 410.
     void discardHistory();
+    /// Copies the content, for rewind().
+    void takeCopy();
+    /// Comes back from the copy: changes since then are gone, revisions are given out again, and the era rises.
+    void rewind();
     /// Changes how calls are handled and drops the connections of all open calls.
     void setState(store_state state);
 
@@ -51,6 +58,7 @@
     std::uint64_t lists = 0; ///< calls that listed a kind
     std::uint64_t calls = 0;
     std::uint64_t goneResponses = 0; ///< watches that got 410
+    std::uint64_t era = 1; ///< stated in all responses
 
 private:
     struct stored_object {
@@ -73,6 +81,14 @@
     };
     using object_map = std::map<std::string, stored_object>; ///< by name
 
+    struct content {
+        std::map<std::string, object_map> objects; ///< by kind
+        std::vector<change> changes; ///< after oldestRevision
+        std::uint64_t revision = 100;
+        std::uint64_t oldestRevision = 100; ///< watches from an earlier revision get 410
+    };
+
+    void respond(const http_exchange_ptr &exchange, int status, const std::string &body);
     [[nodiscard]] const stored_object *find(const std::string &kind, const std::string &name) const;
     void serve(const http_exchange_ptr &exchange);
     bool handleFailureState(const http_exchange_ptr &exchange);
@@ -87,12 +103,10 @@
     [[nodiscard]] static nlohmann::json render(const std::string &name, const stored_object &object);
 
     event_loop &m_loop;
-    std::map<std::string, object_map> m_objects; ///< by kind
-    std::vector<change> m_changes; ///< after m_oldestRevision
+    content m_content;
+    content m_copy;
     std::vector<waiting_watch> m_waiting;
     std::vector<http_exchange_ptr> m_openExchanges; ///< kept open without a response
-    std::uint64_t m_revision = 100;
-    std::uint64_t m_oldestRevision = 100; ///< watches from an earlier revision get 410
     store_state m_state = store_state::serving;
     http_server m_server;
 };
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -271,3 +271,26 @@
     net.store.put("servers", "later", replicaSpec());
     CHECK(net.runUntil([&] { return net.allHaveReplica("later"); }));
 }
+
+TEST_CASE("relay: hosts that follow it get the content of the new era when the store came back from an older copy")
+{
+    relayed_hosts net(7);
+    net.store.takeCopy();
+    const auto followsRelay = [](const auto &host) {
+        return host->recorder.hasEvent("relay_followed 127.0.0.1");
+    };
+    REQUIRE(net.runUntil([&] { return std::ranges::all_of(net.hosts, followsRelay); }));
+    net.store.put("servers", "r2", replicaSpec());
+    const auto haveAll = [&net](const std::vector<std::string> &names) {
+        return std::ranges::all_of(net.hosts, [&names](const auto &host) {
+            auto known = host->recorder.replicas;
+            std::ranges::sort(known);
+            return known == names;
+        });
+    };
+    REQUIRE(net.runUntil([&] { return haveAll({"r1", "r2"}); }));
+    net.store.rewind();
+    net.store.put("servers", "r3", replicaSpec());
+    CHECK(net.runUntil([&] { return haveAll({"r1", "r3"}); }));
+    CHECK(std::ranges::all_of(net.hosts, [](const auto &host) { return host->recorder.rewinds == 1; }));
+}
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -248,7 +248,7 @@
     registry.setStoreReachable(true, 10s);
     registry.replaceAll({}, 10s);
     CHECK(registry.entries().size() == 2); // the draining one isn't retained
-    registry.upsert(makeEntry("r0"));
+    registry.upsert(makeEntry("r0"), 10s);
     CHECK_FALSE(registry.expire(11s));
     CHECK(registry.expire(11900ms));
     REQUIRE(registry.entries().size() == 1);
@@ -290,13 +290,62 @@
         registry.remove(entry.id, 10s);
     CHECK_FALSE(registry.expire(10250ms));
     for (const auto &entry : makeEntries(6)) // all but r6 register again
-        registry.upsert(entry);
+        registry.upsert(entry, 10s);
     CHECK_FALSE(registry.expire(11s));
     CHECK(registry.entries().size() == 9);
     CHECK(registry.expire(11800ms));
     CHECK(registry.entries().size() == 8);
 }
 
+TEST_CASE(
+    "registry: after the store came back from an older copy, replicas that left or drain stay out until they write")
+{
+    replica_registry registry(1800ms);
+    auto entries = makeEntries(4);
+    for (auto &entry : entries)
+        entry.startedAtMs = 1000;
+    registry.replaceAll(entries, 1s);
+    auto draining = entries[0];
+    draining.isDraining = true;
+    registry.upsert(draining, 2s);
+    registry.remove("r1", 2s);
+    registry.upsert(makeEntry("newer"), 2s); // not in the copy
+    registry.recordRewind(3s);
+    registry.replaceAll(entries, 3s);
+    const auto isUsable = [&registry](const std::string &id) {
+        const auto all = registry.entries();
+        return std::ranges::any_of(all, [&id](const auto &entry) { return entry.id == id && !entry.isDraining; });
+    };
+    CHECK_FALSE(isUsable("r0"));
+    CHECK_FALSE(isUsable("r1"));
+    CHECK(isUsable("r2"));
+    CHECK_FALSE(registry.expire(3250ms));
+    CHECK(isUsable("newer"));
+    registry.upsert(entries[1], 4s); // it had lapsed, and writes again
+    CHECK(isUsable("r1"));
+    CHECK(registry.expire(4900ms));
+    CHECK_FALSE(isUsable("newer"));
+}
+
+TEST_CASE("roll-out: a decided order stays decided, and is written again, if the store shows an earlier state of it")
+{
+    for (const auto state : {rollout_state::rolled_back, rollout_state::completed}) {
+        rollout_policy policy;
+        policy.setOrders({makeOrder(state, 2)}, 1s);
+        auto older = makeOrder(rollout_state::in_progress, 1);
+        older.revision = 4;
+        policy.setOrders({older}, 2s);
+        CHECK(policy.hasUndecided());
+        REQUIRE(policy.nextState(2s));
+        CHECK(policy.nextState(2s)->state == state);
+        CHECK(policy.nextState(2s)->revision == 4); // conditional on what the store has now
+        const auto choice = policy.choose("s", 0);
+        CHECK((state == rollout_state::completed ? choice.version : choice.excluded) == "v2");
+        policy.setOrders({makeOrder(state, 2)}, 3s);
+        CHECK_FALSE(policy.nextState(3s));
+    }
+}
+
 TEST_CASE("model cascade: smallest model first, the largest on low confidence, within attempts and objective")
 {
     const cascade_settings settings;
@@ -688,7 +737,9 @@
 {
     for (const std::string end : {"\r\n", "\n", "\r"}) {
         CAPTURE(end);
-        const std::string text = "id: 1" + end + "data: a" + end + end + "id: 2" + end + "data: b" + end + end;
+        std::string text;
+        for (const std::string_view line : {"id: 1", "data: a", "", "id: 2", "data: b", ""})
+            text.append(line).append(end);
         for (std::size_t piece = 1; piece <= text.size(); ++piece) {
             event_splitter splitter;
             std::vector<std::optional<std::uint64_t>> ids;
--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -175,6 +175,28 @@
     CHECK(statusOf("id6") == 200);
 }
 
+TEST_CASE("gateway: a replica's failure is passed on with its status, body and stamp")
+{
+    gateway_harness harness;
+    scripted_replica replica(harness.loop, "r1", [](const received_request &request) {
+        const std::string id(request.head.header("Foxtaildyke-Request-Id"));
+        return replica_script{responseText(id == "id1" ? 500 : 404, id, "what went wrong")};
+    });
+    harness.publish(gateway_harness::makeConfig());
+    harness.publishReplicas({replica.entry("s")});
+    scripted_caller caller(harness.loop, harness.task.callerPort());
+    std::size_t sent = 0;
+    for (const auto &[id, status] : {std::pair{"id1", 500}, std::pair{"id2", 404}}) {
+        caller.send(requestText("POST", "/once/x", id));
+        ++sent;
+        REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, sent); }));
+        const auto &response = caller.responses.back();
+        CHECK(response.head.status == status);
+        CHECK(response.body == "what went wrong");
+        CHECK(response.head.header("Foxtaildyke-Server-Stamp") == "stamp");
+    }
+}
+
 TEST_CASE("gateway: a failure of the gateway's own never carries a replica's stamp")
 {
     gateway_harness harness;
--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -254,3 +254,71 @@
     store.setState(store_state::serving);
     CHECK(loop.runUntil([&] { return recorder.hostReports.contains("host-2"); }));
 }
+
+TEST_CASE("store feed: after the store came back from an older copy, revisions that are given out again hide no change")
+{
+    test_loop loop;
+    standin_store store{loop.loop};
+    store.put("config", "main", {{"version", 1}});
+    store.takeCopy();
+    feed_recorder recorder;
+    platform::store_feed feed{loop.loop, store.endpoint, {200ms, 200ms}, {"host-1", {}, {}}};
+    feed.start(recorder);
+    for (const auto *name : {"a", "b", "c"})
+        store.put("servers", name, nlohmann::json::parse(replicaSpec()));
+    REQUIRE(loop.runUntil([&] { return recorder.replicas.size() == 3; }));
+    feed.writeHostReport({{{0x2a, {1}, false}}, {}});
+    REQUIRE(loop.runUntil([&] { return recorder.hostReports.contains("host-1"); }));
+    store.setState(store_state::silent);
+    store.rewind();
+    // All of these have revisions that the feed has already read with other content.
+    for (const auto *name : {"d", "e", "f", "g", "h"})
+        store.put("servers", name, nlohmann::json::parse(replicaSpec()));
+    store.setState(store_state::serving);
+    const std::vector<std::string> expected{"d", "e", "f", "g", "h"};
+    CHECK(loop.runUntil([&] { return recorder.replicas == expected; }));
+    CHECK(recorder.rewinds == 1);
+    CHECK(loop.runUntil([&] { return !recorder.hostReports.contains("host-1"); }));
+    feed.writeHostReport({{{0x2a, {1}, false}}, {}}); // created again, not replaced under a revision of the past
+    CHECK(loop.runUntil([&] { return recorder.hostReports.contains("host-1"); }));
+}
+
+TEST_CASE("store feed: several rewinds in series, during an outage too, end with the content of the last one")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        test_loop loop;
+        standin_store store{loop.loop};
+        store.put("config", "main", {{"version", 1}});
+        store.takeCopy();
+        feed_recorder recorder;
+        platform::store_feed feed{loop.loop, store.endpoint, {50ms, 50ms}, {"host-1", {}, {}}};
+        feed.start(recorder);
+        REQUIRE(loop.runUntil([&] { return recorder.isReachable; }));
+        for (int step = 0; step < 30; ++step) {
+            const auto name = std::string(1, static_cast<char>('a' + random() % 8));
+            const auto kind = random() % 6;
+            if (kind == 0)
+                store.takeCopy();
+            else if (kind == 1)
+                store.rewind();
+            else if (kind == 2)
+                store.setState(random() % 2 == 0 ? store_state::refusing : store_state::serving);
+            else
+                store.put("servers", name, nlohmann::json::parse(replicaSpec()));
+            if (random() % 2 == 0)
+                loop.runFor(std::chrono::milliseconds{random() % 40});
+        }
+        store.setState(store_state::serving);
+        store.put("servers", "last", nlohmann::json::parse(replicaSpec()));
+        const auto isCurrent = [&] {
+            auto known = recorder.replicas;
+            std::ranges::sort(known);
+            return known == store.names("servers");
+        };
+        CHECK(loop.runUntil(isCurrent));
+        loop.runFor(150ms); // nothing older follows
+        CHECK(isCurrent());
+    }
+}
