--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -14,11 +14,13 @@
     src/event_splitter.cpp
     src/forwarding.cpp
     src/gateway_exchange.cpp
+    src/gateway_exchange_evidence.cpp
     src/gateway_exchange_responses.cpp
     src/gateway_metrics.cpp
     src/gateway_model.cpp
     src/gateway_settings.cpp
     src/gateway_task.cpp
+    src/gateway_task_feed.cpp
     src/header_text.cpp
     src/http_parser.cpp
     src/load_aggregator.cpp
--- /dev/null
+++ b/src/gateway_exchange_evidence.cpp
@@ -0,0 +1,78 @@
+// Processing of one request: what its attempts say on versions and on crashes of replicas; see gateway_exchange_p.h.
+#include "gateway_exchange_p.h"
+
+namespace foxtaildyke
+{
+
+std::string gateway_exchange::stratum() const
+{
+    return m_route->models.empty() ? m_route->name : m_route->name + '/' + m_route->models[m_model];
+}
+
+void gateway_exchange::startEvidenceTimer()
+{
+    const auto limit = m_state.rollouts.slowLimit(m_service, m_replicaVersion, stratum());
+    if (!limit || m_hasVersionEvidence)
+        return;
+    const std::uint32_t latencies = m_isStream ? kEventsForEvidence - 1 : 1;
+    m_evidenceTimer.start(*limit * latencies + std::chrono::milliseconds{1});
+}
+
+void gateway_exchange::recordSlowAttempt()
+{
+    const auto now = suspendAwareNow();
+    // Of a stream, the event after those received is still to come.
+    recordEvidence(false, m_isStream ? (now - *m_firstEventAt) / m_eventCount : now - m_sentAt);
+}
+
+std::optional<std::chrono::microseconds> gateway_exchange::versionLatency() const
+{
+    const auto now = suspendAwareNow();
+    if (m_route->retryRule != retry_rule::stream)
+        return now - m_sentAt;
+    if (m_eventCount < kMinEventsForPace)
+        return std::nullopt;
+    return (now - *m_firstEventAt) / (m_eventCount - 1);
+}
+
+void gateway_exchange::recordVersionResponse(attempt_result result)
+{
+    if (result == attempt_result::answered || result == attempt_result::server_error)
+        recordEvidence(result == attempt_result::server_error, versionLatency());
+}
+
+void gateway_exchange::recordEvidence(bool isFailure, std::optional<std::chrono::microseconds> latency)
+{
+    m_evidenceTimer.stop();
+    if (std::exchange(m_hasVersionEvidence, true))
+        return;
+    const auto name = stratum();
+    version_response response;
+    response.service = m_service;
+    response.version = m_replicaVersion;
+    response.stratum = name;
+    response.replica = m_replica;
+    response.isFailure = isFailure;
+    response.latency = latency;
+    m_state.rollouts.recordResponse(response);
+}
+
+/// A replica that has ended may have been crashed by this request; one that has responded hasn't.
+void gateway_exchange::recordCrashEvidence(attempt_result result)
+{
+    if (result == attempt_result::answered || result == attempt_result::server_error)
+        return m_state.crashes.recordResponse(m_fingerprint, suspendAwareNow());
+    if (result != attempt_result::broken && result != attempt_result::truncated)
+        return;
+    if (!std::exchange(m_holdsCrashReport, true))
+        m_state.crashes.holdReport(m_fingerprint);
+    m_state.crashDetector.check({m_replica, m_replicaAddress, m_crashId, m_fingerprint, m_metadata.id});
+}
+
+void gateway_exchange::releaseCrashReport()
+{
+    if (std::exchange(m_holdsCrashReport, false))
+        m_state.crashes.releaseReport(m_fingerprint, suspendAwareNow());
+}
+
+} // namespace foxtaildyke
