--- a/tests/test_rollouts.cpp
+++ b/tests/test_rollouts.cpp
@@ -335,3 +335,17 @@
     CAPTURE(falseHalts);
     CHECK(falseHalts * 100 < kRollouts);
 }
+
+TEST_CASE("roll-out: a version that was rolled back receives no requests under the next order of its service")
+{
+    rollout_policy policy;
+    policy.setOrders({makeOrder(rollout_state::rolled_back, 1)}, 1s);
+    auto next = makeOrder(rollout_state::in_progress);
+    next.target = "v3";
+    next.createdRevision = 9;
+    policy.setOrders({next}, 2s);
+    // The replicas of v2 stay registered for some seconds. A choice is safe if it names the version in use, or excludes
+    // v2.
+    const auto choice = policy.choose("s", 0);
+    CHECK((choice.version == "v1" || choice.excluded == "v2"));
+}
