Log the shared prompt parts of failed attempts

Crashed requests could be compared by their fingerprint only. attempt_failed names the hashes of the shared prompt parts.

--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -58,6 +58,8 @@
     metadata.sharedTokens = std::accumulate(parts.begin(), parts.end() - 1, std::uint64_t{0},
                                             [](std::uint64_t sum, const auto &part) { return sum + tokensOf(part); });
     metadata.promptTokens = std::max(metadata.promptTokens, metadata.sharedTokens);
+    std::transform(parts.begin(), parts.end() - 1, std::back_inserter(metadata.sharedParts),
+                   [](std::string_view part) { return hashOf(part.substr(0, part.find(':'))); });
 }
 
 } // namespace
--- a/src/forwarding_p.h
+++ b/src/forwarding_p.h
@@ -22,6 +22,7 @@
     std::uint64_t sharedTokens = 0; ///< in prompt parts shared with other requests
     std::uint64_t outputTokens = 0; ///< estimate, or the upper limit if there is no estimate
     std::uint64_t sharedPrefixHash = 0; ///< hash of the prompt parts shared with other requests; 0: none
+    std::vector<std::uint64_t> sharedParts; ///< hashes of the ids of the prompt parts shared with other requests
     std::uint64_t session = 0; ///< hash of the session name, or of the request id if there is no session
 };
 
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -235,6 +235,8 @@
                                   {"ms", (now - m_sentAt).count() / 1000},
                                   {"sends", m_sends}};
     addStreamFields(fields);
+    if (!m_metadata.sharedParts.empty())
+        fields["prompt_parts"] = hexTexts(m_metadata.sharedParts);
     m_state.log.write("attempt_failed", fields, log_subject::request);
 }
 
--- a/src/text_hash_p.h
+++ b/src/text_hash_p.h
@@ -6,6 +6,7 @@
 #include <cinttypes>
 #include <cstdint>
 #include <cstdio>
+#include <span>
 #include <string>
 #include <string_view>
 #include <xxhash.h>
@@ -26,4 +27,13 @@
     return digits.data();
 }
 
+/// @returns the texts of several hashes, separated by spaces.
+[[nodiscard]] inline std::string hexTexts(std::span<const std::uint64_t> values)
+{
+    std::string text;
+    for (const auto value : values)
+        text.append(text.empty() ? "" : " ").append(hexText(value));
+    return text;
+}
+
 } // namespace foxtaildyke
