--- a/tests/failure_crashing_requests.cpp
+++ b/tests/failure_crashing_requests.cpp
@@ -29,7 +29,8 @@
 
     static replica_script respond(const received_request &request)
     {
-        if (request.body == "poison")
+        const auto parts = request.head.header("Foxtaildyke-Prompt-Prefix");
+        if (request.body == "poison" || parts.find("dead:") != std::string_view::npos)
             return {.bytes = "", .crashes = true};
         return {responseText(200, std::string(request.head.header("Foxtaildyke-Request-Id")), "whole body")};
     }
@@ -45,6 +46,20 @@
         return status;
     }
 
+    /// Sends a request that no other equals, with the given shared prompt parts and a part of its own.
+    int sendPrompt(const std::string &sharedParts, std::uint16_t port)
+    {
+        const auto number = std::to_string(++m_lastId);
+        const auto parts = "Foxtaildyke-Prompt-Prefix: " + sharedParts + ",f" + number + ":50\r\n";
+        const auto crashesBefore = crashes();
+        const auto status =
+            sendRequest(requestText("POST", "/once/" + number, "id-" + number, parts, "body " + number), port)
+                .head.status;
+        if (crashes() > crashesBefore)
+            REQUIRE(waitForLog("\"event\":\"replica_crashed\",\"request_id\":\"id-" + number, "\"counted\":true"));
+        return status;
+    }
+
     /// @returns the number of crashes that a host has stored for the first request that it reports.
     [[nodiscard]] std::size_t storedCrashes(const std::string &host) const
     {
@@ -98,3 +113,20 @@
         fixture.sendPoison(fixture.callerPort);
     CHECK(fixture.crashes() <= kMaxCrashes + kMaxLaterRetries);
 }
+
+TEST_CASE("crashing request: hosts find a prompt part that crashes replicas, though no two requests with it are alike")
+{
+    crashing_fixture fixture;
+    constexpr std::size_t kCrashesUntilAgreement = 5;
+    for (std::size_t sent = 0; sent < kMaxCrashes; ++sent)
+        fixture.sendPrompt("aaaa:500,5ab2:900,dead:40", fixture.ports[sent % 2]);
+    for (const auto *host : {"\"host\":\"host-1\"", "\"host\":\"host-2\""})
+        CHECK(fixture.waitForLog(host, "\"event\":\"quarantine_begun\""));
+    for (int repetition = 0; repetition < 10; ++repetition)
+        CHECK(fixture.sendPrompt("aaaa:500,5ab2:900,dead:40", fixture.ports[repetition % 2]) == 503);
+    CHECK(fixture.crashes() <= kCrashesUntilAgreement);
+    for (const auto port : fixture.ports) {
+        CHECK(fixture.sendPrompt("aaaa:500,5ab2:900", port) == 200);
+        CHECK(fixture.sendPrompt("aaaa:500,5ab3:900", port) == 200);
+    }
+}
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -51,6 +51,7 @@
     void crash();
     /// Accepts connections again, at the same address.
     void restart();
+    void setScript(script respond) { m_script = std::move(respond); }
     [[nodiscard]] bool isRunning() const { return m_listener != nullptr; }
     /// @returns whether a request has been received whose response is not yet written.
     [[nodiscard]] bool hasOpenRequest() const;
