Attribute crashes of replicas to prompt parts, not only to whole requests

What callers saw: requests of one kind ended replica after replica; sound requests lost their streams and ended with 502 and 503. Cause: crashes were counted under a fingerprint of account, method, target and body. Requests that share a deadly prompt part have different fingerprints, so that none reached the limit by its cause. The class of fault: the identity by which evidence is pooled is narrower than its cause.

Crashes are now counted by all traits of a request: its fingerprint and its shared prompt parts (crash_registry). crash_evidence decides: a request is blocked if one of its traits has enough crashes that no part outside of the request explains as well. Parts that always occur together aren't told apart, but only requests that have all of them are blocked, so that sound requests with the same account, first part or subject are served and show which part is the cause. A part is ruled out by each response that a replica survives; it can become a suspect again later. Parts that were served before need five crashes over a second. All hosts share the reports as before.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -9,6 +9,7 @@
     src/attempt_rules.cpp
     src/caller_connection.cpp
     src/crash_detector.cpp
+    src/crash_evidence.cpp
     src/crash_registry.cpp
     src/decision_log.cpp
     src/event_splitter.cpp
--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -3,6 +3,9 @@
 
 #include "text_hash_p.h"
 
+#include <algorithm>
+#include <ranges>
+
 namespace foxtaildyke
 {
 
@@ -16,50 +19,85 @@
     return hashOf(replica.id, static_cast<std::uint64_t>(replica.startedAtMs));
 }
 
-bool crash_registry::isAnswered(std::uint64_t fingerprint) const
+bool crash_registry::isAnswered(std::uint64_t trait) const
+{
+    return m_answered.contains(trait) || m_answeredBefore.contains(trait);
+}
+
+void crash_registry::rememberAnswered(std::uint64_t trait)
+{
+    if (m_answered.size() >= kMinAnswered)
+        m_answeredBefore = std::exchange(m_answered, {});
+    m_answered.insert(trait);
+}
+
+bool crash_registry::isPublished(std::uint64_t trait) const
+{
+    return std::ranges::binary_search(m_published, trait, {}, &crash_report::trait);
+}
+
+bool crash_registry::isPart(std::uint64_t trait) const
 {
-    return m_answered.contains(fingerprint) || m_answeredBefore.contains(fingerprint);
+    const auto *known = m_evidence.find(trait);
+    return known && known->isPart;
 }
 
-bool crash_registry::isPublished(std::uint64_t fingerprint) const
+std::size_t crash_registry::crashes(std::uint64_t trait) const
 {
-    return std::ranges::binary_search(m_published, fingerprint, {}, &crash_report::fingerprint);
+    const auto *known = m_evidence.find(trait);
+    return known ? known->crashes.size() : 0;
 }
 
-/// @returns the report on the fingerprint, which is created if necessary. If there are too many, it replaces the oldest
-/// one of those with the fewest crashes.
-crash_registry::known_report &crash_registry::addReport(report_map &reports, std::uint64_t fingerprint, instant now)
+/// @returns this host's report on the trait, which is created if necessary. If there are too many, it replaces the
+/// oldest one of those with the fewest crashes.
+crash_registry::known_report &crash_registry::addReport(std::uint64_t trait, instant now)
 {
-    if (!reports.contains(fingerprint) && reports.size() >= kMaxReports)
-        reports.erase(std::ranges::min_element(reports, {}, [](const auto &entry) {
+    auto &reports = own();
+    if (!reports.contains(trait) && reports.size() >= kMaxReports) {
+        const auto least = std::ranges::min_element(reports, {}, [](const auto &entry) {
             return std::pair(entry.second.report.crashes.size(), entry.second.since);
-        }));
-    auto &known = reports[fingerprint];
-    known.report.fingerprint = fingerprint;
+        });
+        const auto evicted = least->first;
+        reports.erase(least);
+        combine(evicted, now);
+    }
+    auto &known = reports[trait];
+    known.report.trait = trait;
     known.since = now;
     return known;
 }
 
-void crash_registry::applyChange(std::chrono::milliseconds delay, instant now)
+void crash_registry::schedulePublish(std::chrono::milliseconds delay, instant now)
 {
     const instant due = std::max<instant>(now + delay, m_publishedAt + kPublishInterval);
     m_publishDueAt = std::min(due, m_publishDueAt.value_or(due));
-    summarize(now);
 }
 
-bool crash_registry::recordCrash(std::uint64_t fingerprint, std::uint64_t crash, instant now)
+bool crash_registry::addCrash(std::uint64_t trait, std::uint64_t crash, bool isPart, instant now)
 {
-    if (isAnswered(fingerprint))
+    auto &report = addReport(trait, now).report;
+    if (report.wasAnswered || report.crashes.size() >= kMaxCrashesPerTrait
+        || std::ranges::find(report.crashes, crash) != report.crashes.end())
         return false;
-    auto &known = addReport(own(), fingerprint, now);
-    auto &crashes = known.report.crashes;
-    if (known.report.wasAnswered || crashes.size() >= kCrashLimit || std::ranges::find(crashes, crash) != crashes.end())
-        return false;
-    crashes.push_back(crash);
-    applyChange(kPublishDelay, now);
+    report.isPart = isPart;
+    report.crashes.push_back(crash);
+    m_seenAt.try_emplace(crash, now);
+    combine(trait, now);
+    schedulePublish(kPublishDelay, now);
     return true;
 }
 
+bool crash_registry::recordCrash(std::uint64_t fingerprint, std::uint64_t crash, instant now)
+{
+    return !isAnswered(fingerprint) && addCrash(fingerprint, crash, false, now);
+}
+
+void crash_registry::recordPartCrash(std::span<const std::uint64_t> parts, std::uint64_t crash, instant now)
+{
+    for (const auto part : parts)
+        static_cast<void>(addCrash(part, crash, true, now));
+}
+
 void crash_registry::releaseReport(std::uint64_t fingerprint, instant now)
 {
     const auto held = m_heldReports.find(fingerprint);
@@ -67,18 +105,25 @@
         return;
     m_heldReports.erase(held);
     if (own().contains(fingerprint))
-        applyChange(kPublishDelay, now);
+        schedulePublish(kPublishDelay, now);
 }
 
 void crash_registry::recordResponse(std::uint64_t fingerprint, instant now)
 {
-    if (m_answered.size() >= kMinAnswered)
-        m_answeredBefore = std::exchange(m_answered, {});
-    m_answered.insert(fingerprint);
-    if (m_summaries.contains(fingerprint))
+    rememberAnswered(fingerprint);
+    if (m_evidence.find(fingerprint))
         exonerate(fingerprint, now);
 }
 
+void crash_registry::recordBegun(std::span<const std::uint64_t> parts, instant now)
+{
+    for (const auto part : parts) {
+        rememberAnswered(part);
+        if (m_evidence.find(part))
+            ruleOut(part, now);
+    }
+}
+
 /// Withdraws this host's report on an answered request, and contradicts those of other hosts.
 void crash_registry::exonerate(std::uint64_t fingerprint, instant now)
 {
@@ -86,27 +131,59 @@
     if (known != own().end() && !known->second.report.wasAnswered) {
         own().erase(known);
         if (isPublished(fingerprint))
-            applyChange(kWithdrawDelay, now);
-        else
-            summarize(now);
+            schedulePublish(kWithdrawDelay, now);
+        combine(fingerprint, now);
     }
-    const auto remaining = m_summaries.find(fingerprint);
-    if (remaining == m_summaries.end() || remaining->second.wasAnswered)
+    const auto *remaining = m_evidence.find(fingerprint);
+    if (!remaining || remaining->wasAnswered)
         return;
-    addReport(own(), fingerprint, now).report.wasAnswered = true;
-    applyChange(kPublishDelay, now);
+    addReport(fingerprint, now).report.wasAnswered = true;
+    combine(fingerprint, now);
+    schedulePublish(kPublishDelay, now);
+}
+
+/// Withdraws this host's crashes of a part. Those of other hosts are contradicted if the part would soon be blocked.
+void crash_registry::ruleOut(std::uint64_t part, instant now)
+{
+    const auto crashes = m_evidence.find(part)->crashes;
+    const bool isNearLimit = crashes.size() + 1 >= kCrashLimit;
+    trait_set others(crashes.begin(), crashes.end());
+    if (const auto known = own().find(part); known != own().end()) {
+        for (const auto crash : known->second.report.crashes)
+            others.erase(crash);
+        if (isPublished(part))
+            schedulePublish(isNearLimit ? kPublishDelay : kWithdrawDelay, now);
+        known->second.report.crashes.clear();
+        if (known->second.report.ruledOut.empty())
+            own().erase(known);
+    }
+    m_ruledOut[part].insert(others.begin(), others.end());
+    if (isNearLimit && !others.empty()) {
+        auto &report = addReport(part, now).report;
+        report.isPart = true;
+        report.ruledOut.insert(report.ruledOut.end(), others.begin(), others.end());
+        const auto excess = report.ruledOut.size() - std::min(report.ruledOut.size(), kMaxRuledOut);
+        report.ruledOut.erase(report.ruledOut.begin(), report.ruledOut.begin() + static_cast<std::ptrdiff_t>(excess));
+        schedulePublish(kPublishDelay, now);
+    }
+    combine(part, now);
 }
 
 /// Adds the reports that an earlier process of this host has stored to those of this process.
 void crash_registry::adopt(std::vector<crash_report> stored, instant now)
 {
-    std::ranges::sort(stored, {}, &crash_report::fingerprint);
+    std::ranges::sort(stored, {}, &crash_report::trait);
+    const auto addAll = [](std::vector<std::uint64_t> &crashes, const std::vector<std::uint64_t> &more) {
+        std::ranges::copy_if(more, std::back_inserter(crashes), [&crashes](std::uint64_t crash) {
+            return std::ranges::find(crashes, crash) == crashes.end();
+        });
+    };
     for (const auto &earlier : stored) {
-        auto &report = addReport(own(), earlier.fingerprint, now).report;
-        for (const auto crash : earlier.crashes)
-            if (std::ranges::find(report.crashes, crash) == report.crashes.end())
-                report.crashes.push_back(crash);
+        auto &report = addReport(earlier.trait, now).report;
+        addAll(report.crashes, earlier.crashes);
+        addAll(report.ruledOut, earlier.ruledOut);
         report.wasAnswered = report.wasAnswered || earlier.wasAnswered;
+        report.isPart = earlier.isPart;
     }
     m_published = std::move(stored);
 }
@@ -123,58 +200,78 @@
             continue;
         auto &entries = next[host];
         for (const auto &report : stored) {
-            const auto before = m_reports[host].find(report.fingerprint);
+            const auto before = m_reports[host].find(report.trait);
             const bool isUnchanged = before != m_reports[host].end() && before->second.report == report;
-            entries.try_emplace(report.fingerprint, known_report{report, isUnchanged ? before->second.since : now});
+            entries.try_emplace(report.trait, known_report{report, isUnchanged ? before->second.since : now});
         }
     }
     m_reports = std::move(next);
-    summarize(now);
+    combineAll(now);
     std::vector<std::uint64_t> contradicted;
-    for (const auto &[fingerprint, combined] : m_summaries)
-        if (!combined.wasAnswered && isAnswered(fingerprint))
-            contradicted.push_back(fingerprint);
+    for (const auto &[trait, combined] : m_evidence.entries())
+        if (!combined.isPart && !combined.wasAnswered && isAnswered(trait))
+            contradicted.push_back(trait);
     for (const auto fingerprint : contradicted)
         exonerate(fingerprint, now);
 }
 
-void crash_registry::summarize(instant now)
+std::size_t crash_registry::limitOf(std::uint64_t trait, const trait_crashes &combined) const
 {
-    m_summaries.clear();
-    for (const auto &[host, reports] : m_reports) {
-        for (const auto &[fingerprint, known] : reports) {
-            if (now - known.since >= kLifetime)
-                continue;
-            auto &combined = m_summaries[fingerprint];
-            combined.crashes.insert(known.report.crashes.begin(), known.report.crashes.end());
-            combined.wasAnswered = combined.wasAnswered || known.report.wasAnswered;
-            combined.expiresAt = std::max<instant>(combined.expiresAt, known.since + kLifetime);
-        }
-    }
+    if (!combined.isPart || !isAnswered(trait) || combined.crashes.empty())
+        return kCrashLimit;
+    const auto seenAt = [this](std::uint64_t crash) {
+        return m_seenAt.at(crash);
+    };
+    const auto [first, last] = std::ranges::minmax(combined.crashes | std::views::transform(seenAt));
+    // A part that isn't blocked for lack of time is blocked at its next crash.
+    return last - first >= kProvenMinSpan ? kProvenCrashLimit
+                                          : std::max(kProvenCrashLimit, combined.crashes.size() + 1);
 }
 
-std::optional<std::chrono::milliseconds> crash_registry::blockedFor(std::uint64_t fingerprint, instant now) const
+void crash_registry::combine(std::uint64_t trait, instant now)
 {
-    const auto found = m_summaries.find(fingerprint);
-    if (found == m_summaries.end() || found->second.wasAnswered || found->second.crashes.size() < kCrashLimit
-        || now >= found->second.expiresAt)
-        return std::nullopt;
-    return std::chrono::ceil<std::chrono::milliseconds>(found->second.expiresAt - now);
-}
-
-std::set<std::uint64_t> crash_registry::blocked(instant now) const
-{
-    std::set<std::uint64_t> fingerprints;
-    for (const auto &[fingerprint, combined] : m_summaries)
-        if (blockedFor(fingerprint, now))
-            fingerprints.insert(fingerprint);
-    return fingerprints;
+    trait_crashes combined;
+    std::set<std::uint64_t> ruledOut;
+    if (const auto found = m_ruledOut.find(trait); found != m_ruledOut.end())
+        ruledOut.insert(found->second.begin(), found->second.end());
+    for (const auto &[host, reports] : m_reports) {
+        const auto found = reports.find(trait);
+        if (found == reports.end() || now - found->second.since >= kLifetime)
+            continue;
+        const auto &report = found->second.report;
+        combined.crashes.insert(report.crashes.begin(), report.crashes.end());
+        ruledOut.insert(report.ruledOut.begin(), report.ruledOut.end());
+        combined.wasAnswered = combined.wasAnswered || report.wasAnswered;
+        combined.isPart = combined.isPart || report.isPart;
+        combined.expiresAt = std::max<instant>(combined.expiresAt, found->second.since + kLifetime);
+    }
+    for (const auto crash : ruledOut)
+        combined.crashes.erase(crash);
+    for (const auto crash : combined.crashes)
+        m_seenAt.try_emplace(crash, now);
+    combined.limit = limitOf(trait, combined);
+    m_evidence.set(trait, std::move(combined));
 }
 
-std::size_t crash_registry::crashes(std::uint64_t fingerprint) const
+void crash_registry::combineAll(instant now)
 {
-    const auto found = m_summaries.find(fingerprint);
-    return found == m_summaries.end() ? 0 : found->second.crashes.size();
+    std::set<std::uint64_t> traits;
+    std::unordered_map<std::uint64_t, trait_set> reported; // crashes by trait
+    for (const auto &[host, reports] : m_reports)
+        for (const auto &[trait, known] : reports) {
+            traits.insert(trait);
+            reported[trait].insert(known.report.crashes.begin(), known.report.crashes.end());
+        }
+    trait_set crashes;
+    for (const auto &[trait, ids] : reported)
+        crashes.insert(ids.begin(), ids.end());
+    std::erase_if(m_seenAt, [&crashes](const auto &entry) { return !crashes.contains(entry.first); });
+    for (auto &[part, ids] : m_ruledOut)
+        std::erase_if(ids, [&, &part = part](std::uint64_t crash) { return !reported[part].contains(crash); });
+    std::erase_if(m_ruledOut, [](const auto &entry) { return entry.second.empty(); });
+    m_evidence.clear();
+    for (const auto trait : traits)
+        combine(trait, now);
 }
 
 void crash_registry::expire(instant now)
@@ -182,9 +279,11 @@
     const auto removed =
         std::erase_if(own(), [now](const auto &entry) { return now - entry.second.since >= kLifetime; });
     if (removed > 0)
-        applyChange(kWithdrawDelay, now);
-    else if (std::ranges::any_of(m_summaries, [now](const auto &entry) { return entry.second.expiresAt <= now; }))
-        summarize(now);
+        schedulePublish(kWithdrawDelay, now);
+    const bool hasExpired =
+        std::ranges::any_of(m_evidence.entries(), [now](const auto &entry) { return entry.second.expiresAt <= now; });
+    if (removed > 0 || hasExpired)
+        combineAll(now);
 }
 
 std::vector<crash_report> crash_registry::ownReports() const
@@ -193,8 +292,8 @@
     const auto found = m_reports.find(m_host);
     if (found == m_reports.end())
         return reports;
-    for (const auto &[fingerprint, known] : found->second)
-        if (!m_heldReports.contains(fingerprint) || isPublished(fingerprint))
+    for (const auto &[trait, known] : found->second)
+        if (!m_heldReports.contains(trait) || isPublished(trait))
             reports.push_back(known.report);
     return reports;
 }
--- a/src/crash_registry_p.h
+++ b/src/crash_registry_p.h
@@ -1,11 +1,12 @@
-// Requests that crash the replicas that run them. Combines what all hosts report about such requests, and blocks a
-// request that has crashed several replicas, so that its caller's retries don't take down the rest of the service. No
-// I/O, no clock.
+// Requests that crash the replicas that run them. Records crashes by the traits of the requests (see
+// crash_evidence_p.h), combines them with what the other hosts report, and blocks requests that would crash further
+// replicas, so that their callers' retries, and other requests with the same prompt part, don't take down the rest of
+// the service. No I/O, no clock.
 #pragma once
 
+#include "crash_evidence_p.h"
 #include "gateway_model_p.h"
 
-#include <set>
 #include <unordered_set>
 
 namespace foxtaildyke
@@ -24,9 +25,16 @@
     /// @returns whether this host didn't know of the crash yet.
     bool recordCrash(std::uint64_t fingerprint, std::uint64_t crash, instant now);
 
+    /// Records that a replica ended before it had begun to respond to a request with these shared prompt parts.
+    void recordPartCrash(std::span<const std::uint64_t> parts, std::uint64_t crash, instant now);
+
     /// Records that a replica has responded to a request, which rules the request out as the cause of crashes.
     void recordResponse(std::uint64_t fingerprint, instant now);
 
+    /// Records that a replica has survived the beginning of a response to a request with these shared prompt parts,
+    /// which rules them out as the cause of the crashes so far. A part may still begin to crash replicas later.
+    void recordBegun(std::span<const std::uint64_t> parts, instant now);
+
     /// Delays storing a report on a request while it is retried on this host, which may show that it isn't the cause.
     /// Each call must be followed by one of releaseReport().
     void holdReport(std::uint64_t fingerprint) { ++m_heldReports[fingerprint]; }
@@ -35,14 +43,26 @@
     /// Replaces the stored reports of all hosts. Those that an earlier process of this host stored are adopted.
     void setStoredReports(const crash_reports_by_host &reports, instant now);
 
+    /// @param traits fingerprint and shared prompt parts of a request.
     /// @returns the time until the request may be sent to a replica again; nothing if it isn't blocked.
-    [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor(std::uint64_t fingerprint, instant now) const;
-
-    /// @returns the fingerprints of all blocked requests.
-    [[nodiscard]] std::set<std::uint64_t> blocked(instant now) const;
+    [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor(std::span<const std::uint64_t> traits,
+                                                                      instant now) const
+    {
+        return m_evidence.blockedFor(traits, now);
+    }
+    [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor(std::uint64_t trait, instant now) const
+    {
+        return blockedFor(std::span(&trait, 1), now);
+    }
+
+    /// @returns the traits that cause requests to be blocked.
+    [[nodiscard]] std::set<std::uint64_t> blocked(instant now) const { return m_evidence.blocked(now); }
+
+    /// @returns whether a trait with crashes is a prompt part.
+    [[nodiscard]] bool isPart(std::uint64_t trait) const;
 
     /// @returns the number of crashes reported by all hosts.
-    [[nodiscard]] std::size_t crashes(std::uint64_t fingerprint) const;
+    [[nodiscard]] std::size_t crashes(std::uint64_t trait) const;
 
     /// Drops reports whose lifetime has ended. To be called from time to time.
     void expire(instant now);
@@ -63,8 +83,16 @@
     /// @returns hosts whose stored reports have all expired long ago, because the host is gone.
     [[nodiscard]] std::vector<std::string> abandonedHosts(instant now) const;
 
-    /// Number of replicas that a request may crash before it is blocked.
+    /// Number of replicas that requests with a trait may crash before they are blocked.
     static constexpr std::size_t kCrashLimit = 3;
+    /// The same for a prompt part to which replicas have responded before, ...
+    static constexpr std::size_t kProvenCrashLimit = 5;
+    /// ... and the time that these crashes must span, as many replicas may end at once for another reason.
+    static constexpr std::chrono::seconds kProvenMinSpan{1};
+    /// Maximum number of crashes that a host reports for one trait.
+    static constexpr std::size_t kMaxCrashesPerTrait = 8;
+    /// The same for the crashes of other hosts that it rules out.
+    static constexpr std::size_t kMaxRuledOut = 32;
     /// Time for which a report counts.
     static constexpr std::chrono::seconds kLifetime{600};
     /// Delay of a report, so that one write covers all requests that were running on a crashed replica.
@@ -74,9 +102,9 @@
     /// Minimum time between two reports of this host; together with the delay well below the time in which the users
     /// expect the hosts to agree (3 s).
     static constexpr std::chrono::milliseconds kPublishInterval{1500};
-    /// Maximum number of requests that a host reports; the oldest reports with the fewest crashes are dropped.
+    /// Maximum number of traits that a host reports; the oldest reports with the fewest crashes are dropped.
     static constexpr std::size_t kMaxReports = 256;
-    /// Number of recently answered requests that are remembered, at least.
+    /// Number of recently answered traits that are remembered, at least.
     static constexpr std::size_t kMinAnswered = 4096;
 
 private:
@@ -84,37 +112,40 @@
         crash_report report;
         instant since{}; ///< of the last change, on this host's clock
     };
-    using report_map = std::map<std::uint64_t, known_report>; ///< by fingerprint
-
-    /// Combined reports of all hosts on one request.
-    struct summary {
-        std::set<std::uint64_t> crashes;
-        bool wasAnswered = false;
-        instant expiresAt{};
-    };
+    using report_map = std::map<std::uint64_t, known_report>; ///< by trait
+    using trait_set = std::unordered_set<std::uint64_t>;
 
     [[nodiscard]] report_map &own() { return m_reports[m_host]; }
-    [[nodiscard]] bool isAnswered(std::uint64_t fingerprint) const;
-    [[nodiscard]] bool isPublished(std::uint64_t fingerprint) const;
-    [[nodiscard]] static known_report &addReport(report_map &reports, std::uint64_t fingerprint, instant now);
+    [[nodiscard]] bool isAnswered(std::uint64_t trait) const;
+    void rememberAnswered(std::uint64_t trait);
+    [[nodiscard]] bool isPublished(std::uint64_t trait) const;
+    [[nodiscard]] known_report &addReport(std::uint64_t trait, instant now);
+    [[nodiscard]] bool addCrash(std::uint64_t trait, std::uint64_t crash, bool isPart, instant now);
     void adopt(std::vector<crash_report> stored, instant now);
     void exonerate(std::uint64_t fingerprint, instant now);
-    /// Recomputes the combined reports, and schedules the storing of this host's reports.
-    void applyChange(std::chrono::milliseconds delay, instant now);
-    void summarize(instant now);
+    void ruleOut(std::uint64_t part, instant now);
+    /// Schedules the storing of this host's reports.
+    void schedulePublish(std::chrono::milliseconds delay, instant now);
+    /// Combines the reports of all hosts on one trait.
+    void combine(std::uint64_t trait, instant now);
+    void combineAll(instant now);
+    /// @returns the number of crashes at which requests with the trait are blocked.
+    [[nodiscard]] std::size_t limitOf(std::uint64_t trait, const trait_crashes &combined) const;
 
     std::string m_host;
     bool m_hasAdopted = false; ///< the stored reports of this host have been read
     std::map<std::string, report_map> m_reports; ///< by host; expired reports of other hosts stay while they are stored
-    std::unordered_map<std::uint64_t, summary> m_summaries; ///< by fingerprint; unexpired reports only
-    /// Answered requests in two generations; when the newer one is full, it replaces the older one.
-    std::unordered_set<std::uint64_t> m_answered;
-    std::unordered_set<std::uint64_t> m_answeredBefore;
+    crash_evidence m_evidence; ///< unexpired reports of all hosts
+    std::unordered_map<std::uint64_t, trait_set> m_ruledOut; ///< by part: crashes that other hosts report; not stored
+    std::unordered_map<std::uint64_t, instant> m_seenAt; ///< by crash: when this host learned of it
+    /// Answered traits in two generations; when the newer one is full, it replaces the older one.
+    trait_set m_answered;
+    trait_set m_answeredBefore;
     std::unordered_map<std::uint64_t, std::uint32_t>
         m_heldReports; ///< by fingerprint: number of requests being retried
     std::optional<instant> m_publishDueAt; ///< unset: nothing has changed since the last takeUnpublished()
     instant m_publishedAt{}; ///< last takeUnpublished() with a result
-    std::vector<crash_report> m_published; ///< own reports as the store contains them, ordered by fingerprint
+    std::vector<crash_report> m_published; ///< own reports as the store contains them, ordered by trait
     bool m_hasPublishFailed = false; ///< the store may contain other reports than m_published
 };
 
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -161,7 +161,7 @@
 
 void gateway_exchange::attempt()
 {
-    if (m_state.crashes.blockedFor(m_fingerprint, suspendAwareNow())) {
+    if (blockedFor()) {
         if (m_hasStreamStarted)
             return abortResponse("quarantined");
         return refuse(m_mayHaveRun ? refusal::failed : refusal::quarantined);
--- a/src/gateway_exchange_evidence.cpp
+++ b/src/gateway_exchange_evidence.cpp
@@ -1,6 +1,8 @@
 // Processing of one request: what its attempts say on versions and on crashes of replicas; see gateway_exchange_p.h.
 #include "gateway_exchange_p.h"
 
+#include "http_status_p.h"
+
 namespace foxtaildyke
 {
 
@@ -60,13 +62,34 @@
 /// A replica that has ended may have been crashed by this request; one that has responded hasn't.
 void gateway_exchange::recordCrashEvidence(attempt_result result)
 {
+    if (result == attempt_result::answered && http_status::isSuccess(m_response.status))
+        recordBegun();
     if (result == attempt_result::answered || result == attempt_result::server_error)
         return m_state.crashes.recordResponse(m_fingerprint, suspendAwareNow());
     if (result != attempt_result::broken && result != attempt_result::truncated)
         return;
     if (!std::exchange(m_holdsCrashReport, true))
         m_state.crashes.holdReport(m_fingerprint);
-    m_state.crashDetector.check({m_replica, m_replicaAddress, m_crashId, m_fingerprint, m_metadata.id});
+    const bool hasBegun = m_eventCount >= kEventsForBegin;
+    m_state.crashDetector.check({m_replica, m_replicaAddress, m_crashId, m_fingerprint,
+                                 hasBegun ? std::vector<std::uint64_t>() : m_metadata.sharedParts, m_metadata.id});
+}
+
+void gateway_exchange::recordBegun()
+{
+    m_state.crashes.recordBegun(m_metadata.sharedParts, suspendAwareNow());
+}
+
+std::vector<std::uint64_t> gateway_exchange::crashTraits() const
+{
+    auto traits = m_metadata.sharedParts;
+    traits.push_back(m_fingerprint);
+    return traits;
+}
+
+std::optional<std::chrono::milliseconds> gateway_exchange::blockedFor() const
+{
+    return m_state.crashes.blockedFor(crashTraits(), suspendAwareNow());
 }
 
 void gateway_exchange::releaseCrashReport()
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -112,7 +112,13 @@
     /// @returns the group within which responses are comparable: route and model.
     [[nodiscard]] std::string stratum() const;
     void recordCrashEvidence(attempt_result result);
+    /// Records that a replica has survived the beginning of a response.
+    void recordBegun();
     void releaseCrashReport();
+    /// @returns the traits by which crashes of replicas are attributed to requests.
+    [[nodiscard]] std::vector<std::uint64_t> crashTraits() const;
+    /// @returns the time until the request may be sent to a replica; nothing if it may be sent now.
+    [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor() const;
     /// @param isGood whether the replica responded as it should; unset if the end says nothing about the replica.
     void closeAttempt(std::optional<bool> isGood);
     void handleAttemptResult(attempt_result result);
@@ -170,6 +176,8 @@
     loop_timer m_timer;
     loop_timer m_evidenceTimer; ///< see startEvidenceTimer()
 
+    /// Events of a stream that a replica has sent when it has survived the beginning of the response.
+    static constexpr std::uint32_t kEventsForBegin = 2;
     /// Events of a stream at which its pace becomes evidence, without waiting for its end.
     static constexpr std::uint32_t kEventsForEvidence = 5;
     /// Events at which the pace of a stream that ends earlier is evidence.
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr int kFirstRedirect = 300;
 constexpr int kServerError = 500;
 
 /// Largest non-streamed response; such a response is buffered until it is complete.
@@ -27,11 +26,6 @@
 constexpr double kMinRetryAfterS = 0.3;
 constexpr double kMaxRetryAfterS = 1.0;
 
-bool isSuccess(int status)
-{
-    return status >= http_status::kOk && status < kFirstRedirect;
-}
-
 /// @returns whether the body is an event stream, which is assumed if the head doesn't state its type.
 bool isEventStream(const message_head &head)
 {
@@ -73,7 +67,7 @@
     m_response = head;
     m_state.replicas.recordFirstByte(m_replica, std::exchange(m_promptMs, 0));
     const bool isUsable = !head.header(m_state.headerNames.stamp).empty() && head.header("Content-Encoding").empty();
-    if (!isSuccess(head.status) || !isUsable)
+    if (!http_status::isSuccess(head.status) || !isUsable)
         return;
     if (const auto model = escalation(head))
         return escalate(*model);
@@ -152,6 +146,8 @@
         m_firstEventAt = suspendAwareNow();
         startEvidenceTimer();
     }
+    if (m_eventCount == kEventsForBegin)
+        recordBegun();
     if (m_eventCount == kEventsForEvidence)
         recordEvidence(false, versionLatency());
     // A resumed stream may begin with events that the caller has already received.
@@ -198,7 +194,7 @@
         return attempt_result::unusable;
     const bool isEncoded = !m_response.header("Content-Encoding").empty();
     const bool isStamped = !m_response.header(m_state.headerNames.stamp).empty();
-    if (isEncoded || (isSuccess(m_response.status) && !isStamped) || impliesNotRun(m_response.status))
+    if (isEncoded || (http_status::isSuccess(m_response.status) && !isStamped) || impliesNotRun(m_response.status))
         return attempt_result::unusable;
     return m_isStream && !isWholeStream() ? attempt_result::truncated : attempt_result::answered;
 }
@@ -336,9 +332,8 @@
 {
     std::uniform_real_distribution<double> spread(kMinRetryAfterS, kMaxRetryAfterS);
     double seconds = spread(m_state.random);
-    const auto blockedFor = m_state.crashes.blockedFor(m_fingerprint, suspendAwareNow());
-    if (reason == refusal::quarantined && blockedFor)
-        seconds += std::chrono::duration<double>(*blockedFor).count();
+    if (const auto blocked = blockedFor(); reason == refusal::quarantined && blocked)
+        seconds += std::chrono::duration<double>(*blocked).count();
     std::array<char, 16> text{};
     const auto end = std::to_chars(text.begin(), text.end(), seconds, std::chars_format::fixed, 2).ptr;
     return {text.begin(), end};
--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -117,11 +117,13 @@
     double backlogMs = 0; ///< engine time for their prompts that aren't processed yet
 };
 
-/// What one host reports about a request during which replicas ended.
+/// What one host reports about a trait of requests during which replicas ended; see crash_evidence_p.h.
 struct crash_report {
-    std::uint64_t fingerprint = 0; ///< of the request
+    std::uint64_t trait = 0;
     std::vector<std::uint64_t> crashes; ///< distinct ids, see crash_registry::crashId()
     bool wasAnswered = false; ///< a replica has responded to the request, so it isn't the cause
+    bool isPart = false; ///< a prompt part; otherwise the fingerprint of a request
+    std::vector<std::uint64_t> ruledOut; ///< crashes of which the part isn't the cause, as a later response shows
     bool operator==(const crash_report &) const = default;
 };
 
--- a/src/gateway_task_feed.cpp
+++ b/src/gateway_task_feed.cpp
@@ -124,7 +124,10 @@
 void gateway_task::recordCrash(const broken_attempt &attempt)
 {
     const auto now = suspendAwareNow();
+    auto traits = attempt.parts;
+    traits.push_back(attempt.fingerprint);
     const bool isNew = m_state.crashes.recordCrash(attempt.fingerprint, attempt.crashId, now);
+    m_state.crashes.recordPartCrash(attempt.parts, attempt.crashId, now);
     m_metrics.recordCrash(isNew);
     m_log.write("replica_crashed",
                 {{"request_id", attempt.requestId},
@@ -132,7 +135,8 @@
                  {"upstream", attempt.replica},
                  {"counted", isNew},
                  {"crashes", m_state.crashes.crashes(attempt.fingerprint)},
-                 {"quarantined", m_state.crashes.blockedFor(attempt.fingerprint, now).has_value()}},
+                 {"prompt_parts", hexTexts(attempt.parts)},
+                 {"quarantined", m_state.crashes.blockedFor(traits, now).has_value()}},
                 log_subject::request);
 }
 
@@ -161,17 +165,18 @@
         m_feed->removeHostReport(host);
 }
 
-/// Logs the requests that are blocked, or no longer blocked, by this host's reports or by those of other hosts.
+/// Logs the traits for which requests are blocked, or no longer blocked, by this host's reports or by those of others.
 void gateway_task::logQuarantines(instant now)
 {
     auto blocked = m_state.crashes.blocked(now);
-    for (const auto fingerprint : blocked)
-        if (!m_loggedQuarantines.contains(fingerprint))
+    for (const auto trait : blocked)
+        if (!m_loggedQuarantines.contains(trait))
             m_log.write("quarantine_begun",
-                        {{"fingerprint", hexText(fingerprint)}, {"crashes", m_state.crashes.crashes(fingerprint)}});
-    for (const auto fingerprint : m_loggedQuarantines)
-        if (!blocked.contains(fingerprint))
-            m_log.write("quarantine_ended", {{"fingerprint", hexText(fingerprint)}});
+                        {{m_state.crashes.isPart(trait) ? "prompt_part" : "fingerprint", hexText(trait)},
+                         {"crashes", m_state.crashes.crashes(trait)}});
+    for (const auto trait : m_loggedQuarantines)
+        if (!blocked.contains(trait))
+            m_log.write("quarantine_ended", {{"trait", hexText(trait)}});
     m_metrics.setQuarantined(blocked.size());
     m_loggedQuarantines = std::move(blocked);
 }
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -112,7 +112,7 @@
     loop_timer m_rolloutTimer;
     std::optional<instant> m_rolloutWriteAt; ///< set while a roll-out is due for its next state
     instant m_nextCrashReportPurge{};
-    std::set<std::uint64_t> m_loggedQuarantines; ///< fingerprints
+    std::set<std::uint64_t> m_loggedQuarantines; ///< traits, see crash_evidence_p.h
 };
 
 } // namespace foxtaildyke
--- a/src/http_status_p.h
+++ b/src/http_status_p.h
@@ -18,4 +18,10 @@
 inline constexpr int kHeadersTooLarge = 431;
 inline constexpr int kServiceUnavailable = 503;
 
+[[nodiscard]] constexpr bool isSuccess(int status)
+{
+    constexpr int kFirstRedirect = 300;
+    return status >= kOk && status < kFirstRedirect;
+}
+
 } // namespace foxtaildyke::http_status
