Crash evidence: parts that were never served are likelier causes; quicker agreement

With both parts' crashes within a second, first parts of whole classes had as many crashes as the deadly part on some hosts and explained its crashes away, so that it was blocked 2 s later there. A part that replicas have responded to no longer explains the crashes of one to which none ever has.

--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -36,40 +36,35 @@
     return !trait.wasAnswered && trait.crashes.size() >= trait.limit && now < trait.expiresAt;
 }
 
-/// A crash ends all requests on its replica, though only one of them is the cause. A part with at least as many crashes
-/// explains those that it shares with the trait.
-template <typename Predicate>
-std::size_t crash_evidence::unexplained(const trait_crashes &trait, Predicate isAlternative) const
+bool crash_evidence::isLikelier(const trait_crashes &part, const trait_crashes &trait)
 {
-    std::vector<const trait_crashes *> alternatives;
-    for (const auto part : m_suspectParts) {
-        const auto &other = m_entries.at(part);
-        if (other.crashes.size() >= trait.crashes.size() && isAlternative(part, other))
-            alternatives.push_back(&other);
-    }
-    return static_cast<std::size_t>(std::ranges::count_if(trait.crashes, [&alternatives](std::uint64_t crash) {
-        return std::ranges::none_of(alternatives,
-                                    [crash](const auto *other) { return other->crashes.contains(crash); });
+    if (trait.isPart && part.isProven != trait.isProven)
+        return trait.isProven;
+    return part.crashes.size() >= trait.crashes.size();
+}
+
+/// A crash ends all requests on its replica, though only one of them is the cause.
+std::size_t crash_evidence::unexplained(const trait_crashes &trait, std::span<const std::uint64_t> traits) const
+{
+    std::vector<const trait_crashes *> causes;
+    for (const auto part : m_suspectParts)
+        if (std::ranges::find(traits, part) == traits.end() && isLikelier(m_entries.at(part), trait))
+            causes.push_back(&m_entries.at(part));
+    return static_cast<std::size_t>(std::ranges::count_if(trait.crashes, [&causes](std::uint64_t crash) {
+        return std::ranges::none_of(causes, [crash](const auto *cause) { return cause->crashes.contains(crash); });
     }));
 }
 
-std::optional<std::chrono::milliseconds> crash_evidence::blockedFor(std::span<const std::uint64_t> traits,
-                                                                    instant now) const
+std::optional<crash_block> crash_evidence::findBlock(std::span<const std::uint64_t> traits, instant now) const
 {
-    std::optional<std::chrono::milliseconds> longest;
+    std::optional<crash_block> longest;
     for (const auto trait : traits) {
         const auto *known = find(trait);
-        if (!known || !isSuspect(*known, now))
-            continue;
-        // Parts of the same request aren't told apart: requests that have only some of them are still sent, and show
-        // which of them is the cause.
-        const auto isElsewhere = [traits](std::uint64_t part, const trait_crashes &) {
-            return std::ranges::find(traits, part) == traits.end();
-        };
-        if (unexplained(*known, isElsewhere) < known->limit)
+        if (!known || !isSuspect(*known, now) || unexplained(*known, traits) < known->limit)
             continue;
         const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(known->expiresAt - now);
-        longest = std::max(remaining, longest.value_or(remaining));
+        if (!longest || longest->remaining < remaining)
+            longest = {trait, remaining};
     }
     return longest;
 }
@@ -78,10 +73,12 @@
 {
     std::set<std::uint64_t> traits;
     for (const auto &[trait, known] : m_entries) {
-        const auto hasMore = [&known](std::uint64_t, const trait_crashes &other) {
-            return other.crashes.size() > known.crashes.size();
-        };
-        if (isSuspect(known, now) && unexplained(known, hasMore) >= known.limit)
+        // Parts that always occur together are blocked together; see unexplained().
+        std::vector<std::uint64_t> alike{trait};
+        std::ranges::copy_if(m_suspectParts, std::back_inserter(alike), [this, &known = known](std::uint64_t part) {
+            return known.isPart && m_entries.at(part).crashes == known.crashes;
+        });
+        if (isSuspect(known, now) && unexplained(known, alike) >= known.limit)
             traits.insert(trait);
     }
     return traits;
--- a/src/crash_evidence_p.h
+++ b/src/crash_evidence_p.h
@@ -19,11 +19,18 @@
 struct trait_crashes {
     std::set<std::uint64_t> crashes; ///< see crash_registry::crashId(); without those that a later response rules out
     bool isPart = false; ///< a prompt part; otherwise the fingerprint of a request
+    bool isProven = false; ///< only of a part: replicas have responded to requests with it before the crashes
     bool wasAnswered = false; ///< only of a request: replicas have responded to it, so it isn't the cause
     std::size_t limit = 0; ///< number of crashes at which requests with the trait are blocked
     instant expiresAt{};
 };
 
+/// Reason for which a request isn't sent to replicas.
+struct crash_block {
+    std::uint64_t trait = 0;
+    std::chrono::milliseconds remaining{};
+};
+
 class crash_evidence
 {
 public:
@@ -36,19 +43,19 @@
     [[nodiscard]] const std::unordered_map<std::uint64_t, trait_crashes> &entries() const { return m_entries; }
 
     /// @param traits of one request.
-    /// @returns the time until the request may be sent to a replica again; nothing if it isn't blocked.
-    [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor(std::span<const std::uint64_t> traits,
-                                                                      instant now) const;
+    /// @returns the trait for which the request is blocked; nothing if it may be sent to a replica.
+    [[nodiscard]] std::optional<crash_block> findBlock(std::span<const std::uint64_t> traits, instant now) const;
 
     /// @returns the traits that cause requests to be blocked.
     [[nodiscard]] std::set<std::uint64_t> blocked(instant now) const;
 
 private:
-    /// @returns the number of crashes of a trait that no other part explains better.
-    /// @param isAlternative whether a part is another explanation than the trait.
-    template <typename Predicate>
-    [[nodiscard]] std::size_t unexplained(const trait_crashes &trait, Predicate isAlternative) const;
     [[nodiscard]] static bool isSuspect(const trait_crashes &trait, instant now);
+    /// @returns whether a part is at least as likely a cause of the crashes that it shares with a trait.
+    [[nodiscard]] static bool isLikelier(const trait_crashes &part, const trait_crashes &trait);
+    /// @returns the number of crashes of a trait that no other part explains.
+    /// @param traits of the request; its own parts don't explain each other's crashes.
+    [[nodiscard]] std::size_t unexplained(const trait_crashes &trait, std::span<const std::uint64_t> traits) const;
 
     std::unordered_map<std::uint64_t, trait_crashes> m_entries; ///< by trait
     std::set<std::uint64_t> m_suspectParts; ///< parts whose crashes have reached their limit
--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -42,6 +42,12 @@
     return known && known->isPart;
 }
 
+std::optional<std::chrono::milliseconds> crash_registry::blockedFor(std::uint64_t trait, instant now) const
+{
+    const auto block = findBlock(std::span(&trait, 1), now);
+    return block ? std::optional(block->remaining) : std::nullopt;
+}
+
 std::size_t crash_registry::crashes(std::uint64_t trait) const
 {
     const auto *known = m_evidence.find(trait);
@@ -215,9 +221,9 @@
         exonerate(fingerprint, now);
 }
 
-std::size_t crash_registry::limitOf(std::uint64_t trait, const trait_crashes &combined) const
+std::size_t crash_registry::limitOf(const trait_crashes &combined) const
 {
-    if (!combined.isPart || !isAnswered(trait) || combined.crashes.empty())
+    if (!combined.isProven || combined.crashes.empty())
         return kCrashLimit;
     const auto seenAt = [this](std::uint64_t crash) {
         return m_seenAt.at(crash);
@@ -249,7 +255,8 @@
         combined.crashes.erase(crash);
     for (const auto crash : combined.crashes)
         m_seenAt.try_emplace(crash, now);
-    combined.limit = limitOf(trait, combined);
+    combined.isProven = combined.isPart && isAnswered(trait);
+    combined.limit = limitOf(combined);
     m_evidence.set(trait, std::move(combined));
 }
 
--- a/src/crash_registry_p.h
+++ b/src/crash_registry_p.h
@@ -44,17 +44,16 @@
     void setStoredReports(const crash_reports_by_host &reports, instant now);
 
     /// @param traits fingerprint and shared prompt parts of a request.
-    /// @returns the time until the request may be sent to a replica again; nothing if it isn't blocked.
-    [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor(std::span<const std::uint64_t> traits,
-                                                                      instant now) const
+    /// @returns the trait for which the request is blocked; nothing if it may be sent to a replica.
+    [[nodiscard]] std::optional<crash_block> findBlock(std::span<const std::uint64_t> traits, instant now) const
     {
-        return m_evidence.blockedFor(traits, now);
-    }
-    [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor(std::uint64_t trait, instant now) const
-    {
-        return blockedFor(std::span(&trait, 1), now);
+        return m_evidence.findBlock(traits, now);
     }
 
+    /// @returns the time until a request with just this trait may be sent to a replica again; nothing if it isn't
+    /// blocked.
+    [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor(std::uint64_t trait, instant now) const;
+
     /// @returns the traits that cause requests to be blocked.
     [[nodiscard]] std::set<std::uint64_t> blocked(instant now) const { return m_evidence.blocked(now); }
 
@@ -96,12 +95,12 @@
     /// Time for which a report counts.
     static constexpr std::chrono::seconds kLifetime{600};
     /// Delay of a report, so that one write covers all requests that were running on a crashed replica.
-    static constexpr std::chrono::milliseconds kPublishDelay{500};
+    static constexpr std::chrono::milliseconds kPublishDelay{300};
     /// Delay of a change that only withdraws reports.
     static constexpr std::chrono::seconds kWithdrawDelay{10};
     /// Minimum time between two reports of this host; together with the delay well below the time in which the users
     /// expect the hosts to agree (3 s).
-    static constexpr std::chrono::milliseconds kPublishInterval{1500};
+    static constexpr std::chrono::milliseconds kPublishInterval{1000};
     /// Maximum number of traits that a host reports; the oldest reports with the fewest crashes are dropped.
     static constexpr std::size_t kMaxReports = 256;
     /// Number of recently answered traits that are remembered, at least.
@@ -130,7 +129,7 @@
     void combine(std::uint64_t trait, instant now);
     void combineAll(instant now);
     /// @returns the number of crashes at which requests with the trait are blocked.
-    [[nodiscard]] std::size_t limitOf(std::uint64_t trait, const trait_crashes &combined) const;
+    [[nodiscard]] std::size_t limitOf(const trait_crashes &combined) const;
 
     std::string m_host;
     bool m_hasAdopted = false; ///< the stored reports of this host have been read
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -161,7 +161,8 @@
 
 void gateway_exchange::attempt()
 {
-    if (blockedFor()) {
+    m_block = findBlock();
+    if (m_block) {
         if (m_hasStreamStarted)
             return abortResponse("quarantined");
         return refuse(m_mayHaveRun ? refusal::failed : refusal::quarantined);
@@ -305,6 +306,10 @@
         {"sends", m_sends}};
     if (m_fingerprint != 0)
         fields["fingerprint"] = hexText(m_fingerprint);
+    if (m_block) {
+        fields["blocked_by"] = hexText(m_block->trait);
+        fields["prompt_parts"] = hexTexts(m_metadata.sharedParts);
+    }
     if (m_metadata.session != 0)
         fields["session"] = m_metadata.session;
     if (m_account)
--- a/src/gateway_exchange_evidence.cpp
+++ b/src/gateway_exchange_evidence.cpp
@@ -87,9 +87,9 @@
     return traits;
 }
 
-std::optional<std::chrono::milliseconds> gateway_exchange::blockedFor() const
+std::optional<crash_block> gateway_exchange::findBlock() const
 {
-    return m_state.crashes.blockedFor(crashTraits(), suspendAwareNow());
+    return m_state.crashes.findBlock(crashTraits(), suspendAwareNow());
 }
 
 void gateway_exchange::releaseCrashReport()
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -117,8 +117,8 @@
     void releaseCrashReport();
     /// @returns the traits by which crashes of replicas are attributed to requests.
     [[nodiscard]] std::vector<std::uint64_t> crashTraits() const;
-    /// @returns the time until the request may be sent to a replica; nothing if it may be sent now.
-    [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor() const;
+    /// @returns the trait for which the request is blocked; nothing if it may be sent to a replica.
+    [[nodiscard]] std::optional<crash_block> findBlock() const;
     /// @param isGood whether the replica responded as it should; unset if the end says nothing about the replica.
     void closeAttempt(std::optional<bool> isGood);
     void handleAttemptResult(attempt_result result);
@@ -168,6 +168,7 @@
     std::set<std::string> m_triedReplicas;
     std::uint32_t m_sends = 0; ///< number of replicas to which the request was sent
     std::uint32_t m_connectFailures = 0;
+    std::optional<crash_block> m_block; ///< found at the last attempt
     bool m_holdsCrashReport = false; ///< see crash_registry::holdReport()
     bool m_mayHaveRun = false; ///< a replica may have run the request
     bool m_hasStreamStarted = false; ///< the caller has been sent part of a stream
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -332,8 +332,8 @@
 {
     std::uniform_real_distribution<double> spread(kMinRetryAfterS, kMaxRetryAfterS);
     double seconds = spread(m_state.random);
-    if (const auto blocked = blockedFor(); reason == refusal::quarantined && blocked)
-        seconds += std::chrono::duration<double>(*blocked).count();
+    if (reason == refusal::quarantined)
+        seconds += std::chrono::duration<double>(m_block->remaining).count();
     std::array<char, 16> text{};
     const auto end = std::to_chars(text.begin(), text.end(), seconds, std::chars_format::fixed, 2).ptr;
     return {text.begin(), end};
--- a/src/gateway_task_feed.cpp
+++ b/src/gateway_task_feed.cpp
@@ -136,7 +136,7 @@
                  {"counted", isNew},
                  {"crashes", m_state.crashes.crashes(attempt.fingerprint)},
                  {"prompt_parts", hexTexts(attempt.parts)},
-                 {"quarantined", m_state.crashes.blockedFor(traits, now).has_value()}},
+                 {"quarantined", m_state.crashes.findBlock(traits, now).has_value()}},
                 log_subject::request);
 }
 
