Crash evidence: weigh crashes by whether the replica had begun to respond

Their logs show the blocked part unblocked for 0.5 s on three hosts: in a storm of crashes a part that none of these hosts had served yet, and that waited on each replica, had as many crashes. Many requests wait on a replica when it ends, but it responds to the one that is the cause. A crash after the head of the response, before its second event, now weighs more; two such crashes block a part that was never served.

--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -9,6 +9,16 @@
 namespace foxtaildyke
 {
 
+namespace
+{
+
+bool isListed(const std::vector<std::uint64_t> &crashes, std::uint64_t crash)
+{
+    return std::ranges::find(crashes, crash) != crashes.end();
+}
+
+} // namespace
+
 crash_registry::crash_registry(std::string host)
     : m_host(std::move(host))
 {
@@ -79,29 +89,37 @@
     m_publishDueAt = std::min(due, m_publishDueAt.value_or(due));
 }
 
-bool crash_registry::addCrash(std::uint64_t trait, std::uint64_t crash, bool isPart, instant now)
+bool crash_registry::addCrash(known_report &known, std::uint64_t crash, instant now)
 {
-    auto &report = addReport(trait, now).report;
-    if (report.wasAnswered || report.crashes.size() >= kMaxCrashesPerTrait
-        || std::ranges::find(report.crashes, crash) != report.crashes.end())
+    auto &report = known.report;
+    if (report.wasAnswered || report.crashes.size() >= kMaxCrashesPerTrait || isListed(report.crashes, crash))
         return false;
-    report.isPart = isPart;
     report.crashes.push_back(crash);
     m_seenAt.try_emplace(crash, now);
-    combine(trait, now);
     schedulePublish(kPublishDelay, now);
     return true;
 }
 
 bool crash_registry::recordCrash(std::uint64_t fingerprint, std::uint64_t crash, instant now)
 {
-    return !isAnswered(fingerprint) && addCrash(fingerprint, crash, false, now);
+    if (isAnswered(fingerprint) || !addCrash(addReport(fingerprint, now), crash, now))
+        return false;
+    combine(fingerprint, now);
+    return true;
 }
 
-void crash_registry::recordPartCrash(std::span<const std::uint64_t> parts, std::uint64_t crash, instant now)
+void crash_registry::recordPartCrash(std::span<const std::uint64_t> parts, std::uint64_t crash, bool isResponding,
+                                     instant now)
 {
-    for (const auto part : parts)
-        static_cast<void>(addCrash(part, crash, true, now));
+    for (const auto part : parts) {
+        auto &known = addReport(part, now);
+        auto &report = known.report;
+        report.isPart = true;
+        static_cast<void>(addCrash(known, crash, now));
+        if (isResponding && isListed(report.crashes, crash) && !isListed(report.responding, crash))
+            report.responding.push_back(crash);
+        combine(part, now);
+    }
 }
 
 void crash_registry::releaseReport(std::uint64_t fingerprint, instant now)
@@ -160,6 +178,7 @@
         if (isPublished(part))
             schedulePublish(isNearLimit ? kPublishDelay : kWithdrawDelay, now);
         known->second.report.crashes.clear();
+        known->second.report.responding.clear();
         if (known->second.report.ruledOut.empty())
             own().erase(known);
     }
@@ -180,13 +199,13 @@
 {
     std::ranges::sort(stored, {}, &crash_report::trait);
     const auto addAll = [](std::vector<std::uint64_t> &crashes, const std::vector<std::uint64_t> &more) {
-        std::ranges::copy_if(more, std::back_inserter(crashes), [&crashes](std::uint64_t crash) {
-            return std::ranges::find(crashes, crash) == crashes.end();
-        });
+        std::ranges::copy_if(more, std::back_inserter(crashes),
+                             [&crashes](std::uint64_t crash) { return !isListed(crashes, crash); });
     };
     for (const auto &earlier : stored) {
         auto &report = addReport(earlier.trait, now).report;
         addAll(report.crashes, earlier.crashes);
+        addAll(report.responding, earlier.responding);
         addAll(report.ruledOut, earlier.ruledOut);
         report.wasAnswered = report.wasAnswered || earlier.wasAnswered;
         report.isPart = earlier.isPart;
@@ -221,17 +240,20 @@
         exonerate(fingerprint, now);
 }
 
-std::size_t crash_registry::limitOf(const trait_crashes &combined) const
+void crash_registry::setLimits(trait_crashes &combined) const
 {
+    combined.limit = kCrashLimit;
+    combined.respondingLimit = combined.isPart ? kRespondingCrashLimit : 0;
     if (!combined.isProven || combined.crashes.empty())
-        return kCrashLimit;
+        return;
     const auto seenAt = [this](std::uint64_t crash) {
         return m_seenAt.at(crash);
     };
     const auto [first, last] = std::ranges::minmax(combined.crashes | std::views::transform(seenAt));
+    combined.respondingLimit = 0;
     // A part that isn't blocked for lack of time is blocked at its next crash.
-    return last - first >= kProvenMinSpan ? kProvenCrashLimit
-                                          : std::max(kProvenCrashLimit, combined.crashes.size() + 1);
+    combined.limit =
+        last - first >= kProvenMinSpan ? kProvenCrashLimit : std::max(kProvenCrashLimit, combined.crashes.size() + 1);
 }
 
 void crash_registry::combine(std::uint64_t trait, instant now)
@@ -246,17 +268,20 @@
             continue;
         const auto &report = found->second.report;
         combined.crashes.insert(report.crashes.begin(), report.crashes.end());
+        combined.responding.insert(report.responding.begin(), report.responding.end());
         ruledOut.insert(report.ruledOut.begin(), report.ruledOut.end());
         combined.wasAnswered = combined.wasAnswered || report.wasAnswered;
         combined.isPart = combined.isPart || report.isPart;
         combined.expiresAt = std::max<instant>(combined.expiresAt, found->second.since + kLifetime);
     }
-    for (const auto crash : ruledOut)
+    for (const auto crash : ruledOut) {
         combined.crashes.erase(crash);
+        combined.responding.erase(crash);
+    }
     for (const auto crash : combined.crashes)
         m_seenAt.try_emplace(crash, now);
     combined.isProven = combined.isPart && isAnswered(trait);
-    combined.limit = limitOf(combined);
+    setLimits(combined);
     m_evidence.set(trait, std::move(combined));
 }
 
--- a/src/crash_registry_p.h
+++ b/src/crash_registry_p.h
@@ -25,8 +25,10 @@
     /// @returns whether this host didn't know of the crash yet.
     bool recordCrash(std::uint64_t fingerprint, std::uint64_t crash, instant now);
 
-    /// Records that a replica ended before it had begun to respond to a request with these shared prompt parts.
-    void recordPartCrash(std::span<const std::uint64_t> parts, std::uint64_t crash, instant now);
+    /// Records that a replica ended before it had survived the beginning of a response to a request with these shared
+    /// prompt parts.
+    /// @param isResponding whether the replica had begun to respond.
+    void recordPartCrash(std::span<const std::uint64_t> parts, std::uint64_t crash, bool isResponding, instant now);
 
     /// Records that a replica has responded to a request, which rules the request out as the cause of crashes.
     void recordResponse(std::uint64_t fingerprint, instant now);
@@ -84,7 +86,9 @@
 
     /// Number of replicas that requests with a trait may crash before they are blocked.
     static constexpr std::size_t kCrashLimit = 3;
-    /// The same for a prompt part to which replicas have responded before, ...
+    /// The same for a prompt part, if the replicas had begun to respond to these requests.
+    static constexpr std::size_t kRespondingCrashLimit = 2;
+    /// Number of replicas for a prompt part to which replicas have responded before, ...
     static constexpr std::size_t kProvenCrashLimit = 5;
     /// ... and the time that these crashes must span, as many replicas may end at once for another reason.
     static constexpr std::chrono::seconds kProvenMinSpan{1};
@@ -119,7 +123,7 @@
     void rememberAnswered(std::uint64_t trait);
     [[nodiscard]] bool isPublished(std::uint64_t trait) const;
     [[nodiscard]] known_report &addReport(std::uint64_t trait, instant now);
-    [[nodiscard]] bool addCrash(std::uint64_t trait, std::uint64_t crash, bool isPart, instant now);
+    [[nodiscard]] bool addCrash(known_report &known, std::uint64_t crash, instant now);
     void adopt(std::vector<crash_report> stored, instant now);
     void exonerate(std::uint64_t fingerprint, instant now);
     void ruleOut(std::uint64_t part, instant now);
@@ -128,8 +132,8 @@
     /// Combines the reports of all hosts on one trait.
     void combine(std::uint64_t trait, instant now);
     void combineAll(instant now);
-    /// @returns the number of crashes at which requests with the trait are blocked.
-    [[nodiscard]] std::size_t limitOf(const trait_crashes &combined) const;
+    /// Sets the numbers of crashes at which requests with the trait are blocked.
+    void setLimits(trait_crashes &combined) const;
 
     std::string m_host;
     bool m_hasAdopted = false; ///< the stored reports of this host have been read
--- a/src/gateway_exchange_evidence.cpp
+++ b/src/gateway_exchange_evidence.cpp
@@ -70,9 +70,16 @@
         return;
     if (!std::exchange(m_holdsCrashReport, true))
         m_state.crashes.holdReport(m_fingerprint);
-    const bool hasBegun = m_eventCount >= kEventsForBegin;
-    m_state.crashDetector.check({m_replica, m_replicaAddress, m_crashId, m_fingerprint,
-                                 hasBegun ? std::vector<std::uint64_t>() : m_metadata.sharedParts, m_metadata.id});
+    broken_attempt attempt;
+    attempt.replica = m_replica;
+    attempt.address = m_replicaAddress;
+    attempt.crashId = m_crashId;
+    attempt.fingerprint = m_fingerprint;
+    attempt.isResponding = http_status::isSuccess(m_response.status);
+    attempt.requestId = m_metadata.id;
+    if (m_eventCount < kEventsForBegin)
+        attempt.parts = m_metadata.sharedParts;
+    m_state.crashDetector.check(std::move(attempt));
 }
 
 void gateway_exchange::recordBegun()
--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -123,6 +123,7 @@
     std::vector<std::uint64_t> crashes; ///< distinct ids, see crash_registry::crashId()
     bool wasAnswered = false; ///< a replica has responded to the request, so it isn't the cause
     bool isPart = false; ///< a prompt part; otherwise the fingerprint of a request
+    std::vector<std::uint64_t> responding; ///< those of crashes before which the replica had begun to respond
     std::vector<std::uint64_t> ruledOut; ///< crashes of which the part isn't the cause, as a later response shows
     bool operator==(const crash_report &) const = default;
 };
--- a/src/gateway_task_feed.cpp
+++ b/src/gateway_task_feed.cpp
@@ -127,7 +127,7 @@
     auto traits = attempt.parts;
     traits.push_back(attempt.fingerprint);
     const bool isNew = m_state.crashes.recordCrash(attempt.fingerprint, attempt.crashId, now);
-    m_state.crashes.recordPartCrash(attempt.parts, attempt.crashId, now);
+    m_state.crashes.recordPartCrash(attempt.parts, attempt.crashId, attempt.isResponding, now);
     m_metrics.recordCrash(isNew);
     m_log.write("replica_crashed",
                 {{"request_id", attempt.requestId},
