Roll-outs: exclude all versions that were rolled back, not only the target of the present order

Cause: a choice excluded one version, the target of the present order; the decision on the one before was dropped with its order. Change: the policy keeps the versions that were rolled back until an order names them again, and writes them into the status of the order, so that hosts that start later know them too. A choice and a query for replicas exclude a set of versions.

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -139,7 +139,7 @@
     replica_query query;
     query.service = m_service;
     query.version = choice.version;
-    query.excludedVersion = choice.excluded;
+    query.excludedVersions = &choice.excluded;
     query.replicaShare = choice.replicaShare;
     query.sharedPrefixHash = promptKey();
     query.work = promptWork();
@@ -155,7 +155,7 @@
         return preferred;
     // The new version may have no running replica yet, or its only replica has been tried.
     if (!choice.version.empty())
-        return pickForVersion({{}, choice.version}, now);
+        return pickForVersion(choice.withExcluded(choice.version), now);
     return nullptr;
 }
 
--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -162,6 +162,8 @@
     static constexpr std::array kNames{"ordered", "in_progress", "completed", "rolled_back"};
 };
 
+using version_set = std::set<std::string, std::less<>>;
+
 /// An operator's order to move a service to another version.
 struct rollout_order {
     std::string service;
@@ -171,6 +173,7 @@
     std::uint32_t stage = 0; ///< index into the stages, see rollout_policy_p.h
     std::uint64_t revision = 0; ///< of the stored object
     std::uint64_t createdRevision = 0; ///< store revision at creation; distinguishes successive orders for one service
+    version_set rolledBack; ///< versions that earlier orders for the service have rolled back
 };
 
 } // namespace foxtaildyke
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -59,7 +59,7 @@
 {
     const auto &entry = candidate.entry;
     const bool hasRequestedVersion = query.version.empty() || entry.version == query.version;
-    const bool isExcluded = !query.excludedVersion.empty() && entry.version == query.excludedVersion;
+    const bool isExcluded = query.excludedVersions && query.excludedVersions->contains(entry.version);
     return !entry.isDraining && entry.service == query.service && hasRequestedVersion && !isExcluded;
 }
 
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -21,7 +21,7 @@
 struct replica_query {
     std::string_view service;
     std::string_view version; ///< only this one; empty: any
-    std::string_view excludedVersion; ///< not this one; empty: none is excluded
+    const version_set *excludedVersions = nullptr; ///< not these; null: none is excluded
     std::uint64_t sharedPrefixHash = 0; ///< equal for requests with the same shared prefix and model; 0: none
     prompt_work work;
     /// Fraction of the matching replicas to select from, at least two; the same ones on all hosts.
--- a/src/rollout_policy.cpp
+++ b/src/rollout_policy.cpp
@@ -42,10 +42,21 @@
 
 } // namespace
 
+void rollout_policy::recordRolledBack(const rollout_order &order)
+{
+    auto &rolledBack = m_rolledBack[order.service];
+    rolledBack.insert(order.rolledBack.begin(), order.rolledBack.end());
+    const auto *before = find(order.service);
+    if (before && before->order.state == rollout_state::rolled_back)
+        rolledBack.insert(before->order.target);
+    rolledBack.erase(order.target);
+}
+
 void rollout_policy::setOrders(const std::vector<rollout_order> &orders, instant now)
 {
     rollout_map next;
     for (const auto &order : orders) {
+        recordRolledBack(order);
         tracked_rollout entry;
         entry.startedAt = startOf(order, now);
         const auto known = m_rollouts.find(order.service);
@@ -55,6 +66,7 @@
             entry = known->second;
         }
         entry.order = order;
+        entry.order.rolledBack = m_rolledBack[order.service];
         if (isSame)
             keepProgress(entry, known->second.order);
         if (isSame && entry.order.stage > 0 && entry.fullLoadLimits.empty())
@@ -96,14 +108,14 @@
         return {};
     const auto &order = known->order;
     if (order.state == rollout_state::completed)
-        return {order.target, {}};
+        return {order.target, order.rolledBack};
     const auto stage = std::min<std::size_t>(order.stage, kStageShares.size() - 1);
     const auto verdict = known->evidence.verdict();
     const bool isUnderEvaluation = order.state == rollout_state::in_progress && verdict != evidence_verdict::rejected;
     const bool isWithinBudget = known->isOverdue || known->budget.hasRoom(m_limits, m_hosts);
     if (!isUnderEvaluation || !isWithinBudget || toUnitInterval(key) >= kStageShares[stage])
-        return {{}, order.target};
-    return {order.target, {}, kStageShares[stage]};
+        return version_choice{{}, order.rolledBack}.withExcluded(order.target);
+    return {order.target, order.rolledBack, kStageShares[stage]};
 }
 
 void rollout_policy::recordRequest(std::string_view service, std::string_view version)
--- a/src/rollout_policy_p.h
+++ b/src/rollout_policy_p.h
@@ -13,10 +13,18 @@
 /// Versions that may run a request.
 struct version_choice {
     std::string version; ///< only this version; empty: any
-    std::string excluded; ///< not this version; empty: none is excluded
+    version_set excluded; ///< not these versions
     /// Fraction of the version's replicas that the requests are gathered on, so that their load is like that of the
     /// replicas of the version in use, and a version that is bad under load shows at a small share of the traffic.
     double replicaShare = 1;
+
+    /// @returns the choice of any other version than the excluded ones and this one.
+    [[nodiscard]] version_choice withExcluded(const std::string &other) const
+    {
+        version_choice choice{{}, excluded};
+        choice.excluded.insert(other);
+        return choice;
+    }
 };
 
 /// An order with what this host knows of it.
@@ -97,12 +105,17 @@
     [[nodiscard]] const tracked_rollout *findUnderEvaluation(std::string_view service, std::string_view version) const;
     [[nodiscard]] std::optional<std::chrono::microseconds> slowLimit(const tracked_rollout &target,
                                                                      std::string_view stratum) const;
+    /// Adds the versions that were rolled back before an order arrived.
+    void recordRolledBack(const rollout_order &order);
     /// Records the limits under full load, at the end of the first stage.
     void freezeLimits(tracked_rollout &target) const;
 
     exposure_limits m_limits;
     std::size_t m_hosts = kAssumedHosts; ///< among which the slack is divided
     rollout_map m_rollouts; ///< by service
+    /// Versions that were rolled back, by service; without the target of the present order. Their replicas may stay
+    /// registered for some seconds, also under the next order.
+    std::map<std::string, version_set, std::less<>> m_rolledBack;
     std::map<std::string, version_baseline, std::less<>> m_baselines; ///< by stratum
 };
 
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -220,9 +220,10 @@
     table.setReplicas(entries);
     replica_query query;
     query.service = "s";
-    query.excludedVersion = "v2";
+    const version_set excluded{"v2"};
+    query.excludedVersions = &excluded;
     CHECK(table.pick(query, 1s) == nullptr);
-    query.excludedVersion = {};
+    query.excludedVersions = nullptr;
     CHECK(table.pick(query, 1s)->id == "r2");
 }
 
--- a/tests/test_rollouts.cpp
+++ b/tests/test_rollouts.cpp
@@ -36,7 +36,7 @@
         CHECK(policy.nextState(2s)->state == state);
         CHECK(policy.nextState(2s)->revision == 4); // conditional on what the store has now
         const auto choice = policy.choose("s", 0);
-        CHECK((state == rollout_state::completed ? choice.version : choice.excluded) == "v2");
+        CHECK((state == rollout_state::completed ? choice.version == "v2" : choice.excluded == version_set{"v2"}));
         policy.setOrders({makeOrder(state, 2)}, 3s);
         CHECK_FALSE(policy.nextState(3s));
     }
@@ -72,7 +72,7 @@
         CHECK(share == doctest::Approx(rollout_policy::kStageShares[stage]).epsilon(0.15));
     }
     host.setOrders({makeOrder(rollout_state::rolled_back, 2)}, 12s);
-    CHECK(host.choose("s", keys[0]).excluded == "v2");
+    CHECK(host.choose("s", keys[0]).excluded == version_set{"v2"});
 }
 
 TEST_CASE("roll-out: a failing version is rejected within a few responses, and receives no more requests")
@@ -88,7 +88,7 @@
     CHECK(responses < 15);
     REQUIRE(policy.nextState(2s));
     CHECK(policy.nextState(2s)->state == rollout_state::rolled_back);
-    CHECK(policy.choose("s", 0).excluded == "v2"); // before the store has the decision
+    CHECK(policy.choose("s", 0).excluded == version_set{"v2"}); // before the store has the decision
 }
 
 TEST_CASE("roll-out: a slow version is rejected, but not one with cold caches or a single bad replica")
@@ -347,5 +347,20 @@
     // The replicas of v2 stay registered for some seconds. A choice is safe if it names the version in use, or excludes
     // v2.
     const auto choice = policy.choose("s", 0);
-    CHECK((choice.version == "v1" || choice.excluded == "v2"));
+    CHECK((choice.version == "v1" || choice.excluded.contains("v2")));
+    CHECK(choice.excluded.contains("v3"));
+    // A host that starts now learns it from the order that the others write.
+    rollout_policy later;
+    later.setOrders({policy.find("s")->order}, 3s);
+    CHECK(later.choose("s", 0).excluded == version_set{"v2", "v3"});
+    // The version may be ordered again.
+    auto again = makeOrder();
+    again.createdRevision = 12;
+    policy.setOrders({again}, 4s);
+    CHECK(policy.choose("s", 0).excluded == version_set{"v2"});
+    again.stage = 2;
+    policy.setOrders({again}, 5s);
+    for (int request = 0; request < 100; ++request)
+        policy.recordRequest("s", "v1");
+    CHECK(policy.choose("s", 0).version == "v2");
 }
