--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -187,9 +187,10 @@
         exchange->respond(409, {});
     };
     store.feed.start(store.recorder);
-    store.feed.writeRollout({"s", "v2", 12s, rollout_state::rolled_back, 1, 41, 3});
+    store.feed.writeRollout({"s", "v2", 12s, rollout_state::rolled_back, 1, 41, 3, {"v0"}});
     REQUIRE(store.runUntil([&] { return store.recorder.hasEvent("rollout_not_written s"); }));
     const auto written = nlohmann::json::parse(body, nullptr, false);
+    CHECK(written["status"]["rolled_back"] == nlohmann::json{"v0"});
     CHECK(written["metadata"]["revision"] == 41);
     CHECK(written["status"]["state"] == "rolled_back");
     CHECK(written["status"]["target"] == "v2");
@@ -217,7 +218,7 @@
     platform::store_feed feed{loop.loop, store.endpoint, {200ms, 200ms}, {"host-1", {}, {}}};
     feed.start(recorder);
     const host_report first{{{0x2a, {1}, false}}, {}};
-    const host_report second{{{0x2a, {1, 2}, false}, {0x2b, {}, true}},
+    const host_report second{{{0x2a, {1, 2}, false}, {0x2b, {}, true}, {0x2c, {3, 4}, false, true, {4}, {9}}},
                              {{"s", "v2", 7, -1.25, 9, 1, {"n1", "n2"}, {"n2"}}}};
     REQUIRE(loop.runUntil([&] { return recorder.isReachable; }));
     for (const auto &report : {first, second}) {
