Roll-outs: an order that a rewound store lost keeps its state when it is written again

An order that was written after the copy from which the store came back is missing from the first list, and is written again with another creation revision. The policy dropped it with all evidence and its decision, and ran the version again: a halted version got a second canary. For 30 s after a rewind missing orders are kept, not written, and an equal order is taken for the lost one.

--- a/src/gateway_task_feed.cpp
+++ b/src/gateway_task_feed.cpp
@@ -184,6 +184,7 @@
 void gateway_task::onStoreRewound()
 {
     m_registry.recordRewind(suspendAwareNow());
+    m_state.rollouts.recordRewind(suspendAwareNow());
     // This host's report may be gone; it is written again.
     m_state.crashes.recordPublishFailure();
     m_sharedEvidence.clear();
--- a/src/rollout_policy.cpp
+++ b/src/rollout_policy.cpp
@@ -52,19 +52,29 @@
     rolledBack.erase(order.target);
 }
 
+bool rollout_policy::isSameOrder(const rollout_order &order, const rollout_order &known, instant now) const
+{
+    return order.target == known.target
+        && (order.createdRevision == known.createdRevision || (isRewriting(now) && order.duration == known.duration));
+}
+
 void rollout_policy::setOrders(const std::vector<rollout_order> &orders, instant now)
 {
     rollout_map next;
+    if (isRewriting(now)) {
+        next = m_rollouts;
+        for (auto &[service, entry] : next)
+            entry.isMissing = true;
+    }
     for (const auto &order : orders) {
         recordRolledBack(order);
         tracked_rollout entry;
         entry.startedAt = startOf(order, now);
         const auto known = m_rollouts.find(order.service);
-        const bool isSame = known != m_rollouts.end() && known->second.order.createdRevision == order.createdRevision
-            && known->second.order.target == order.target;
-        if (isSame) {
+        const bool isSame = known != m_rollouts.end() && isSameOrder(order, known->second.order, now);
+        if (isSame)
             entry = known->second;
-        }
+        entry.isMissing = false;
         entry.order = order;
         entry.order.rolledBack = m_rolledBack[order.service];
         if (isSame)
@@ -85,8 +95,10 @@
 
 bool rollout_policy::hasUndecided() const
 {
-    return std::ranges::any_of(
-        m_rollouts, [](const auto &entry) { return !isDecided(entry.second.order) || entry.second.isAheadOfStore; });
+    return std::ranges::any_of(m_rollouts, [](const auto &entry) {
+        const auto &known = entry.second;
+        return !known.isMissing && (!isDecided(known.order) || known.isAheadOfStore);
+    });
 }
 
 const tracked_rollout *rollout_policy::find(std::string_view service) const
@@ -188,6 +200,8 @@
 {
     for (auto &[service, active] : m_rollouts) {
         auto next = active.order;
+        if (active.isMissing)
+            continue;
         if (active.isAheadOfStore)
             return next;
         if (isDecided(next))
--- a/src/rollout_policy_p.h
+++ b/src/rollout_policy_p.h
@@ -32,6 +32,7 @@
     rollout_order order;
     instant startedAt{}; ///< when this host first saw the order, or its estimate if the order was in progress then
     bool isAheadOfStore = false; ///< the store shows an earlier state of the order, which is to be written again
+    bool isMissing = false; ///< the store has lost the order, which the operator is expected to write again
     bool isOverdue = false; ///< the order's duration has passed without a decision
     rollout_evidence evidence;
     exposure_budget budget;
@@ -51,6 +52,9 @@
     /// Sets the number of hosts among which the slack of the exposure limits is divided.
     void setHosts(std::size_t hosts) { m_hosts = std::max(kAssumedHosts, hosts); }
 
+    /// Records that the store has come back from an older copy, which may lack orders until they are written again.
+    void recordRewind(instant now) { m_rewoundAt = now; }
+
     /// Replaces the known orders. The evidence collected for an order that remains is kept.
     void setOrders(const std::vector<rollout_order> &orders, instant now);
 
@@ -97,6 +101,8 @@
     static constexpr std::array kStageEnds{0.52, 0.93, 0.96};
     /// Number of hosts assumed while the actual number is unknown or lower.
     static constexpr std::size_t kAssumedHosts = 16;
+    /// Time after a rewind of the store in which an order is taken for the lost one that it equals.
+    static constexpr std::chrono::seconds kRewriteTime{30};
 
 private:
     using rollout_map = std::map<std::string, tracked_rollout, std::less<>>;
@@ -105,6 +111,9 @@
     [[nodiscard]] const tracked_rollout *findUnderEvaluation(std::string_view service, std::string_view version) const;
     [[nodiscard]] std::optional<std::chrono::microseconds> slowLimit(const tracked_rollout &target,
                                                                      std::string_view stratum) const;
+    [[nodiscard]] bool isRewriting(instant now) const { return m_rewoundAt && now - *m_rewoundAt < kRewriteTime; }
+    /// @returns whether an order is the known one, possibly written again after a rewind.
+    [[nodiscard]] bool isSameOrder(const rollout_order &order, const rollout_order &known, instant now) const;
     /// Adds the versions that were rolled back before an order arrived.
     void recordRolledBack(const rollout_order &order);
     /// Records the limits under full load, at the end of the first stage.
@@ -116,6 +125,7 @@
     /// Versions that were rolled back, by service; without the target of the present order. Their replicas may stay
     /// registered for some seconds, also under the next order.
     std::map<std::string, version_set, std::less<>> m_rolledBack;
+    std::optional<instant> m_rewoundAt; ///< last rewind of the store
     std::map<std::string, version_baseline, std::less<>> m_baselines; ///< by stratum
 };
 
--- a/tests/test_rollouts.cpp
+++ b/tests/test_rollouts.cpp
@@ -336,6 +336,46 @@
     CHECK(falseHalts * 100 < kRollouts);
 }
 
+TEST_CASE("roll-out: an order that a rewound store lost, and that is written again, keeps what was decided")
+{
+    for (const auto state : {rollout_state::rolled_back, rollout_state::completed}) {
+        rollout_policy policy;
+        policy.setOrders({makeOrder(state, 2)}, 1s);
+        policy.recordRewind(5s);
+        policy.setOrders({}, 5s);
+        const auto isKept = [&] {
+            const auto choice = policy.choose("s", 0);
+            return state == rollout_state::completed ? choice.version == "v2" : choice.excluded == version_set{"v2"};
+        };
+        CHECK(isKept());
+        CHECK_FALSE(policy.nextState(5s)); // there is nothing to write to
+        rollout_order again{"s", "v2", 20s, rollout_state::ordered, 0, 8, 8};
+        policy.setOrders({again}, 6s);
+        CHECK(isKept());
+        REQUIRE(policy.nextState(6s));
+        CHECK(policy.nextState(6s)->state == state);
+        CHECK(policy.nextState(6s)->revision == 8);
+        // Much later it is another order for the same version.
+        policy.setOrders({}, 100s);
+        again.createdRevision = again.revision = 90;
+        policy.setOrders({again}, 101s);
+        CHECK(policy.nextState(101s)->state == rollout_state::in_progress);
+    }
+}
+
+TEST_CASE("roll-out: the exposure of an order that a rewound store lost counts on when it is written again")
+{
+    rollout_policy policy;
+    policy.setOrders({makeOrder(rollout_state::in_progress, 1)}, 1s);
+    for (int request = 0; request < 100; ++request)
+        policy.recordRequest("s", "v2");
+    policy.recordRewind(5s);
+    policy.setOrders({}, 5s);
+    policy.setOrders({{"s", "v2", 20s, rollout_state::ordered, 0, 8, 8}}, 6s);
+    CHECK(policy.find("s")->budget.exposed() == 100);
+    CHECK(policy.find("s")->order.stage == 1);
+}
+
 TEST_CASE("roll-out: a version that was rolled back receives no requests under the next order of its service")
 {
     rollout_policy policy;
