Crash evidence: try a blocked part again, so that a wrong verdict ends

A blocked part gets no responses that could clear it. One request with it is now tried 10 s after its last crash, by one host after the other (1.5 s apart); not once replicas have ended three times while they responded to it, so that a deadly part is tried at most three times.

--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -58,6 +58,25 @@
     return block ? std::optional(block->remaining) : std::nullopt;
 }
 
+bool crash_registry::tryConsumeTrial(std::uint64_t part, instant now)
+{
+    const auto *known = m_evidence.find(part);
+    if (!known || !known->isPart || known->crashes.empty() || known->responding.size() >= kCertainCrashes)
+        return false;
+    auto last = m_seenAt.at(*known->crashes.begin());
+    for (const auto crash : known->crashes)
+        last = std::max(last, m_seenAt.at(crash));
+    if (const auto trial = m_trialAt.find(part); trial != m_trialAt.end())
+        last = std::max(last, trial->second);
+    const auto ownTurn = hashOf(m_host, part);
+    const auto turn = std::ranges::count_if(
+        m_reports, [ownTurn, part](const auto &entry) { return hashOf(entry.first, part) < ownTurn; });
+    if (now - last < kTrialDelay + turn * kTrialSpacing)
+        return false;
+    m_trialAt.insert_or_assign(part, now);
+    return true;
+}
+
 std::size_t crash_registry::crashes(std::uint64_t trait) const
 {
     const auto *known = m_evidence.find(trait);
@@ -301,6 +320,7 @@
     for (auto &[part, ids] : m_ruledOut)
         std::erase_if(ids, [&, &part = part](std::uint64_t crash) { return !reported[part].contains(crash); });
     std::erase_if(m_ruledOut, [](const auto &entry) { return entry.second.empty(); });
+    std::erase_if(m_trialAt, [&traits](const auto &entry) { return !traits.contains(entry.first); });
     m_evidence.clear();
     for (const auto trait : traits)
         combine(trait, now);
--- a/src/crash_registry_p.h
+++ b/src/crash_registry_p.h
@@ -52,6 +52,10 @@
         return m_evidence.findBlock(traits, now);
     }
 
+    /// Allows one request with a blocked part to be sent, so that its response can show that the part isn't the cause.
+    /// The hosts take turns, and a part is no longer tried once replicas have ended while they responded to it.
+    [[nodiscard]] bool tryConsumeTrial(std::uint64_t part, instant now);
+
     /// @returns the time until a request with just this trait may be sent to a replica again; nothing if it isn't
     /// blocked.
     [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor(std::uint64_t trait, instant now) const;
@@ -92,6 +96,12 @@
     static constexpr std::size_t kProvenCrashLimit = 5;
     /// ... and the time that these crashes must span, as many replicas may end at once for another reason.
     static constexpr std::chrono::seconds kProvenMinSpan{1};
+    /// Number of crashes while the replicas were responding at which a part is no longer tried.
+    static constexpr std::size_t kCertainCrashes = 3;
+    /// Time from the last crash of a blocked part to the first host's trial, ...
+    static constexpr std::chrono::seconds kTrialDelay{10};
+    /// ... and to that of each further host: enough for the hosts to know how the trial before ended.
+    static constexpr std::chrono::milliseconds kTrialSpacing{1500};
     /// Maximum number of crashes that a host reports for one trait.
     static constexpr std::size_t kMaxCrashesPerTrait = 8;
     /// The same for the crashes of other hosts that it rules out.
@@ -141,6 +151,7 @@
     crash_evidence m_evidence; ///< unexpired reports of all hosts
     std::unordered_map<std::uint64_t, trait_set> m_ruledOut; ///< by part: crashes that other hosts report; not stored
     std::unordered_map<std::uint64_t, instant> m_seenAt; ///< by crash: when this host learned of it
+    std::unordered_map<std::uint64_t, instant> m_trialAt; ///< by part: this host's last trial
     /// Answered traits in two generations; when the newer one is full, it replaces the older one.
     trait_set m_answered;
     trait_set m_answeredBefore;
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -162,6 +162,11 @@
 void gateway_exchange::attempt()
 {
     m_block = findBlock();
+    if (m_block && m_sends == 0 && m_state.crashes.tryConsumeTrial(m_block->trait, suspendAwareNow())) {
+        m_state.log.write("quarantine_trial", {{"request_id", m_metadata.id}, {"prompt_part", hexText(m_block->trait)}},
+                          log_subject::request);
+        m_block.reset();
+    }
     if (m_block) {
         if (m_hasStreamStarted)
             return abortResponse("quarantined");
--- a/tests/test_crash_parts.cpp
+++ b/tests/test_crash_parts.cpp
@@ -177,6 +177,47 @@
     CHECK(isBlocked(host, {kDeadly}, 3s));
 }
 
+TEST_CASE("crash parts: a blocked part is tried by one host after a pause, and served by all if a replica responds")
+{
+    report_exchange fleet(6);
+    for (std::uint64_t crash = 0; crash < 4; ++crash) // of another cause
+        fleet.hosts[crash].recordPartCrash(part_list{kOther}, crash, crash == 0, fleet.now);
+    fleet.advance(kAgreementTime);
+    REQUIRE(fleet.blocking({kOther}) == fleet.hosts.size());
+    std::size_t trials = 0;
+    for (auto waited = 0ms; waited < 30s && trials == 0; waited += 250ms) {
+        fleet.advance(250ms);
+        for (auto &host : fleet.hosts)
+            if (host.tryConsumeTrial(kOther, fleet.now)) {
+                ++trials;
+                CHECK(waited >= 6s);
+                host.recordBegun(part_list{kOther}, fleet.now);
+            }
+    }
+    CHECK(trials == 1);
+    fleet.advance(kAgreementTime);
+    CHECK(fleet.blocking({kOther}) == 0);
+}
+
+TEST_CASE("crash parts: trials of a deadly part end once replicas have ended while they responded to it")
+{
+    report_exchange fleet(6);
+    std::uint64_t crashes = 0;
+    for (; crashes < 3; ++crashes)
+        fleet.hosts[crashes].recordPartCrash(part_list{kDeadly}, crashes, crashes == 0, fleet.now);
+    std::size_t trials = 0;
+    for (auto waited = 0ms; waited < 300s; waited += 250ms) {
+        fleet.advance(250ms);
+        for (auto &host : fleet.hosts)
+            if (fleet.blocking({kDeadly}) == fleet.hosts.size() && host.tryConsumeTrial(kDeadly, fleet.now)) {
+                ++trials;
+                host.recordPartCrash(part_list{kDeadly}, ++crashes, true, fleet.now);
+            }
+    }
+    CHECK(trials >= 1);
+    CHECK(trials <= kMaxLaterRequests);
+}
+
 TEST_CASE("crash parts: without crashes nothing is stored")
 {
     report_exchange fleet(3);
