--- a/tests/spec.sh
+++ b/tests/spec.sh
@@ -88,8 +88,15 @@
     done
 }
 
+check_store_era() {
+    check SOUND store_era
+    for variant in NO_ERA LATE_RESPONSE KEEPS_REVISION; do
+        check BROKEN store_era -D$variant
+    done
+}
+
 # Checks the models in parallel; each search is single-threaded.
-models=(ledger freshness fencing key_lease rollout)
+models=(ledger freshness fencing key_lease rollout store_era)
 declare -A jobs
 for model in "${models[@]}"; do
     (
