--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -438,6 +438,40 @@
     CHECK(newer.requests.size() == before);
 }
 
+TEST_CASE("gateway process: a version stays rolled back when the store comes back from a copy that lacks its order")
+{
+    single_replica_fixture fixture;
+    scripted_replica newer(fixture.loop, "r2", [](const received_request &request) {
+        return replica_script{responseText(500, idOf(request), "bad")};
+    });
+    fixture.registerReplica(newer, "v2");
+    fixture.store.takeCopy();
+    const auto writeOrder = [&fixture] {
+        fixture.store.put("rollouts", "s", {{"service", "s"}, {"target", "v2"}, {"duration_s", 6}});
+    };
+    writeOrder();
+    int requestCount = 0;
+    const auto serve = [&] {
+        CHECK(fixture.sendRequest(onceRequest("id-" + std::to_string(++requestCount))).head.status >= 200);
+    };
+    REQUIRE(fixture.runUntil([&] {
+        serve();
+        return rolloutState(fixture) == "rolled_back";
+    }));
+    const auto before = newer.requests.size();
+    fixture.store.setState(store_state::silent);
+    fixture.store.rewind();
+    fixture.store.setState(store_state::serving);
+    REQUIRE(fixture.waitForLog("store_rewound", ""));
+    fixture.runFor(300ms); // the host knows that the order is missing
+    writeOrder();
+    REQUIRE(fixture.runUntil([&] {
+        serve();
+        return rolloutState(fixture) == "rolled_back";
+    }));
+    CHECK(newer.requests.size() == before);
+}
+
 TEST_CASE("gateway process: a version whose streams stall is rolled back before any of them ends")
 {
     single_replica_fixture fixture(
