Test: keep the key lease while a deadly part is looked for

Traced: the fixture confirmed the configuration once, and the test lasts almost as long as the key lease allows (4 s); 0.8 s more of waiting brings the 503 every time, and with the configuration confirmed at each restart of replicas, as the feed does, the same wait gives 200. No check changed.

--- a/tests/test_deadly_prompts.cpp
+++ b/tests/test_deadly_prompts.cpp
@@ -37,6 +37,7 @@
             entries.back().startedAtMs = static_cast<std::int64_t>(1 + replica->crashCount);
         }
         publishReplicas(std::move(entries));
+        feed.listener->onConfigConfirmed(suspendAwareNow()); // keeps the key lease during long tests
     }
 
     /// Sends a request that no other equals, with the given shared prompt parts and a part of its own.
