--- a/tests/failure_crashing_requests.cpp
+++ b/tests/failure_crashing_requests.cpp
@@ -130,3 +130,66 @@
         CHECK(fixture.sendPrompt("aaaa:500,5ab3:900", port) == 200);
     }
 }
+
+TEST_CASE("crashing request: a service of three replicas that all end and come back isn't ended again and again")
+{
+    gateway_process hosts;
+    std::size_t started = 0;
+    const auto respond = [](const received_request &request) {
+        if (request.head.target == "/safe/deadly")
+            return replica_script{.bytes = "", .crashes = true, .delay = std::chrono::milliseconds{80}};
+        return replica_script{responseText(200, std::string(request.head.header("Foxtaildyke-Request-Id")), "whole")};
+    };
+    hosts.publish(1);
+    std::vector<std::unique_ptr<scripted_replica>> replicas;
+    const auto registerNew = [&](const scripted_replica &replica) {
+        hosts.registerReplica(replica, "v1", "ready", static_cast<std::int64_t>(1'700'000'000'000 + ++started));
+    };
+    for (int index = 0; index < 3; ++index) {
+        replicas.push_back(std::make_unique<scripted_replica>(hosts.loop, "r" + std::to_string(index), respond));
+        registerNew(*replicas.back());
+    }
+    REQUIRE(hosts.startReady());
+    const std::array ports{hosts.callerPort, hosts.addHost("host-2")};
+    const auto crashes = [&replicas] {
+        std::size_t sum = 0;
+        for (const auto &replica : replicas)
+            sum += replica->crashCount;
+        return sum;
+    };
+    std::map<const scripted_replica *, instant> downSince;
+    std::size_t sent = 0;
+    int soundSince = 0; // sound requests served after the hosts have agreed
+    std::optional<instant> agreedBy; // when the rule on later retries begins
+    std::size_t crashesBefore = 0;
+    const auto end = suspendAwareNow() + std::chrono::seconds{10};
+    for (generation_number generation = 2; suspendAwareNow() < end; ++generation) {
+        const auto number = std::to_string(++sent);
+        const auto port = ports[sent % ports.size()];
+        hosts.sendRequest(requestText("GET", "/safe/deadly", "deadly-" + number), port);
+        if (!agreedBy && crashes() >= kMaxCrashes)
+            agreedBy = suspendAwareNow() + std::chrono::seconds{3};
+        if (agreedBy && suspendAwareNow() < *agreedBy)
+            crashesBefore = crashes();
+        const auto sound = hosts.sendRequest(requestText("GET", "/safe/sound-" + number, "sound-" + number), port);
+        if (agreedBy && suspendAwareNow() >= *agreedBy && sound.head.status == 200)
+            ++soundSince;
+        if (sent % 10 == 0)
+            hosts.publish(generation);
+        for (const auto &replica : replicas) {
+            if (replica->isRunning())
+                continue;
+            const auto since = downSince.try_emplace(replica.get(), suspendAwareNow()).first->second;
+            if (suspendAwareNow() - since < std::chrono::milliseconds{1200})
+                continue;
+            downSince.erase(replica.get());
+            hosts.store.remove("servers", replica->entry("s").id);
+            replica->restartAs("r" + std::to_string(replicas.size() + started));
+            registerNew(*replica);
+        }
+        hosts.runFor(std::chrono::milliseconds{100});
+    }
+    REQUIRE(agreedBy);
+    CHECK(crashes() - crashesBefore <= kMaxLaterRetries);
+    CHECK(soundSince > 0);
+}
--- a/tests/gateway_harness.cpp
+++ b/tests/gateway_harness.cpp
@@ -88,7 +88,7 @@
             parser.reset();
             script = replica.m_script(replica.requests.back());
             if (script.crashes)
-                return replica.m_crashTimer.start(std::chrono::milliseconds{0});
+                return replica.m_crashTimer.start(script.delay);
             timer.start(script.delay);
         }
     }
@@ -153,6 +153,12 @@
         listen();
 }
 
+void scripted_replica::restartAs(std::string id)
+{
+    m_id = std::move(id);
+    restart();
+}
+
 void scripted_replica::listen()
 {
     sockaddr_in address{};
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -35,7 +35,7 @@
     bool closes = false; ///< closes the connection gracefully after the bytes
     bool resets = false; ///< resets the connection after the bytes
     bool crashes = false; ///< sends nothing and ends the replica; see scripted_replica::crash()
-    std::chrono::milliseconds delay{0}; ///< before the bytes
+    std::chrono::milliseconds delay{0}; ///< before the bytes or the crash
 };
 
 /// A replica that responds to each request as scripted.
@@ -51,6 +51,8 @@
     void crash();
     /// Accepts connections again, at the same address.
     void restart();
+    /// The same as another replica, which has taken over the address.
+    void restartAs(std::string id);
     void setScript(script respond) { m_script = std::move(respond); }
     [[nodiscard]] bool isRunning() const { return m_listener != nullptr; }
     /// @returns whether a request has been received whose response is not yet written.
