Crash evidence: a replica's error response doesn't clear a request

Callers: a request that ends the replicas that run it was sent on without a limit once one replica had failed it with a 500 or a 504, and its service lost a replica at every further try. The class: a response is taken for evidence of something that it doesn't show. Change: only a response without a server error clears a request.

Test "a replica's error response between crashes doesn't clear a request": 10 crashes before, for 500 and for 504 (at most 4 allowed); at most 4 now.

--- a/src/gateway_exchange_evidence.cpp
+++ b/src/gateway_exchange_evidence.cpp
@@ -59,12 +59,13 @@
     m_state.rollouts.recordResponse(response);
 }
 
-/// A replica that has ended may have been crashed by this request; one that has responded hasn't.
+/// A replica that has ended may have been crashed by this request; one that has responded hasn't. An error response
+/// rules nothing out, because a replica may also fail without running the request.
 void gateway_exchange::recordCrashEvidence(attempt_result result)
 {
     if (result == attempt_result::answered && http_status::isSuccess(m_response.status))
         recordBegun();
-    if (result == attempt_result::answered || result == attempt_result::server_error)
+    if (result == attempt_result::answered)
         return m_state.crashes.recordResponse(m_fingerprint, suspendAwareNow());
     if (result != attempt_result::broken && result != attempt_result::truncated)
         return;
--- a/tests/test_crashing_requests.cpp
+++ b/tests/test_crashing_requests.cpp
@@ -28,6 +28,8 @@
             return {.bytes = "", .resets = true};
         if (hangs)
             return {.bytes = "", .delay = std::chrono::seconds(30)};
+        if (errorStatus != 0)
+            return {responseText(errorStatus, std::string(request.head.header("Foxtaildyke-Request-Id")), "error")};
         if (request.body == "poison")
             return {.bytes = "", .crashes = true};
         const std::string id(request.head.header("Foxtaildyke-Request-Id"));
@@ -81,6 +83,7 @@
     std::vector<std::unique_ptr<scripted_replica>> replicas;
     bool hangs = false; ///< replicas don't respond
     bool losesResponses = false; ///< replicas keep running, but reset the connections of requests
+    int errorStatus = 0; ///< replicas respond with this error without running the request; 0: they run it
 
 private:
     int m_lastId = 0;
@@ -149,3 +152,17 @@
     CHECK(fixture.crashes() == kMaxCrashes);
     CHECK(fixture.sendRequest("POST", "/once/popular", "the body").head.status == 200);
 }
+
+TEST_CASE("crashing request: a replica's error response between crashes doesn't clear a request")
+{
+    for (const int status : {500, 504}) {
+        crashing_fixture fixture(3);
+        for (std::size_t round = 0; round < 3 * kMaxCrashes; ++round) {
+            fixture.errorStatus = round % 2 == 1 ? status : 0;
+            fixture.sendRequest("GET", "/safe/x", "poison");
+            fixture.runFor(std::chrono::milliseconds(20)); // lets the gateway detect the crash
+            fixture.restartReplicas();
+        }
+        CHECK(fixture.crashes() <= kMaxCrashes + 1); // two attempts of the same request may end one replica more
+    }
+}
