--- a/tests/failure_crashing_requests.cpp
+++ b/tests/failure_crashing_requests.cpp
@@ -114,6 +114,21 @@
     CHECK(fixture.crashes() <= kMaxCrashes + kMaxLaterRetries);
 }
 
+TEST_CASE("crashing request: crashes that hosts saw while the store was away are shared when it returns")
+{
+    crashing_fixture fixture;
+    fixture.store.setState(store_state::dropping);
+    for (std::size_t sent = 0; sent < kMaxCrashes; ++sent)
+        fixture.sendPoison(fixture.ports[sent % 2]);
+    CHECK(fixture.crashes() == kMaxCrashes);
+    fixture.store.setState(store_state::serving);
+    for (const auto *host : {"\"host\":\"host-1\"", "\"host\":\"host-2\""})
+        CHECK(fixture.waitForLog(host, "\"event\":\"quarantine_begun\""));
+    CHECK(fixture.sendPoison(fixture.ports[0]) == 503);
+    CHECK(fixture.sendPoison(fixture.ports[1]) == 503);
+    CHECK(fixture.crashes() == kMaxCrashes);
+}
+
 TEST_CASE("crashing request: hosts find a prompt part that crashes replicas, though no two requests with it are alike")
 {
     crashing_fixture fixture;
