--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -27,6 +27,7 @@
     src/load_aggregator.cpp
     src/model_cascade.cpp
     src/relay_choice.cpp
+    src/replica_limits.cpp
     src/replica_registry.cpp
     src/replica_table.cpp
     src/retry_budget.cpp
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -12,6 +12,7 @@
 #include "gateway_metrics_p.h"
 #include "gateway_settings_p.h"
 #include "model_cascade_p.h"
+#include "replica_limits_p.h"
 #include "replica_table_p.h"
 #include "retry_budget_p.h"
 #include "rollout_policy_p.h"
@@ -31,6 +32,7 @@
     std::optional<instant> configConfirmedAt; ///< when the configuration was last known to be the newest
     bool hasReplicas = false; ///< the list of replicas has been received
     replica_table replicas;
+    replica_limits limits;
     retry_budget budget;
     rollout_policy rollouts;
     cascade_settings cascade;
@@ -97,6 +99,9 @@
     /// @returns whether the events received are a whole stream, provided that its framing is complete.
     [[nodiscard]] bool isWholeStream();
     [[nodiscard]] attempt_result classify(upstream_end end);
+    /// Records the rate limit that the response's head names, or that it names none.
+    void recordRateLimit(const message_head &head);
+    void logInvalidRateLimit(std::string_view text) const;
     void recordAttempt(attempt_result result);
     /// Adds to a log line how the current or last response, if it is a stream, was framed and where it ended.
     void addStreamFields(nlohmann::ordered_json &fields) const;
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -32,6 +32,7 @@
               .configConfirmedAt = std::nullopt,
               .hasReplicas = false,
               .replicas = replica_table(m_settings.failureDomain, std::random_device{}()),
+              .limits = {},
               .budget = retry_budget({m_settings.retryRatio, m_settings.retryWindow, m_settings.retrySlack}),
               .rollouts = rollout_policy({m_settings.canaryShare, m_settings.canarySlack}),
               .cascade = {.confidenceToKeep = m_settings.confidenceToKeep, .startsSmall = m_settings.startsSmall},
--- a/src/header_names_p.h
+++ b/src/header_names_p.h
@@ -22,6 +22,7 @@
     std::string priority; ///< scheduling priority in an engine, 0 is highest; set by the gateway
     std::string notRun; ///< present if a replica states that it did not run the request
     std::string stamp; ///< identifies responses that originate from a replica
+    std::string rateLimit; ///< requests per second that a replica accepts from all hosts together, while it states so
     std::string confidence; ///< 0 to 100: the model's confidence in its output
     std::string keyScheme; ///< Authorization scheme for API keys
     std::vector<std::string> reserved; ///< removed from callers' requests: only the gateway may set them
--- a/src/header_text.cpp
+++ b/src/header_text.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 
 namespace foxtaildyke
 {
@@ -44,4 +45,13 @@
     return value;
 }
 
+std::optional<double> parseDecimal(std::string_view text)
+{
+    double value = 0;
+    const auto [end, failure] =
+        std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    const bool isWhole = failure == std::errc{} && end == text.data() + text.size();
+    return isWhole && std::isfinite(value) ? std::optional(value) : std::nullopt;
+}
+
 } // namespace foxtaildyke
--- a/src/header_text_p.h
+++ b/src/header_text_p.h
@@ -22,4 +22,7 @@
 /// @returns the number, or nothing if the text doesn't consist of decimal digits only or the value is out of range.
 [[nodiscard]] std::optional<std::uint64_t> parseNumber(std::string_view text);
 
+/// @returns the number, or nothing if the text isn't a finite decimal number without exponent, such as "2.9" or "-1".
+[[nodiscard]] std::optional<double> parseDecimal(std::string_view text);
+
 } // namespace foxtaildyke
