--- a/tests/failure_replica_limits.cpp
+++ b/tests/failure_replica_limits.cpp
@@ -3,49 +3,139 @@
 
 using namespace foxtaildyke;
 
-TEST_CASE("rate limit: three hosts together keep the limit that a replica names")
+namespace
 {
-    constexpr double kPerSecond = 3;
-    constexpr std::size_t kAllowed = 23; // 1.5 x 3 a second x 4 s + 5
-    gateway_process hosts;
-    std::vector<instant> arrivals;
-    const auto respond = [](const received_request &request, const std::string &header) {
-        const std::string id(request.head.header("Foxtaildyke-Request-Id"));
-        return replica_script{responseText(200, id, "whole body", header)};
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A replica with a limit gets at most allowedInWindow() requests in any kWindow, from kSettleTime after it first named
+/// the limit.
+constexpr seconds kWindow{4};
+constexpr seconds kSettleTime{3};
+
+std::size_t allowedInWindow(double perSecond)
+{
+    return static_cast<std::size_t>(1.5 * perSecond * static_cast<double>(kWindow.count()) + 5);
+}
+
+/// Several hosts, and replicas that count what they get.
+struct limited_hosts : gateway_process {
+    struct counted_replica {
+        std::string limit; ///< value of the header; empty: none
+        std::vector<instant> arrivals;
+        std::unique_ptr<scripted_replica> server;
     };
-    scripted_replica limited(hosts.loop, "limited", [&](const received_request &request) {
-        arrivals.push_back(suspendAwareNow());
-        return respond(request, "Server-Limit: " + std::to_string(kPerSecond) + "\r\n");
-    });
-    scripted_replica sound(hosts.loop, "sound", [&](const received_request &request) { return respond(request, {}); });
-    hosts.publish(1);
-    hosts.registerReplica(limited);
-    hosts.registerReplica(sound);
-    REQUIRE(hosts.startReady());
-    const std::array ports{hosts.callerPort, hosts.addHost("host-2"), hosts.addHost("host-3")};
-    const auto end = suspendAwareNow() + std::chrono::seconds{11};
-    std::size_t sent = 0;
-    std::size_t served = 0;
-    while (suspendAwareNow() < end) {
-        const auto port = ports[++sent % ports.size()];
-        const auto response = hosts.sendRequest(requestText("GET", "/safe/x", "id-" + std::to_string(sent)), port);
-        served += response.head.status == 200 ? 1 : 0;
-        hosts.runFor(std::chrono::milliseconds{10});
+
+    void addReplica(const std::string &id, const std::string &limit)
+    {
+        auto &replica = replicas[id];
+        replica.limit = limit;
+        replica.server = std::make_unique<scripted_replica>(loop, id, [&replica](const received_request &request) {
+            replica.arrivals.push_back(suspendAwareNow());
+            const std::string requestId(request.head.header("Foxtaildyke-Request-Id"));
+            const auto header = replica.limit.empty() ? std::string() : "Server-Limit: " + replica.limit + "\r\n";
+            return replica_script{responseText(200, requestId, "whole body", header)};
+        });
+        registerReplica(*replica.server);
+    }
+
+    void startHosts(std::size_t count)
+    {
+        REQUIRE(startReady());
+        ports = {callerPort};
+        while (ports.size() < count)
+            ports.push_back(addHost("host-" + std::to_string(ports.size() + 1)));
     }
-    CHECK(served == sent);
-    REQUIRE_FALSE(arrivals.empty());
-    std::size_t most = 0;
-    std::size_t lastWindow = 0;
-    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-        const auto isInWindow = [first](instant at) {
-            return at - *first < std::chrono::seconds{4};
-        };
-        const auto count = static_cast<std::size_t>(std::count_if(first, arrivals.end(), isInWindow));
-        if (*first - arrivals.front() >= std::chrono::seconds{3})
-            most = std::max(most, count);
-        if (end - *first >= std::chrono::seconds{4})
-            lastWindow = count;
+
+    /// Sends one request after the other, to the hosts in turn.
+    void load(milliseconds time)
+    {
+        for (const auto end = suspendAwareNow() + time; suspendAwareNow() < end;) {
+            const auto port = ports[++m_sent % ports.size()];
+            const auto response = sendRequest(requestText("GET", "/safe/x", "id-" + std::to_string(m_sent)), port);
+            ++statuses[response.head.status];
+            if (response.head.status == 503 && response.head.header("Retry-After").empty())
+                ++refusedWithoutTime;
+            runFor(milliseconds{5});
+        }
+    }
+
+    [[nodiscard]] std::size_t mostInWindow(const std::string &id) const
+    {
+        const auto &times = replicas.at(id).arrivals;
+        std::size_t most = 0;
+        for (auto first = times.begin(); first != times.end(); ++first) {
+            if (*first - times.front() < kSettleTime)
+                continue;
+            const auto last = std::find_if(first, times.end(), [&](instant at) { return at - *first >= kWindow; });
+            most = std::max(most, static_cast<std::size_t>(last - first));
+        }
+        return most;
+    }
+
+    /// @returns the number of requests that a replica got in the last kWindow.
+    [[nodiscard]] std::size_t inLastWindow(const std::string &id) const
+    {
+        const auto since = suspendAwareNow() - kWindow;
+        return static_cast<std::size_t>(
+            std::ranges::count_if(replicas.at(id).arrivals, [since](instant at) { return at >= since; }));
+    }
+
+    std::map<std::string, counted_replica> replicas; ///< by id
+    std::vector<std::uint16_t> ports; ///< of the hosts
+    std::map<int, std::size_t> statuses; ///< number of responses by status
+    std::size_t refusedWithoutTime = 0;
+
+private:
+    std::size_t m_sent = 0;
+};
+
+} // namespace
+
+TEST_CASE("rate limit: three hosts together keep the limit that a replica names")
+{
+    limited_hosts fixture;
+    fixture.publish(1);
+    fixture.addReplica("limited", "3");
+    fixture.addReplica("sound", "");
+    fixture.startHosts(3);
+    fixture.load(seconds{11});
+    CHECK(fixture.mostInWindow("limited") <= allowedInWindow(3));
+    CHECK(fixture.inLastWindow("limited") >= 6); // half of what the replica accepts
+    CHECK(fixture.statuses.size() == 1);
+    CHECK(fixture.statuses.contains(200));
+}
+
+TEST_CASE("rate limit: six hosts keep the limits of all replicas of a service when a host and the store come and go")
+{
+    limited_hosts fixture;
+    fixture.publish(1);
+    const std::map<std::string, double> limits{{"r1", 3}, {"r2", 2.9}, {"r3", 0.5}};
+    for (const auto &[id, perSecond] : limits)
+        fixture.addReplica(id, std::to_string(perSecond));
+    fixture.startHosts(6);
+    fixture.load(seconds{5});
+    fixture.process().kill();
+    REQUIRE(fixture.startReady());
+    fixture.load(seconds{3});
+    fixture.store.setState(store_state::silent);
+    fixture.load(seconds{3});
+    fixture.store.setState(store_state::serving);
+    fixture.load(seconds{6});
+    for (const auto &[id, perSecond] : limits) {
+        CAPTURE(id);
+        CHECK(fixture.mostInWindow(id) <= allowedInWindow(perSecond));
     }
-    CHECK(most <= kAllowed);
-    CHECK(lastWindow >= 6); // half of what the replica accepts in 4 s
+    CHECK(fixture.inLastWindow("r1") >= 6); // half of what the replica accepts
+    CHECK(fixture.inLastWindow("r2") >= 5);
+    CHECK(fixture.statuses[503] > 0);
+    CHECK(fixture.refusedWithoutTime == 0);
+    // A lower limit holds as well, and one that is no longer named ends.
+    fixture.replicas.at("r1").limit = "1";
+    fixture.load(seconds{4});
+    CHECK(fixture.inLastWindow("r1") <= allowedInWindow(1));
+    fixture.replicas.at("r2").limit.clear();
+    fixture.load(seconds{5});
+    CHECK(fixture.inLastWindow("r2") > allowedInWindow(2.9));
 }
