--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -210,6 +210,18 @@
     CHECK(store.recorder.hostReports.at("host-3").isEmpty());
 }
 
+TEST_CASE("store feed: invalid claims to rate limits are skipped")
+{
+    scripted_store store;
+    store.lists["crash-reports"] = listOf(object("host-2", R"({"limits":[{"replica":"n1","per_second":3,"age_ms":5},
+        {"replica":"n2","per_second":-3,"age_ms":5},{"replica":"n3","per_second":"3","age_ms":5},
+        {"replica":"n4","per_second":3,"age_ms":-5},{"per_second":3,"age_ms":5},7]})"));
+    store.feed.start(store.recorder);
+    REQUIRE(store.runUntil([&] { return !store.recorder.hostReports.empty(); }));
+    const std::vector<limit_claim> expected{{"n1", 0, 3, 5ms, 0}};
+    CHECK(store.recorder.hostReports.at("host-2").limits == expected);
+}
+
 TEST_CASE("store feed: a host creates, replaces and removes its report, and a stale write fails")
 {
     test_loop loop;
@@ -219,7 +231,8 @@
     feed.start(recorder);
     const host_report first{{{0x2a, {1}, false}}, {}};
     const host_report second{{{0x2a, {1, 2}, false}, {0x2b, {}, true}, {0x2c, {3, 4}, false, true, {4}, {9}}},
-                             {{"s", "v2", 7, -1.25, 9, 1, {"n1", "n2"}, {"n2"}}}};
+                             {{"s", "v2", 7, -1.25, 9, 1, {"n1", "n2"}, {"n2"}}},
+                             {{"n1", 1'700'000'000'000, 2.9, 350ms, 12}, {"n2", 0, 0, 0ms, 12}}};
     REQUIRE(loop.runUntil([&] { return recorder.isReachable; }));
     for (const auto &report : {first, second}) {
         feed.writeHostReport(report);
