--- a/src/crash_detector_p.h
+++ b/src/crash_detector_p.h
@@ -14,6 +14,7 @@
     std::uint64_t crashId = 0; ///< see crash_registry::crashId()
     std::uint64_t fingerprint = 0; ///< of the request
     std::vector<std::uint64_t> parts; ///< shared prompt parts that may have ended the replica
+    std::vector<std::uint64_t> traits; ///< of the request, see crash_evidence_p.h
     bool isResponding = false; ///< the replica had begun to respond
     std::string requestId;
 };
--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -51,12 +51,6 @@
     return known && known->isPart;
 }
 
-std::optional<std::chrono::milliseconds> crash_registry::blockedFor(std::uint64_t trait, instant now) const
-{
-    const auto block = findBlock(std::span(&trait, 1), now);
-    return block ? std::optional(block->remaining) : std::nullopt;
-}
-
 bool crash_registry::tryConsumeTrial(std::uint64_t part, instant now)
 {
     const auto *known = m_evidence.find(part);
--- a/src/crash_registry_p.h
+++ b/src/crash_registry_p.h
@@ -56,10 +56,6 @@
     /// The hosts take turns, and a part is no longer tried once replicas have ended while they responded to it.
     [[nodiscard]] bool tryConsumeTrial(std::uint64_t part, instant now);
 
-    /// @returns the time until a request with just this trait may be sent to a replica again; nothing if it isn't
-    /// blocked.
-    [[nodiscard]] std::optional<std::chrono::milliseconds> blockedFor(std::uint64_t trait, instant now) const;
-
     /// @returns the traits that cause requests to be blocked.
     [[nodiscard]] std::set<std::uint64_t> blocked(instant now) const { return m_evidence.blocked(now); }
 
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -57,6 +57,8 @@
     m_deadline = m_request.readAt + wait;
     m_timer.start(remainingTime());
     m_fingerprint = fingerprintOf(m_request, m_account ? std::string_view(m_account->name) : std::string_view());
+    m_traits = m_metadata.sharedParts;
+    m_traits.push_back(m_fingerprint);
     chooseService();
     m_state.budget.recordRequest(m_service, m_request.readAt);
     if (!m_route->models.empty()) {
--- a/src/gateway_exchange_evidence.cpp
+++ b/src/gateway_exchange_evidence.cpp
@@ -77,6 +77,7 @@
     attempt.crashId = m_crashId;
     attempt.fingerprint = m_fingerprint;
     attempt.isResponding = http_status::isSuccess(m_response.status);
+    attempt.traits = m_traits;
     attempt.requestId = m_metadata.id;
     if (m_eventCount < kEventsForBegin)
         attempt.parts = m_metadata.sharedParts;
@@ -88,16 +89,9 @@
     m_state.crashes.recordBegun(m_metadata.sharedParts, suspendAwareNow());
 }
 
-std::vector<std::uint64_t> gateway_exchange::crashTraits() const
-{
-    auto traits = m_metadata.sharedParts;
-    traits.push_back(m_fingerprint);
-    return traits;
-}
-
 std::optional<crash_block> gateway_exchange::findBlock() const
 {
-    return m_state.crashes.findBlock(crashTraits(), suspendAwareNow());
+    return m_state.crashes.findBlock(m_traits, suspendAwareNow());
 }
 
 void gateway_exchange::releaseCrashReport()
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -121,8 +121,6 @@
     /// Records that a replica has survived the beginning of a response.
     void recordBegun();
     void releaseCrashReport();
-    /// @returns the traits by which crashes of replicas are attributed to requests.
-    [[nodiscard]] std::vector<std::uint64_t> crashTraits() const;
     /// @returns the trait for which the request is blocked; nothing if it may be sent to a replica.
     [[nodiscard]] std::optional<crash_block> findBlock() const;
     /// @param isGood whether the replica responded as it should; unset if the end says nothing about the replica.
@@ -150,6 +148,7 @@
     const gateway_route *m_route = nullptr; ///< in m_config
     const client_account *m_account = nullptr; ///< in m_config
     std::uint64_t m_fingerprint = 0; ///< identifies the request when the caller sends it again
+    std::vector<std::uint64_t> m_traits; ///< by which crashes of replicas are attributed, see crash_evidence_p.h
     std::string m_service;
     instant m_deadline{};
     std::size_t m_model = 0; ///< index into the models of the route
--- a/src/gateway_task_feed.cpp
+++ b/src/gateway_task_feed.cpp
@@ -128,8 +128,6 @@
 void gateway_task::recordCrash(const broken_attempt &attempt)
 {
     const auto now = suspendAwareNow();
-    auto traits = attempt.parts;
-    traits.push_back(attempt.fingerprint);
     const bool isNew = m_state.crashes.recordCrash(attempt.fingerprint, attempt.crashId, now);
     m_state.crashes.recordPartCrash(attempt.parts, attempt.crashId, attempt.isResponding, now);
     m_metrics.recordCrash(isNew);
@@ -140,7 +138,7 @@
                  {"counted", isNew},
                  {"crashes", m_state.crashes.crashes(attempt.fingerprint)},
                  {"prompt_parts", hexTexts(attempt.parts)},
-                 {"quarantined", m_state.crashes.findBlock(traits, now).has_value()}},
+                 {"quarantined", m_state.crashes.findBlock(attempt.traits, now).has_value()}},
                 log_subject::request);
 }
 
--- a/tests/failure_crashing_requests.cpp
+++ b/tests/failure_crashing_requests.cpp
@@ -67,13 +67,7 @@
         return spec.is_object() ? spec["reports"][0]["crashes"].size() : 0;
     }
 
-    [[nodiscard]] std::size_t crashes() const
-    {
-        std::size_t sum = 0;
-        for (const auto &replica : replicas)
-            sum += replica->crashCount;
-        return sum;
-    }
+    [[nodiscard]] std::size_t crashes() const { return crashesOf(replicas); }
 
     std::vector<std::unique_ptr<scripted_replica>> replicas;
     std::vector<std::uint16_t> ports;
@@ -167,10 +161,7 @@
     REQUIRE(hosts.startReady());
     const std::array ports{hosts.callerPort, hosts.addHost("host-2")};
     const auto crashes = [&replicas] {
-        std::size_t sum = 0;
-        for (const auto &replica : replicas)
-            sum += replica->crashCount;
-        return sum;
+        return crashesOf(replicas);
     };
     std::map<const scripted_replica *, instant> downSince;
     std::size_t sent = 0;
--- a/tests/gateway_harness.cpp
+++ b/tests/gateway_harness.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <numeric>
 
 namespace foxtaildyke
 {
@@ -216,6 +217,12 @@
     return entry;
 }
 
+std::size_t crashesOf(const std::vector<std::unique_ptr<scripted_replica>> &replicas)
+{
+    return std::accumulate(replicas.begin(), replicas.end(), std::size_t{0},
+                           [](std::size_t sum, const auto &replica) { return sum + replica->crashCount; });
+}
+
 scripted_caller::scripted_caller(event_loop &loop, std::uint16_t port)
     : m_socket(std::make_unique<stream_socket>(loop, http_endpoint{kLoopback, port},
                                                stream_socket::handlers{.onConnected = {},
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -81,6 +81,9 @@
     std::vector<std::unique_ptr<connection>> m_connections;
 };
 
+/// @returns how often the replicas have crashed, in all.
+[[nodiscard]] std::size_t crashesOf(const std::vector<std::unique_ptr<scripted_replica>> &replicas);
+
 /// A response as received by a caller.
 struct received_response {
     message_head head;
--- a/tests/test_crash_registry.cpp
+++ b/tests/test_crash_registry.cpp
@@ -16,6 +16,13 @@
 /// Time within which the hosts must agree.
 constexpr auto kAgreementTime = 3s;
 
+/// @returns the time until a request with just this trait may be sent to a replica again; nothing if it isn't blocked.
+std::optional<std::chrono::milliseconds> blockedFor(const crash_registry &registry, std::uint64_t trait, instant now)
+{
+    const auto block = registry.findBlock(std::span(&trait, 1), now);
+    return block ? std::optional(block->remaining) : std::nullopt;
+}
+
 } // namespace
 
 TEST_CASE("crash registry: a request is blocked at its third crash, until the reports expire")
@@ -24,12 +31,12 @@
     CHECK(registry.recordCrash(kRequest, 1, 1s));
     CHECK_FALSE(registry.recordCrash(kRequest, 1, 2s)); // several attempts may run when a replica ends
     CHECK(registry.recordCrash(kRequest, 2, 3s));
-    CHECK_FALSE(registry.blockedFor(kRequest, 3s));
+    CHECK_FALSE(blockedFor(registry, kRequest, 3s));
     CHECK(registry.recordCrash(kRequest, 3, 10s));
-    CHECK(registry.blockedFor(kRequest, 10s) == crash_registry::kLifetime);
-    CHECK(registry.blockedFor(kRequest, 609s) == 1s);
-    CHECK_FALSE(registry.blockedFor(kRequest, 610s));
-    CHECK_FALSE(registry.blockedFor(kRequest + 1, 10s));
+    CHECK(blockedFor(registry, kRequest, 10s) == crash_registry::kLifetime);
+    CHECK(blockedFor(registry, kRequest, 609s) == 1s);
+    CHECK_FALSE(blockedFor(registry, kRequest, 610s));
+    CHECK_FALSE(blockedFor(registry, kRequest + 1, 10s));
 }
 
 TEST_CASE("crash registry: a replica that restarts under its id can crash again, and hosts agree on the crash")
@@ -50,7 +57,7 @@
     registry.recordResponse(kRequest, 1s);
     for (std::uint64_t crash = 0; crash < 5; ++crash)
         CHECK_FALSE(registry.recordCrash(kRequest, crash, 2s));
-    CHECK_FALSE(registry.blockedFor(kRequest, 2s));
+    CHECK_FALSE(blockedFor(registry, kRequest, 2s));
     registry.recordCrash(kRequest + 1, 1, 3s);
     registry.recordResponse(kRequest + 1, 4s); // answered by another replica
     CHECK(registry.crashes(kRequest + 1) == 0);
@@ -124,7 +131,7 @@
     CHECK(fleet.blocking({kRequest}) == 0);
     crash_registry later("host-9");
     later.setStoredReports(fleet.stored, fleet.now);
-    CHECK_FALSE(later.blockedFor(kRequest, fleet.now));
+    CHECK_FALSE(blockedFor(later, kRequest, fleet.now));
 }
 
 TEST_CASE("crash registry: a restarted host adopts its stored reports before it stores new ones")
@@ -166,7 +173,7 @@
     const auto atEnd = storedAt + crash_registry::kLifetime;
     remaining.expire(atEnd);
     remaining.setStoredReports(fleet.stored, atEnd); // delivering them again must not renew them
-    CHECK_FALSE(remaining.blockedFor(kRequest, atEnd));
+    CHECK_FALSE(blockedFor(remaining, kRequest, atEnd));
     CHECK(remaining.abandonedHosts(atEnd).empty());
     CHECK(remaining.abandonedHosts(storedAt + 2 * crash_registry::kLifetime) == std::vector<std::string>{"host-0"});
 }
@@ -183,7 +190,7 @@
     const auto reports = registry.takeUnpublished(10s);
     REQUIRE(reports);
     CHECK(reports->size() == crash_registry::kMaxReports);
-    CHECK(registry.blockedFor(kBlocked, 10s));
+    CHECK(blockedFor(registry, kBlocked, 10s));
     CHECK(registry.crashes(0) == 0);
     CHECK(registry.crashes(2 * crash_registry::kMaxReports - 1) == 1);
 }
@@ -224,6 +231,6 @@
         fleet.advance(30s);
         for (const auto &host : fleet.hosts)
             for (std::uint64_t request = 0; request < 8; ++request)
-                CHECK(host.blockedFor(request, fleet.now).has_value() == (request % 2 == 0));
+                CHECK(blockedFor(host, request, fleet.now).has_value() == (request % 2 == 0));
     }
 }
--- a/tests/test_crashing_requests.cpp
+++ b/tests/test_crashing_requests.cpp
@@ -64,13 +64,7 @@
         return caller.responses.empty() ? received_response{} : caller.responses[0];
     }
 
-    [[nodiscard]] std::size_t crashes() const
-    {
-        std::size_t sum = 0;
-        for (const auto &replica : replicas)
-            sum += replica->crashCount;
-        return sum;
-    }
+    [[nodiscard]] std::size_t crashes() const { return crashesOf(replicas); }
 
     /// @returns the replica that holds a request without responding, or null.
     [[nodiscard]] scripted_replica *hungReplica() const
--- a/tests/test_deadly_prompts.cpp
+++ b/tests/test_deadly_prompts.cpp
@@ -53,13 +53,7 @@
         return caller.responses.empty() ? 0 : caller.responses[0].head.status;
     }
 
-    [[nodiscard]] std::size_t crashes() const
-    {
-        std::size_t sum = 0;
-        for (const auto &replica : replicas)
-            sum += replica->crashCount;
-        return sum;
-    }
+    [[nodiscard]] std::size_t crashes() const { return crashesOf(replicas); }
 
     std::vector<std::unique_ptr<scripted_replica>> replicas;
 
