Rate limits: hosts that share a limit announce its end

A host without a share kept a limit that had ended, since nothing told it so: in virtual time, 40 s after six hosts had got requests again for a replica that no longer named its limit of 0, two of them still sent nothing (36.8 requests a second of 100). Change: a host with a share that is told of no limit any more states so in its report for 10 s, and newer statements go before older ones; a host that gets a share begins at a random moment within its interval.

--- a/src/limit_claims.cpp
+++ b/src/limit_claims.cpp
@@ -48,7 +48,8 @@
     if (claims == m_claims.end())
         return found;
     for (const auto &entry : claims->second)
-        if (entry.second.claim.startedAtMs == replica.startedAtMs && isLive(entry.second, now))
+        if (entry.second.claim.startedAtMs == replica.startedAtMs && !entry.second.claim.hasEnded
+            && isLive(entry.second, now))
             found.push_back(&entry);
     return found;
 }
@@ -80,13 +81,26 @@
     return newest;
 }
 
+std::optional<instant> limit_claims::endedAt(const replica_run &replica) const
+{
+    std::optional<instant> latest;
+    const auto claims = m_claims.find(replica.id);
+    if (claims == m_claims.end())
+        return latest;
+    for (const auto &[host, stored] : claims->second)
+        if (stored.claim.hasEnded && stored.claim.startedAtMs == replica.startedAtMs && host != m_host)
+            latest = std::max(stored.namedAt, latest.value_or(stored.namedAt));
+    return latest;
+}
+
 const limit_claim *limit_claims::own(const replica_run &replica) const
 {
     const auto claims = m_claims.find(replica.id);
     if (claims == m_claims.end())
         return nullptr;
     const auto found = claims->second.find(m_host);
-    const bool isStored = found != claims->second.end() && found->second.claim.startedAtMs == replica.startedAtMs;
+    const bool isStored = found != claims->second.end() && !found->second.claim.hasEnded
+        && found->second.claim.startedAtMs == replica.startedAtMs;
     return isStored ? &found->second.claim : nullptr;
 }
 
--- a/src/limit_claims_p.h
+++ b/src/limit_claims_p.h
@@ -41,6 +41,9 @@
     /// @returns the limit that another host has been named most recently, or nothing if there is no live claim.
     [[nodiscard]] std::optional<known_limit> newest(const replica_run &replica, instant now) const;
 
+    /// @returns when a replica has last ended its limit, as another host states; nothing if none does.
+    [[nodiscard]] std::optional<instant> endedAt(const replica_run &replica) const;
+
     /// @returns this host's stored claim, or null.
     [[nodiscard]] const limit_claim *own(const replica_run &replica) const;
 
@@ -57,7 +60,7 @@
     struct stored_claim {
         limit_claim claim;
         instant seenAt{}; ///< when this host first saw the claim in this form
-        instant namedAt{}; ///< estimate by this host's clock; no earlier than the actual instant
+        instant namedAt{}; ///< or ended; estimate by this host's clock, no earlier than the actual instant
     };
     using claims_by_host = std::map<std::string, stored_claim>;
 
--- a/src/replica_limits.cpp
+++ b/src/replica_limits.cpp
@@ -68,9 +68,12 @@
 std::optional<known_limit> replica_limits::limitOf(const std::string &replica, const limited_replica &limited,
                                                    instant now) const
 {
-    const auto claimed = m_claims.newest(runOf(replica), now);
-    const auto knownSince = limited.named ? limited.named->namedAt : limited.liftedAt;
-    return claimed && claimed->namedAt > knownSince ? claimed : limited.named;
+    const auto run = runOf(replica);
+    auto limit = limited.named;
+    if (const auto claimed = m_claims.newest(run, now); claimed && (!limit || claimed->namedAt > limit->namedAt))
+        limit = claimed;
+    const auto ended = std::max(limited.endedAt, m_claims.endedAt(run).value_or(instant::min()));
+    return limit && limit->namedAt > ended ? limit : std::nullopt;
 }
 
 std::size_t replica_limits::maxSharers(double perSecond)
@@ -120,6 +123,9 @@
     limited.perSecond = limit->perSecond;
     const auto claimed = claimedShare(replica, limited, now);
     const auto share = claimed.value_or((isLargeFleet() ? kUnclaimedPart : 1.0) / static_cast<double>(m_hosts));
+    // Random moments of the first request keep the hosts from sending at the same time.
+    if (claimed && !limited.isShareClaimed)
+        limited.tokens = std::max(limited.tokens, std::uniform_real_distribution<double>(0, 1)(m_random));
     limited.isShareClaimed = claimed.has_value();
     limited.hasChangedShare = limited.hasChangedShare || share != limited.share;
     limited.share = share;
@@ -142,8 +148,12 @@
         if (update(replica, limited, now))
             continue;
         withdraw(limited, now);
-        // As long as another host has a claim, liftedAt says whether that is older.
-        if (m_claims.others(runOf(replica), now) == 0)
+        if (limited.isEndAnnounced && now - limited.endedAt >= kEndAnnouncement) {
+            limited.isEndAnnounced = false;
+            schedulePublish(kWithdrawDelay, now);
+        }
+        // As long as another host has a claim, endedAt says whether that is older.
+        if (!limited.isEndAnnounced && m_claims.others(runOf(replica), now) == 0)
             unlimited.insert(replica);
     }
     std::erase_if(m_limited, [&](const auto &entry) { return unlimited.contains(entry.first); });
@@ -163,8 +173,10 @@
         if (!limit || sentAt <= limit->namedAt)
             return false;
         known->second.named.reset();
-        known->second.liftedAt = now;
+        known->second.endedAt = now;
+        known->second.isEndAnnounced = known->second.isClaimed;
         withdraw(known->second, now);
+        schedulePublish(std::chrono::milliseconds{0}, now);
         return true;
     }
     if (known == m_limited.end()) {
@@ -293,6 +305,11 @@
         // Other hosts may have claimed the limit since this one decided to.
         const bool isFull = m_claims.others(run, now) >= maxSharers(limited.perSecond);
         limited.isClaimed = limited.isClaimed && limit && (limited.visibleSince || !isFull);
+        limited.isEndAnnounced = limited.isEndAnnounced && !limit;
+        if (limited.isEndAnnounced)
+            claims.push_back({replica, run.startedAtMs, limited.perSecond,
+                              std::chrono::duration_cast<std::chrono::milliseconds>(now - limited.endedAt), m_serial,
+                              true});
         if (limited.isClaimed)
             claims.push_back({replica, run.startedAtMs, limit->perSecond,
                               std::chrono::duration_cast<std::chrono::milliseconds>(now - limit->namedAt), m_serial});
--- a/src/replica_limits_p.h
+++ b/src/replica_limits_p.h
@@ -99,6 +99,9 @@
     static_assert(kRenewInterval * 1.2 < kLease && kLease < limit_claims::kLifetime);
     /// Minimum time between two writes of this host's claims.
     static constexpr std::chrono::milliseconds kPublishInterval{1000};
+    /// Time for which a host states in the store that a limit has ended, so that those that don't send to the replica
+    /// learn of it.
+    static constexpr std::chrono::seconds kEndAnnouncement{10};
     /// Delay of a write that only withdraws claims.
     static constexpr std::chrono::milliseconds kWithdrawDelay{2000};
     /// Change of a limit that is stored at once rather than with the next renewal.
@@ -116,12 +119,13 @@
         std::string service;
         std::int64_t startedAtMs = 0;
     };
-    /// Invariant: the replica is registered, and has named a limit to this host, or another host has a live claim.
+    /// Invariant: the replica is registered, and has named a limit to this host, another host has a live claim, or this
+    /// host announces that the limit has ended.
     struct limited_replica {
         std::optional<known_limit>
-            named; ///< to this host; unset: it learned of the limit from others, or it was lifted
-        instant liftedAt =
-            instant::min(); ///< when the replica stated no limit any more; claims that are older don't count
+            named; ///< to this host; unset: it learned of the limit from others, or the limit has ended
+        instant endedAt = instant::min(); ///< when the replica named no limit any more; older claims don't count
+        bool isEndAnnounced = false; ///< this host states in the store that the limit has ended
         bool isClaimed = false; ///< this host has or wants a claim
         std::optional<instant> visibleSince; ///< this host's claim is in the store
         instant demandAt{}; ///< last call of hasRoom()
--- a/tests/test_replica_limits.cpp
+++ b/tests/test_replica_limits.cpp
@@ -51,7 +51,7 @@
     void addHost()
     {
         const auto name = "host-" + std::to_string(m_hosts.size());
-        m_hosts.push_back(std::make_unique<host>(name, m_random()));
+        m_hosts.push_back(std::make_unique<host>(name));
         restart(m_hosts.size() - 1);
     }
 
@@ -80,6 +80,18 @@
         }
     }
 
+    void takeStoreCopy() { m_storeCopy = m_stored; }
+
+    /// The store comes back from its copy; the hosts notice and read it again.
+    void rewindStore()
+    {
+        m_stored = m_storeCopy;
+        for (const auto &each : m_hosts) {
+            each->limits->recordPublishFailure();
+            each->limits->setReports(m_stored, now);
+        }
+    }
+
     void run(milliseconds time)
     {
         for (const instant end = now + time; now < end; now += kStep) {
@@ -110,7 +122,7 @@
     }
 
     struct host {
-        host(std::string hostName, std::uint64_t)
+        explicit host(std::string hostName)
             : name(std::move(hostName))
         {
         }
@@ -189,7 +201,6 @@
             m_stored[each.name] = each.write->second;
             each.write.reset();
             ++writes;
-            ++m_revision;
         }
         if (now < each.readAt)
             return;
@@ -203,7 +214,7 @@
     std::mt19937_64 m_random;
     std::vector<std::unique_ptr<host>> m_hosts;
     host_reports m_stored;
-    std::uint64_t m_revision = 0;
+    host_reports m_storeCopy;
     std::int64_t m_startedAtMs = 1;
 };
 
@@ -230,7 +241,8 @@
         }
 }
 
-TEST_CASE("rate limit: hosts that restart, come, lose the store, freeze or have no requests keep a limit together")
+TEST_CASE("rate limit: hosts that restart, come, freeze, lose the store or its newest content, or have no requests "
+          "keep a limit together")
 {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
         CAPTURE(seed);
@@ -248,7 +260,7 @@
         simulation.limit = perSecond;
         for (int event = 0; event < 25; ++event) {
             auto &target = simulation.at(draw(plan.hosts));
-            switch (draw(6)) {
+            switch (draw(8)) {
             case 0:
                 simulation.restart(draw(plan.hosts));
                 break;
@@ -265,6 +277,12 @@
                 if (event == 10)
                     simulation.addHost();
                 break;
+            case 5:
+                simulation.takeStoreCopy();
+                break;
+            case 6:
+                simulation.rewindStore();
+                break;
             default:
                 break;
             }
@@ -295,28 +313,31 @@
 
 TEST_CASE("rate limit: a limit that rises, falls or ends holds on all hosts, also without requests in between")
 {
-    limit_simulation simulation({.hosts = 6, .requestsPerSecond = 100});
-    simulation.limit = 20;
-    simulation.run(seconds{20});
-    simulation.limit = 2;
-    simulation.run(seconds{4});
-    simulation.arrivals.clear();
-    simulation.run(seconds{20});
-    CHECK(simulation.worst(2) <= 1);
-    simulation.limit = 10;
-    simulation.run(seconds{20});
-    CHECK(simulation.rateInLast(seconds{8}) >= 8);
-    simulation.limit = 0;
-    simulation.run(seconds{20});
-    for (std::size_t index = 0; index < 6; ++index)
-        simulation.at(index).hasDemand = false;
-    simulation.limit.reset();
-    simulation.run(seconds{90});
-    for (std::size_t index = 0; index < 6; ++index)
-        simulation.at(index).hasDemand = true;
-    simulation.run(seconds{40});
-    CHECK(simulation.rateInLast(seconds{5}) >= 80);
-    CHECK(simulation.at(0).limits->count(simulation.now) == 0);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        limit_simulation simulation({.hosts = 6, .requestsPerSecond = 100, .seed = seed});
+        simulation.limit = 20;
+        simulation.run(seconds{20});
+        simulation.limit = 2;
+        simulation.run(seconds{4});
+        simulation.arrivals.clear();
+        simulation.run(seconds{20});
+        CHECK(simulation.worst(2) <= 1);
+        simulation.limit = 10;
+        simulation.run(seconds{20});
+        CHECK(simulation.rateInLast(seconds{8}) >= 8);
+        simulation.limit = 0;
+        simulation.run(seconds{20});
+        for (std::size_t index = 0; index < 6; ++index)
+            simulation.at(index).hasDemand = false;
+        simulation.limit.reset();
+        simulation.run(seconds{90});
+        for (std::size_t index = 0; index < 6; ++index)
+            simulation.at(index).hasDemand = true;
+        simulation.run(seconds{40});
+        CHECK(simulation.rateInLast(seconds{5}) >= 80);
+        CHECK(simulation.at(0).limits->count(simulation.now) == 0);
+    }
 }
 
 TEST_CASE("rate limit: a replica that restarts under its id has no limit until it names one again")
