Tests: a host without the store gives its share up, and the end of a limit reaches hosts without a share

Mutants of replica_limits on scratch copies: without the lease and without the announcement no test failed before; with the two new tests each fails. Those that failed a test before: the whole limit for each host, hosts without a claim that go on, any number of sharers, a response to an earlier request that lifts a limit, no requests at a limit of 0.

--- a/tests/failure_replica_limits.cpp
+++ b/tests/failure_replica_limits.cpp
@@ -123,9 +123,9 @@
     fixture.load(seconds{3});
     fixture.store.setState(store_state::serving);
     fixture.load(seconds{6});
-    for (const auto &[id, perSecond] : limits) {
-        CAPTURE(id);
-        CHECK(fixture.mostInWindow(id) <= allowedInWindow(perSecond));
+    for (const auto &entry : limits) {
+        CAPTURE(entry.first);
+        CHECK(fixture.mostInWindow(entry.first) <= allowedInWindow(entry.second));
     }
     CHECK(fixture.inLastWindow("r1") >= 6); // half of what the replica accepts
     CHECK(fixture.inLastWindow("r2") >= 5);
--- a/tests/test_replica_limits.cpp
+++ b/tests/test_replica_limits.cpp
@@ -340,6 +340,53 @@
     }
 }
 
+TEST_CASE("rate limit: a host that stays without the store stops using its share before the others take it over")
+{
+    limit_simulation simulation({.hosts = 6, .requestsPerSecond = 600});
+    for (std::size_t index = 1; index < 6; ++index)
+        simulation.at(index).hasDemand = false;
+    simulation.limit = 10;
+    simulation.run(seconds{10});
+    CHECK(simulation.rateInLast(seconds{5}) >= 8); // of the only host that sends
+    simulation.at(0).isCutOff = true;
+    simulation.run(replica_limits::kLease);
+    for (std::size_t index = 1; index < 6; ++index)
+        simulation.at(index).hasDemand = true;
+    simulation.run(seconds{5});
+    simulation.arrivals.clear();
+    simulation.run(seconds{40});
+    CHECK(simulation.worst(10) <= 1);
+    CHECK(simulation.rateInLast(seconds{20}) >= 8);
+}
+
+TEST_CASE("rate limit: a host without a share learns from another one that the limit has ended")
+{
+    replica_entry entry;
+    entry.id = "r";
+    entry.service = "s";
+    replica_limits sharer("host-1", 1);
+    replica_limits other("host-2", 2);
+    for (auto *limits : {&sharer, &other}) {
+        limits->setReplicas({entry}, seconds{100});
+        limits->recordResponse("r", 0.0, seconds{100}, seconds{101});
+        static_cast<void>(limits->hasRoom("r", seconds{101})); // uses the first request
+        limits->recordSend("r", seconds{101});
+        REQUIRE_FALSE(limits->hasRoom("r", seconds{101}));
+    }
+    host_reports stored;
+    stored["host-1"].limits = sharer.publish(seconds{102});
+    other.setReports(stored, seconds{102});
+    CHECK_FALSE(other.hasRoom("r", seconds{103}));
+    REQUIRE(sharer.recordResponse("r", std::nullopt, seconds{103}, seconds{104}));
+    stored["host-1"].limits = sharer.publish(seconds{105});
+    other.setReports(stored, seconds{105});
+    CHECK(other.hasRoom("r", seconds{105}));
+    // Named again, the limit counts again.
+    other.recordResponse("r", 0.0, seconds{105}, seconds{106});
+    other.recordSend("r", seconds{106});
+    CHECK_FALSE(other.hasRoom("r", seconds{107}));
+}
+
 TEST_CASE("rate limit: a replica that restarts under its id has no limit until it names one again")
 {
     limit_simulation simulation({.hosts = 3, .requestsPerSecond = 100});
