--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -100,7 +100,7 @@
     /// @returns whether the events received are a whole stream, provided that its framing is complete.
     [[nodiscard]] bool isWholeStream();
     [[nodiscard]] attempt_result classify(upstream_end end);
-    /// Records the rate limit that the response's head names, or that it names none.
+    /// Records the rate limit that the response's head advertises, or that it advertises none.
     void recordRateLimit(const message_head &head);
     void logInvalidRateLimit(std::string_view text) const;
     void recordAttempt(attempt_result result);
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -81,12 +81,15 @@
     if (head.status == http_status::kMisdirectedRequest)
         return; // another replica at the address
     const auto text = head.header(m_state.headerNames.rateLimit);
-    const auto perSecond = parseDecimal(trimmed(text));
-    const bool isValid = perSecond && *perSecond >= 0;
-    // A response without a stamp may be that of something other than the replica, and doesn't lift a limit.
-    if (!isValid && (!text.empty() || head.header(m_state.headerNames.stamp).empty()))
-        return logInvalidRateLimit(text);
-    const auto before = m_state.limits.namedLimit(m_replica);
+    std::optional<double> perSecond;
+    if (!text.empty()) {
+        perSecond = parseDecimal(trimmed(text));
+        if (!perSecond || *perSecond < 0)
+            return logInvalidRateLimit(text);
+    } else if (head.header(m_state.headerNames.stamp).empty()) {
+        return; // may be the response of something other than the replica
+    }
+    const auto before = m_state.limits.advertisedLimit(m_replica);
     if (!m_state.limits.recordResponse(m_replica, perSecond, m_sentAt, *m_firstByteAt))
         return;
     nlohmann::ordered_json fields{{"upstream", m_replica}};
@@ -94,17 +97,16 @@
         fields["per_second"] = *perSecond;
     if (before)
         fields["before"] = *before;
-    m_state.log.write(perSecond ? "replica_limit_named" : "replica_limit_lifted", fields);
+    m_state.log.write(perSecond ? "replica_limit_advertised" : "replica_limit_ended", fields);
 }
 
 void gateway_exchange::logInvalidRateLimit(std::string_view text) const
 {
     constexpr std::size_t kMaxLoggedBytes = 32;
-    if (!text.empty())
-        m_state.log.write(
-            "replica_limit_invalid",
-            {{"request_id", m_metadata.id}, {"upstream", m_replica}, {"text", text.substr(0, kMaxLoggedBytes)}},
-            log_subject::request);
+    m_state.log.write(
+        "replica_limit_invalid",
+        {{"request_id", m_metadata.id}, {"upstream", m_replica}, {"text", text.substr(0, kMaxLoggedBytes)}},
+        log_subject::request);
 }
 
 std::optional<std::size_t> gateway_exchange::escalation(const message_head &head)
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -69,7 +69,7 @@
     Gauge &quarantined = gauge(registry, "foxtaildyke_gateway_quarantined_requests",
                                "Requests that are refused because they have crashed several replicas");
     Gauge &limitedReplicas =
-        gauge(registry, "foxtaildyke_gateway_limited_replicas", "Replicas that have named a rate limit");
+        gauge(registry, "foxtaildyke_gateway_limited_replicas", "Replicas that advertise a rate limit");
     Gauge &replicas = gauge(registry, "foxtaildyke_gateway_replicas", "Registered replicas");
 };
 
--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -143,15 +143,16 @@
     bool operator==(const rollout_report &) const = default;
 };
 
-/// Claim of one host to a share of the rate limit that a replica has named, or its statement that the limit has ended;
+/// Claim of one host to a share of the rate limit that a replica advertises, or its statement that the limit has ended;
 /// see limit_claims.
 struct limit_claim {
     std::string replica; ///< id
     std::int64_t startedAtMs = 0; ///< of the replica, as in replica_entry
     double perSecond = 0; ///< the limit, for all hosts together
-    std::chrono::milliseconds age{}; ///< at the time of writing, since the replica last named the limit, or ended it
+    std::chrono::milliseconds
+        age{}; ///< at the time of writing, since the replica last advertised the limit, or ended it
     std::uint64_t serial = 0; ///< rises with each write, so that a renewal shows
-    bool hasEnded = false; ///< the replica no longer names the limit
+    bool hasEnded = false; ///< the replica no longer advertises the limit
     bool operator==(const limit_claim &) const = default;
 };
 
--- a/src/limit_claims.cpp
+++ b/src/limit_claims.cpp
@@ -74,9 +74,9 @@
 {
     std::optional<known_limit> newest;
     for (const auto *entry : live(replica, now)) {
-        const auto &[claim, seenAt, namedAt] = entry->second;
-        if (entry->first != m_host && (!newest || namedAt > newest->namedAt))
-            newest = known_limit{claim.perSecond, namedAt};
+        const auto &[claim, seenAt, advertisedAt] = entry->second;
+        if (entry->first != m_host && (!newest || advertisedAt > newest->advertisedAt))
+            newest = known_limit{claim.perSecond, advertisedAt};
     }
     return newest;
 }
@@ -89,7 +89,7 @@
         return latest;
     for (const auto &[host, stored] : claims->second)
         if (stored.claim.hasEnded && stored.claim.startedAtMs == replica.startedAtMs && host != m_host)
-            latest = std::max(stored.namedAt, latest.value_or(stored.namedAt));
+            latest = std::max(stored.advertisedAt, latest.value_or(stored.advertisedAt));
     return latest;
 }
 
--- a/src/limit_claims_p.h
+++ b/src/limit_claims_p.h
@@ -14,10 +14,10 @@
     std::int64_t startedAtMs = 0; ///< as in replica_entry
 };
 
-/// A limit as a replica has named it.
+/// A limit as a replica has advertised it.
 struct known_limit {
     double perSecond = 0; ///< for all hosts together
-    instant namedAt{}; ///< when the replica last named it, by this host's clock
+    instant advertisedAt{}; ///< when the replica last advertised it, by this host's clock
 };
 
 class limit_claims
@@ -38,7 +38,7 @@
     /// @returns the number of other hosts with a live claim.
     [[nodiscard]] std::size_t others(const replica_run &replica, instant now) const;
 
-    /// @returns the limit that another host has been named most recently, or nothing if there is no live claim.
+    /// @returns the limit that another host has been advertised most recently, or nothing if there is no live claim.
     [[nodiscard]] std::optional<known_limit> newest(const replica_run &replica, instant now) const;
 
     /// @returns when a replica has last ended its limit, as another host states; nothing if none does.
@@ -60,7 +60,7 @@
     struct stored_claim {
         limit_claim claim;
         instant seenAt{}; ///< when this host first saw the claim in this form
-        instant namedAt{}; ///< or ended; estimate by this host's clock, no earlier than the actual instant
+        instant advertisedAt{}; ///< or ended; estimate by this host's clock, no earlier than the actual instant
     };
     using claims_by_host = std::map<std::string, stored_claim>;
 
--- a/src/replica_limits.cpp
+++ b/src/replica_limits.cpp
@@ -1,4 +1,4 @@
-// Rate limits named by replicas; see replica_limits_p.h.
+// Rate limits advertised by replicas; see replica_limits_p.h.
 #include "replica_limits_p.h"
 
 #include <cmath>
@@ -69,16 +69,17 @@
                                                    instant now) const
 {
     const auto run = runOf(replica);
-    auto limit = limited.named;
-    if (const auto claimed = m_claims.newest(run, now); claimed && (!limit || claimed->namedAt > limit->namedAt))
+    auto limit = limited.advertised;
+    if (const auto claimed = m_claims.newest(run, now);
+        claimed && (!limit || claimed->advertisedAt > limit->advertisedAt))
         limit = claimed;
     const auto ended = std::max(limited.endedAt, m_claims.endedAt(run).value_or(instant::min()));
-    return limit && limit->namedAt > ended ? limit : std::nullopt;
+    return limit && limit->advertisedAt > ended ? limit : std::nullopt;
 }
 
 std::size_t replica_limits::maxSharers(double perSecond)
 {
-    return static_cast<std::size_t>(perSecond) + kExtraSharers;
+    return static_cast<std::size_t>(std::min(perSecond, kMaxPerSecond)) + kExtraSharers;
 }
 
 double replica_limits::rateOf(const limited_replica &limited)
@@ -169,10 +170,10 @@
     auto known = m_limited.find(replica);
     if (!perSecond) {
         const auto limit = known == m_limited.end() ? std::nullopt : limitOf(replica, known->second, now);
-        // Responses may overtake each other; one to an earlier request doesn't lift a limit named since.
-        if (!limit || sentAt <= limit->namedAt)
+        // Responses may overtake each other; one to an earlier request doesn't lift a limit advertised since.
+        if (!limit || sentAt <= limit->advertisedAt)
             return false;
-        known->second.named.reset();
+        known->second.advertised.reset();
         known->second.endedAt = now;
         known->second.isEndAnnounced = known->second.isClaimed;
         withdraw(known->second, now);
@@ -185,7 +186,7 @@
         known = m_limited.emplace(replica, limited_replica{.tokens = tokens, .refilledAt = now}).first;
     }
     auto &limited = known->second;
-    const auto before = std::exchange(limited.named, known_limit{*perSecond, now});
+    const auto before = std::exchange(limited.advertised, known_limit{*perSecond, now});
     const auto [low, high] = std::minmax(limited.perSecond, *perSecond);
     if (limited.isClaimed && high > kMaxUnpublishedChange * low)
         schedulePublish(std::chrono::milliseconds{0}, now);
@@ -199,11 +200,11 @@
         m_limited, [&](const auto &entry) { return limitOf(entry.first, entry.second, now).has_value(); }));
 }
 
-std::optional<double> replica_limits::namedLimit(const std::string &replica) const
+std::optional<double> replica_limits::advertisedLimit(const std::string &replica) const
 {
     const auto known = m_limited.find(replica);
-    return known != m_limited.end() && known->second.named ? std::optional(known->second.named->perSecond)
-                                                           : std::nullopt;
+    return known != m_limited.end() && known->second.advertised ? std::optional(known->second.advertised->perSecond)
+                                                                : std::nullopt;
 }
 
 bool replica_limits::hasRoom(const std::string &replica, instant now)
@@ -312,7 +313,8 @@
                               true});
         if (limited.isClaimed)
             claims.push_back({replica, run.startedAtMs, limit->perSecond,
-                              std::chrono::duration_cast<std::chrono::milliseconds>(now - limit->namedAt), m_serial});
+                              std::chrono::duration_cast<std::chrono::milliseconds>(now - limit->advertisedAt),
+                              m_serial});
     }
     m_hasPublishedClaims = m_hasPublishedClaims || !claims.empty();
     return claims;
--- a/src/replica_limits_p.h
+++ b/src/replica_limits_p.h
@@ -1,4 +1,4 @@
-// Rate limits that replicas name in their responses: the requests per second that a replica accepts from all hosts
+// Rate limits that replicas advertise in their responses: the requests per second that a replica accepts from all hosts
 // together, for as long as it states so. Each host sends at its share of the limit, which it derives from the claims
 // of all hosts (limit_claims). No I/O, no clock.
 #pragma once
@@ -23,7 +23,7 @@
 public:
     replica_limits(const std::string &host, std::uint64_t seed);
 
-    /// Replaces the registered replicas. A replica that has restarted has no limit until it names one.
+    /// Replaces the registered replicas. A replica that has restarted has no limit until it advertises one.
     void setReplicas(const std::vector<replica_entry> &replicas, instant now);
 
     /// Sets the number of hosts, at least kAssumedHosts.
@@ -35,13 +35,13 @@
     void setReports(const host_reports &reports, instant now);
 
     /// Records what a response of a replica states.
-    /// @param perSecond the limit; unset: the replica names none.
+    /// @param perSecond the limit; unset: the replica advertises none.
     /// @param sentAt when the request was sent.
     /// @returns whether this changes what was known.
     bool recordResponse(const std::string &replica, std::optional<double> perSecond, instant sentAt, instant now);
 
-    /// @returns the limit that the replica has named to this host, or nothing.
-    [[nodiscard]] std::optional<double> namedLimit(const std::string &replica) const;
+    /// @returns the limit that the replica has advertised to this host, or nothing.
+    [[nodiscard]] std::optional<double> advertisedLimit(const std::string &replica) const;
 
     /// Called for each replica that a request could be sent to, which shows that this host has use for a share.
     /// @returns whether the replica's limit allows a request now.
@@ -83,7 +83,7 @@
     /// Limits above this one are never reached and are treated as none.
     static constexpr double kMaxPerSecond = 10'000;
     /// Requests per second, over all hosts, that a replica gets at least, so that a limit near 0 that it no longer
-    /// names is noticed.
+    /// advertises is noticed.
     static constexpr double kProbesPerSecond = 0.1;
     /// Requests that a host may send in a burst: at least one, or those of this time at its share.
     static constexpr std::chrono::milliseconds kBurstTime{250};
@@ -119,12 +119,12 @@
         std::string service;
         std::int64_t startedAtMs = 0;
     };
-    /// Invariant: the replica is registered, and has named a limit to this host, another host has a live claim, or this
-    /// host announces that the limit has ended.
+    /// Invariant: the replica is registered, and has advertised a limit to this host, another host has a live claim, or
+    /// this host announces that the limit has ended.
     struct limited_replica {
         std::optional<known_limit>
-            named; ///< to this host; unset: it learned of the limit from others, or the limit has ended
-        instant endedAt = instant::min(); ///< when the replica named no limit any more; older claims don't count
+            advertised; ///< to this host; unset: it learned of the limit from others, or the limit has ended
+        instant endedAt = instant::min(); ///< when the replica advertised no limit any more; older claims don't count
         bool isEndAnnounced = false; ///< this host states in the store that the limit has ended
         bool isClaimed = false; ///< this host has or wants a claim
         std::optional<instant> visibleSince; ///< this host's claim is in the store
--- a/tests/failure_replica_limits.cpp
+++ b/tests/failure_replica_limits.cpp
@@ -1,4 +1,4 @@
-// Rate limits named by replicas, kept by several gateway processes together.
+// Rate limits advertised by replicas, kept by several gateway processes together.
 #include "gateway_process.h"
 
 using namespace foxtaildyke;
@@ -9,8 +9,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// A replica with a limit gets at most allowedInWindow() requests in any kWindow, from kSettleTime after it first named
-/// the limit.
+/// A replica with a limit gets at most allowedInWindow() requests in any kWindow, from kSettleTime after it first
+/// advertised the limit.
 constexpr seconds kWindow{4};
 constexpr seconds kSettleTime{3};
 
@@ -93,7 +93,7 @@
 
 } // namespace
 
-TEST_CASE("rate limit: three hosts together keep the limit that a replica names")
+TEST_CASE("rate limit: three hosts together keep the limit that a replica advertises")
 {
     limited_hosts fixture;
     fixture.publish(1);
@@ -131,7 +131,7 @@
     CHECK(fixture.inLastWindow("r2") >= 5);
     CHECK(fixture.statuses[503] > 0);
     CHECK(fixture.refusedWithoutTime == 0);
-    // A lower limit holds as well, and one that is no longer named ends.
+    // A lower limit holds as well, and one that is no longer advertised ends.
     fixture.replicas.at("r1").limit = "1";
     fixture.load(seconds{4});
     CHECK(fixture.inLastWindow("r1") <= allowedInWindow(1));
--- a/tests/test_replica_limits.cpp
+++ b/tests/test_replica_limits.cpp
@@ -14,10 +14,10 @@
 
 constexpr milliseconds kStep{10};
 constexpr milliseconds kTick{250};
-/// From this time after a replica has first named its limit, the sum over the hosts must be within it.
+/// From this time after a replica has first advertised its limit, the sum over the hosts must be within it.
 constexpr seconds kGracePeriod{3};
 constexpr seconds kWindow{4};
-/// A host counts from this time on after a response has named the limit to it.
+/// A host counts from this time on after a response has advertised the limit to it.
 constexpr milliseconds kToldDelay{500};
 
 double allowedInWindow(double perSecond)
@@ -71,7 +71,7 @@
     void restartReplica()
     {
         ++m_startedAtMs;
-        firstNamedAt.reset();
+        firstAdvertisedAt.reset();
         arrivals.clear();
         for (const auto &each : m_hosts) {
             each->limits->setReplicas({entry()}, now);
@@ -106,7 +106,7 @@
     {
         std::size_t most = 0;
         for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-            if (!firstNamedAt || *first < *firstNamedAt + kGracePeriod)
+            if (!firstAdvertisedAt || *first < *firstAdvertisedAt + kGracePeriod)
                 continue;
             const auto last = std::find_if(first, arrivals.end(), [&](instant at) { return at >= *first + kWindow; });
             most = std::max(most, static_cast<std::size_t>(last - first));
@@ -141,8 +141,8 @@
     host &at(std::size_t index) { return *m_hosts.at(index); }
 
     instant now = std::chrono::hours{1};
-    std::optional<double> limit; ///< as the replica names it
-    std::optional<instant> firstNamedAt;
+    std::optional<double> limit; ///< as the replica advertises it
+    std::optional<instant> firstAdvertisedAt;
     std::deque<instant> arrivals; ///< of requests that count, see kToldDelay
     std::vector<instant> sent; ///< all requests
     std::size_t writes = 0;
@@ -166,8 +166,8 @@
             each.limits->recordResponse("r", limit, sentAt, now);
             if (limit && !each.toldAt)
                 each.toldAt = now;
-            if (limit && !firstNamedAt)
-                firstNamedAt = now;
+            if (limit && !firstAdvertisedAt)
+                firstAdvertisedAt = now;
             if (!limit)
                 each.toldAt.reset();
         }
@@ -387,7 +387,7 @@
     CHECK_FALSE(other.hasRoom("r", seconds{107}));
 }
 
-TEST_CASE("rate limit: a replica that restarts under its id has no limit until it names one again")
+TEST_CASE("rate limit: a replica that restarts under its id has no limit until it advertises one again")
 {
     limit_simulation simulation({.hosts = 3, .requestsPerSecond = 100});
     simulation.limit = 1;
@@ -398,7 +398,7 @@
     CHECK(simulation.rateInLast(seconds{1}) >= 70);
 }
 
-TEST_CASE("rate limit: a response to a request that was sent before the limit was named doesn't lift it")
+TEST_CASE("rate limit: a response to a request that was sent before the limit was advertised doesn't lift it")
 {
     replica_limits limits("host-1", 1);
     replica_entry entry;
@@ -407,9 +407,9 @@
     limits.setReplicas({entry}, seconds{100});
     CHECK(limits.recordResponse("r", 3.0, seconds{100}, seconds{101}));
     CHECK_FALSE(limits.recordResponse("r", std::nullopt, milliseconds{100'900}, seconds{102}));
-    CHECK(limits.namedLimit("r") == 3.0);
+    CHECK(limits.advertisedLimit("r") == 3.0);
     CHECK(limits.recordResponse("r", std::nullopt, seconds{102}, seconds{103}));
-    CHECK_FALSE(limits.namedLimit("r"));
+    CHECK_FALSE(limits.advertisedLimit("r"));
     CHECK(limits.recordResponse("r", 1e300, seconds{104}, seconds{105}) == false);
     CHECK(limits.hasRoom("r", seconds{105}));
 }
--- a/tests/test_replica_limits_path.cpp
+++ b/tests/test_replica_limits_path.cpp
@@ -1,4 +1,4 @@
-// Rate limits named by replicas, kept by a gateway between scripted callers and replicas.
+// Rate limits advertised by replicas, kept by a gateway between scripted callers and replicas.
 #include "gateway_harness.h"
 
 using namespace foxtaildyke;
@@ -6,7 +6,7 @@
 namespace
 {
 
-/// Requests that a replica with a limit may get in any kWindow, from kSettleTime after it first named the limit.
+/// Requests that a replica with a limit may get in any kWindow, from kSettleTime after it first advertised the limit.
 constexpr std::chrono::seconds kWindow{4};
 constexpr std::chrono::seconds kSettleTime{3};
 
@@ -25,8 +25,8 @@
         limits[id] = limit;
         auto respond = [this, id](const received_request &request) {
             arrivals[id].push_back(suspendAwareNow());
-            const auto &named = limits.at(id);
-            const auto header = named.empty() ? std::string() : "Server-Limit: " + named + "\r\n";
+            const auto &advertised = limits.at(id);
+            const auto header = advertised.empty() ? std::string() : "Server-Limit: " + advertised + "\r\n";
             return respondTo(request, header);
         };
         replicas.push_back(std::make_unique<scripted_replica>(loop, id, std::move(respond)));
@@ -111,7 +111,7 @@
 
 } // namespace
 
-TEST_CASE("rate limit: a replica that names a limit gets no more, and another replica gets the rest")
+TEST_CASE("rate limit: a replica that advertises a limit gets no more, and another replica gets the rest")
 {
     limited_fixture fixture;
     fixture.addReplica("limited", "3");
