--- a/tests/failure_replica_limits.cpp
+++ b/tests/failure_replica_limits.cpp
@@ -1,7 +1,9 @@
 // Rate limits advertised by replicas, kept by several gateway processes together.
 #include "gateway_process.h"
+#include "rate_limit_rule.h"
 
 using namespace foxtaildyke;
+using rate_limit_rule::allowedInWindow;
 
 namespace
 {
@@ -9,16 +11,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// A replica with a limit gets at most allowedInWindow() requests in any kWindow, from kSettleTime after it first
-/// advertised the limit.
-constexpr seconds kWindow{4};
-constexpr seconds kSettleTime{3};
-
-std::size_t allowedInWindow(double perSecond)
-{
-    return static_cast<std::size_t>(1.5 * perSecond * static_cast<double>(kWindow.count()) + 5);
-}
-
 /// Several hosts, and replicas that count what they get.
 struct limited_hosts : gateway_process {
     struct counted_replica {
@@ -64,20 +56,13 @@
     [[nodiscard]] std::size_t mostInWindow(const std::string &id) const
     {
         const auto &times = replicas.at(id).arrivals;
-        std::size_t most = 0;
-        for (auto first = times.begin(); first != times.end(); ++first) {
-            if (*first - times.front() < kSettleTime)
-                continue;
-            const auto last = std::find_if(first, times.end(), [&](instant at) { return at - *first >= kWindow; });
-            most = std::max(most, static_cast<std::size_t>(last - first));
-        }
-        return most;
+        return times.empty() ? 0 : rate_limit_rule::mostInWindow(times, times.front());
     }
 
-    /// @returns the number of requests that a replica got in the last kWindow.
+    /// @returns the number of requests that a replica got in the last window.
     [[nodiscard]] std::size_t inLastWindow(const std::string &id) const
     {
-        const auto since = suspendAwareNow() - kWindow;
+        const auto since = suspendAwareNow() - rate_limit_rule::kWindow;
         return static_cast<std::size_t>(
             std::ranges::count_if(replicas.at(id).arrivals, [since](instant at) { return at >= since; }));
     }
--- a/tests/test_replica_limits.cpp
+++ b/tests/test_replica_limits.cpp
@@ -1,4 +1,5 @@
 // Rate limits of replicas, shared between simulated hosts in virtual time.
+#include "rate_limit_rule.h"
 #include "replica_limits_p.h"
 
 #include <deque>
@@ -14,17 +15,9 @@
 
 constexpr milliseconds kStep{10};
 constexpr milliseconds kTick{250};
-/// From this time after a replica has first advertised its limit, the sum over the hosts must be within it.
-constexpr seconds kGracePeriod{3};
-constexpr seconds kWindow{4};
 /// A host counts from this time on after a response has advertised the limit to it.
 constexpr milliseconds kToldDelay{500};
 
-double allowedInWindow(double perSecond)
-{
-    return 1.5 * perSecond * static_cast<double>(kWindow.count()) + 5;
-}
-
 /// Conditions of a simulation.
 struct simulation_plan {
     std::size_t hosts = 6;
@@ -104,14 +97,10 @@
     /// @returns the highest number of counted requests in a window, in proportion to what is allowed.
     [[nodiscard]] double worst(double perSecond) const
     {
-        std::size_t most = 0;
-        for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-            if (!firstAdvertisedAt || *first < *firstAdvertisedAt + kGracePeriod)
-                continue;
-            const auto last = std::find_if(first, arrivals.end(), [&](instant at) { return at >= *first + kWindow; });
-            most = std::max(most, static_cast<std::size_t>(last - first));
-        }
-        return static_cast<double>(most) / allowedInWindow(perSecond);
+        if (!firstAdvertisedAt)
+            return 0;
+        const auto most = rate_limit_rule::mostInWindow(arrivals, *firstAdvertisedAt);
+        return static_cast<double>(most) / static_cast<double>(rate_limit_rule::allowedInWindow(perSecond));
     }
 
     /// @returns the requests per second that the replica got in the last time, from all hosts.
--- a/tests/test_replica_limits_path.cpp
+++ b/tests/test_replica_limits_path.cpp
@@ -1,20 +1,13 @@
 // Rate limits advertised by replicas, kept by a gateway between scripted callers and replicas.
 #include "gateway_harness.h"
+#include "rate_limit_rule.h"
 
 using namespace foxtaildyke;
+using rate_limit_rule::allowedInWindow;
 
 namespace
 {
 
-/// Requests that a replica with a limit may get in any kWindow, from kSettleTime after it first advertised the limit.
-constexpr std::chrono::seconds kWindow{4};
-constexpr std::chrono::seconds kSettleTime{3};
-
-std::size_t allowedInWindow(double perSecond)
-{
-    return static_cast<std::size_t>(1.5 * perSecond * static_cast<double>(kWindow.count()) + 5);
-}
-
 /// A gateway between callers that send at a steady rate, and replicas that count what they get.
 struct limited_fixture : gateway_harness {
     limited_fixture() { publish(makeConfig()); }
@@ -82,19 +75,12 @@
         }
     }
 
-    /// @returns the most requests that a replica got in a window that begins kSettleTime or more after the first.
+    /// @returns the largest number of requests that a replica received in a window; it advertises its limit from the
+    /// first one on.
     std::size_t mostInWindow(const std::string &id)
     {
         const auto &times = arrivals[id];
-        std::size_t most = 0;
-        for (auto first = times.begin(); first != times.end(); ++first) {
-            if (*first - times.front() < kSettleTime)
-                continue;
-            const auto last =
-                std::ranges::find_if(first, times.end(), [&](instant at) { return at - *first >= kWindow; });
-            most = std::max(most, static_cast<std::size_t>(last - first));
-        }
-        return most;
+        return times.empty() ? 0 : rate_limit_rule::mostInWindow(times, times.front());
     }
 
     std::vector<std::unique_ptr<scripted_replica>> replicas;
