Rate limits: a host that stops gives its shares up

Callers of a service with a limit would see it unused for up to 40 s after its hosts were replaced by others under new names: their claims count until they expire. A planned stop now withdraws them at once. Claims of hosts that are killed still have to expire.

--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -183,6 +183,7 @@
         return;
     m_isDraining = true;
     m_stopStartedAt = suspendAwareNow();
+    m_state.limits.leave(m_stopStartedAt);
     m_log.write("stop_begun", {{"connections", m_connections.size()}});
 }
 
--- a/src/replica_limits.cpp
+++ b/src/replica_limits.cpp
@@ -254,7 +254,7 @@
 {
     const bool isFull = m_claims.others(runOf(replica), now) >= maxSharers(limited.perSecond);
     const auto claimed = std::ranges::count_if(m_limited, [](const auto &entry) { return entry.second.isClaimed; });
-    if (limited.isClaimed || isFull || static_cast<std::size_t>(claimed) >= kMaxClaims)
+    if (m_isLeaving || limited.isClaimed || isFull || static_cast<std::size_t>(claimed) >= kMaxClaims)
         return;
     limited.isClaimed = true;
     std::chrono::milliseconds delay{0};
@@ -271,6 +271,16 @@
         schedulePublish(kWithdrawDelay, now);
 }
 
+void replica_limits::leave(instant now)
+{
+    m_isLeaving = true;
+    for (auto &[replica, limited] : m_limited)
+        withdraw(limited, now);
+    if (m_hasPublishedClaims)
+        schedulePublish(std::chrono::milliseconds{0}, now);
+    advance(now);
+}
+
 void replica_limits::schedulePublish(std::chrono::milliseconds delay, instant now)
 {
     const instant due = std::max<instant>(now + delay, m_publishedAt + kPublishInterval);
--- a/src/replica_limits_p.h
+++ b/src/replica_limits_p.h
@@ -57,6 +57,9 @@
     /// Updates shares and claims. To be called from time to time.
     void advance(instant now);
 
+    /// Gives up all claims, because this host stops; other hosts could take them over only once they have expired.
+    void leave(instant now);
+
     /// @returns whether this host's claims have changed or need to be renewed in the store.
     [[nodiscard]] bool isPublishDue(instant now) const;
     /// @returns this host's claims, which are to be stored.
@@ -160,6 +163,7 @@
     limit_claims m_claims;
     std::size_t m_hosts = kAssumedHosts;
     bool m_isStoreReachable = true;
+    bool m_isLeaving = false;
     std::unordered_map<std::string, registered_replica> m_registered; ///< by id
     std::map<std::string, limited_replica> m_limited; ///< by id
     std::map<std::string, instant> m_nextReturn; ///< by service: time given to the next refused caller
--- a/tests/test_replica_limits.cpp
+++ b/tests/test_replica_limits.cpp
@@ -348,6 +348,23 @@
     CHECK(simulation.rateInLast(seconds{20}) >= 8);
 }
 
+TEST_CASE("rate limit: the shares of hosts that stop are taken over before their claims would have expired")
+{
+    limit_simulation simulation({.hosts = 3, .requestsPerSecond = 300});
+    simulation.limit = 10;
+    simulation.run(seconds{10});
+    for (std::size_t index = 0; index < 3; ++index) {
+        simulation.addHost();
+        simulation.at(index).limits->leave(simulation.now);
+        simulation.run(seconds{3});
+        simulation.at(index).isRunning = false;
+        simulation.run(seconds{2});
+    }
+    CHECK(simulation.worst(10) <= 1);
+    simulation.run(seconds{3});
+    CHECK(simulation.rateInLast(seconds{3}) >= 8);
+}
+
 TEST_CASE("rate limit: a host without a share learns from another one that the limit has ended")
 {
     replica_entry entry;
