--- a/tests/test_replica_limits.cpp
+++ b/tests/test_replica_limits.cpp
@@ -230,6 +230,30 @@
         }
 }
 
+TEST_CASE("rate limit: many hosts that each have few requests use a limit together")
+{
+    simulation_plan plan;
+    plan.hosts = 88;
+    plan.isFleetSizeKnown = true;
+    plan.requestsPerSecond = 26;
+    limit_simulation simulation(plan);
+    simulation.limit = 3;
+    simulation.run(seconds{100});
+    CHECK(simulation.worst(3) <= 1);
+    CHECK(simulation.rateInLast(seconds{60}) >= 0.8 * 3);
+}
+
+TEST_CASE("rate limit: a large fleet that doesn't know its size keeps a limit")
+{
+    simulation_plan plan;
+    plan.hosts = 350;
+    plan.requestsPerSecond = 105;
+    limit_simulation simulation(plan);
+    simulation.limit = 0.2;
+    simulation.run(seconds{100});
+    CHECK(simulation.worst(0.2) <= 1);
+}
+
 TEST_CASE("rate limit: hosts that restart, come, freeze, lose the store or its newest content, or have no requests "
           "keep a limit together")
 {
