Crash detector: a check that has timed out no longer reacts to its connection

Cause: a check ends at a connection, a refusal or a time-out of 350 ms. After the time-out it stays alive until the end of the loop iteration. If the process had stood still, the connection was established in the same iteration, and its callback, which libevent defers, looked up the check that was gone: std::out_of_range, the process ended. A refusal could have ended the next check of the same replica instead.

Ruled out: the other maps with at() (crash_registry, crash_evidence, replica_limits, replica_table), whose keys are kept in step.

The handlers of a finished check are removed. The new test throws before the change and passes with it.

--- a/src/crash_detector.cpp
+++ b/src/crash_detector.cpp
@@ -43,6 +43,9 @@
     auto done = std::make_shared<check_ptr>(std::move(found->second));
     m_pending.erase(found);
     (*done)->timeout.stop();
+    // The connection may have been established in the same loop iteration in which the time-out ends.
+    if ((*done)->socket)
+        (*done)->socket->setHandlers({});
     m_pool.loop().after(std::chrono::microseconds{0}, [done] { done->reset(); });
     return std::move((*done)->attempts);
 }
