Replicas: one gate for what they state about themselves: leaving, pauses, rate limits

Server-Leaving and the Retry-After of a replica's 503 were not read.

Change: the adapter decodes the head of a response into one typed statement (platform/decode_response). replica_gate decides whether a replica may get a request now, for every kind of attempt: replica_notices keeps leaving and pauses by run of the replica, replica_limits stays as it was beside it, as limits are shared with the other hosts and notices are not. Responses to other requests, interim ones and 421 say nothing about the replica. Pauses are bounded by ten minutes, extended by a random part, and no sign of failure. What no replica may take is rejected at once with the earliest end of a pause. Log lines for each, also for ejections; metrics.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -1,6 +1,7 @@
 # The gateway, which runs on the users' platform. It links neither gRPC nor the router's API.
 add_library(foxtaildyke-gateway-lib STATIC
     platform/decode.cpp
+    platform/decode_response.cpp
     platform/feed_relay.cpp
     platform/kind_mirror.cpp
     platform/store_feed.cpp
@@ -29,7 +30,9 @@
     src/load_aggregator.cpp
     src/model_cascade.cpp
     src/relay_choice.cpp
+    src/replica_gate.cpp
     src/replica_limits.cpp
+    src/replica_notices.cpp
     src/replica_registry.cpp
     src/replica_table.cpp
     src/retry_budget.cpp
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -146,7 +146,7 @@
     query.sharedPrefixHash = promptKey();
     query.work = promptWork();
     query.tried = &m_triedReplicas;
-    query.limits = &m_state.limits;
+    query.gate = &m_state.gate;
     return query;
 }
 
@@ -156,14 +156,14 @@
     const auto choice = m_state.rollouts.choose(m_service, m_metadata.session);
     if (const auto *preferred = m_state.replicas.pick(queryFor(choice), now))
         return preferred;
-    // A rate limit doesn't move sessions to another version.
-    m_isRateLimited = m_state.replicas.isLimited(queryFor(choice), now);
-    if (choice.version.empty() || m_isRateLimited)
+    // Neither a rate limit nor a pause moves sessions to another version.
+    m_exclusion = m_state.replicas.exclusion(queryFor(choice), now);
+    if (choice.version.empty() || m_exclusion != send_exclusion::none)
         return nullptr;
     // The new version may have no running replica yet, or its only replica has been tried.
     const auto others = choice.withExcluded(choice.version);
     const auto *other = m_state.replicas.pick(queryFor(others), now);
-    m_isRateLimited = !other && m_state.replicas.isLimited(queryFor(others), now);
+    m_exclusion = other ? send_exclusion::none : m_state.replicas.exclusion(queryFor(others), now);
     return other;
 }
 
@@ -188,10 +188,16 @@
     if (replica)
         return send(*replica);
     if (m_hasStreamStarted)
-        return abortResponse(m_isRateLimited ? "rate_limited" : "no_replica");
-    if (m_mayHaveRun)
-        return refuse(refusal::failed);
-    refuse(m_isRateLimited ? refusal::rate_limited : refusal::no_replica);
+        return abortResponse(noReplicaReason());
+    refuse(m_mayHaveRun ? refusal::failed : noReplicaReason());
+}
+
+/// @returns why no replica could be selected.
+gateway_exchange::refusal gateway_exchange::noReplicaReason() const
+{
+    if (m_exclusion == send_exclusion::limited)
+        return refusal::rate_limited;
+    return m_exclusion == send_exclusion::paused ? refusal::paused : refusal::no_replica;
 }
 
 /// Orders by urgency first. Within the same urgency, short work precedes long work, so that a prompt for the smallest
@@ -223,13 +229,14 @@
 void gateway_exchange::send(const replica_entry &replica)
 {
     m_replica = replica.id;
+    m_replicaStartedAtMs = replica.startedAtMs;
     m_replicaVersion = replica.version;
     m_replicaAddress = replica.address;
     m_crashId = crash_registry::crashId(replica);
     m_triedReplicas.insert(replica.id);
     ++m_sends;
     m_sentAt = suspendAwareNow();
-    m_confidence.reset();
+    m_statement = {};
     m_firstByteAt.reset();
     m_firstEventAt.reset();
     m_eventCount = 0;
@@ -240,7 +247,7 @@
     m_hasVersionEvidence = false;
     m_evidenceTimer.stop();
     m_state.rollouts.recordRequest(m_service, m_replicaVersion);
-    m_state.limits.recordSend(m_replica, m_sentAt);
+    m_state.gate.recordSend(m_replica, m_sentAt);
     logAttempt();
     if (m_route->retryRule != retry_rule::stream)
         startEvidenceTimer();
@@ -336,8 +343,8 @@
     }
     if (m_route && !m_route->models.empty())
         fields["model"] = m_route->models[m_model];
-    if (m_confidence)
-        fields["confidence"] = *m_confidence;
+    if (m_statement.confidence)
+        fields["confidence"] = *m_statement.confidence;
     addStreamFields(fields);
     if (m_config)
         fields["generation"] = m_config->version;
--- a/src/gateway_exchange_evidence.cpp
+++ b/src/gateway_exchange_evidence.cpp
@@ -39,7 +39,8 @@
 
 void gateway_exchange::recordVersionResponse(attempt_result result)
 {
-    if (result == attempt_result::answered || result == attempt_result::server_error)
+    const bool isPaused = m_statement.retryAfterSeconds.has_value();
+    if (result == attempt_result::answered || (result == attempt_result::server_error && !isPaused))
         recordEvidence(result == attempt_result::server_error, versionLatency());
 }
 
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -12,7 +12,7 @@
 #include "gateway_metrics_p.h"
 #include "gateway_settings_p.h"
 #include "model_cascade_p.h"
-#include "replica_limits_p.h"
+#include "replica_gate_p.h"
 #include "replica_table_p.h"
 #include "retry_budget_p.h"
 #include "rollout_policy_p.h"
@@ -32,7 +32,7 @@
     std::optional<instant> configConfirmedAt; ///< when the configuration was last known to be the newest
     bool hasReplicas = false; ///< the list of replicas has been received
     replica_table replicas;
-    replica_limits limits; ///< rate limits of the replicas
+    replica_gate gate; ///< what the replicas have stated about themselves
     retry_budget budget;
     rollout_policy rollouts;
     cascade_settings cascade;
@@ -69,6 +69,7 @@
         missing_id,
         no_replica,
         rate_limited,
+        paused,
         quarantined,
         not_run,
         failed,
@@ -89,20 +90,21 @@
     void chooseService();
     void attempt();
     [[nodiscard]] const replica_entry *pickReplica();
+    [[nodiscard]] refusal noReplicaReason() const;
     [[nodiscard]] replica_query queryFor(const version_choice &choice) const;
     void send(const replica_entry &replica);
     void logAttempt() const;
     [[nodiscard]] upstream_request upstreamRequest(const replica_entry &replica) const;
-    [[nodiscard]] std::optional<std::size_t> escalation(const message_head &head);
+    [[nodiscard]] std::optional<std::size_t> escalation();
     void escalate(std::size_t model);
     void forwardEvent(std::string_view event, std::optional<std::uint64_t> id);
     void beginStream();
     /// @returns whether the events received are a whole stream, provided that its framing is complete.
     [[nodiscard]] bool isWholeStream();
     [[nodiscard]] attempt_result classify(upstream_end end);
-    /// Records the rate limit that the response's head advertises, or that it advertises none.
-    void recordRateLimit(const message_head &head);
-    void logInvalidRateLimit(std::string_view text) const;
+    /// Records what the replica has stated about itself in the response's head.
+    void recordStatement();
+    void logStatementEffect(const statement_effect &effect) const;
     void recordAttempt(attempt_result result);
     /// Adds to a log line how the current or last response, if it is a stream, was framed and where it ended.
     void addStreamFields(nlohmann::ordered_json &fields) const;
@@ -130,6 +132,7 @@
     void retryOrFinish(attempt_result result, attempt_outcome outcome);
     void forwardResponse();
     void refuse(refusal reason);
+    void abortResponse(refusal reason);
     void abortResponse(std::string_view reason);
     void onDeadline();
     void finish(int status, std::string_view reason);
@@ -155,17 +158,18 @@
 
     std::unique_ptr<upstream_exchange> m_upstream; ///< null between attempts
     std::string m_replica; ///< of the current or last attempt
+    std::int64_t m_replicaStartedAtMs = 0;
     std::string m_replicaVersion;
     http_endpoint m_replicaAddress;
     std::uint64_t m_crashId = 0; ///< of the replica, if it should end
     double m_promptMs = 0; ///< prompt time accounted to the replica until its first byte arrives
     instant m_sentAt{};
-    std::optional<std::uint64_t> m_confidence; ///< of the current or last response
     std::optional<instant> m_firstByteAt; ///< of the current attempt
     std::optional<instant> m_firstEventAt; ///< of the current attempt
     std::uint32_t m_eventCount = 0; ///< of the current attempt
     bool m_hasVersionEvidence = false; ///< the current attempt has been recorded as evidence on its version
     message_head m_response; ///< head of the current or last attempt's response
+    replica_statement m_statement; ///< in that head
     std::string m_body; ///< of a non-streamed response; counted in gateway_state::bufferedBodyBytes
     bool m_isStream = false; ///< the current response is forwarded event by event
     event_splitter m_events;
@@ -173,7 +177,7 @@
     std::set<std::string> m_triedReplicas;
     std::uint32_t m_sends = 0; ///< number of replicas to which the request was sent
     std::uint32_t m_connectFailures = 0;
-    bool m_isRateLimited = false; ///< at the last selection, rate limits excluded replicas and none was left
+    send_exclusion m_exclusion = send_exclusion::none; ///< at the last selection, if no replica was left
     std::optional<crash_block> m_block; ///< found at the last attempt
     bool m_holdsCrashReport = false; ///< see crash_registry::holdReport()
     bool m_mayHaveRun = false; ///< a replica may have run the request
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -54,9 +54,9 @@
         refusal_row{503, "no_config", true},      refusal_row{503, "no_key_lease", true},
         refusal_row{404, "unknown_route", false}, refusal_row{401, "unknown_key", false},
         refusal_row{400, "missing_id", false},    refusal_row{503, "no_replica", true},
-        refusal_row{503, "rate_limited", true},   refusal_row{503, "quarantined", true},
-        refusal_row{503, "not_run", true},        refusal_row{502, "failed", false},
-        refusal_row{504, "deadline", false},
+        refusal_row{503, "rate_limited", true},   refusal_row{503, "paused", true},
+        refusal_row{503, "quarantined", true},    refusal_row{503, "not_run", true},
+        refusal_row{502, "failed", false},        refusal_row{504, "deadline", false},
     };
     static_assert(kRows.size() == static_cast<std::size_t>(refusal::count));
     return kRows[static_cast<std::size_t>(reason)];
@@ -66,52 +66,56 @@
 {
     m_firstByteAt = suspendAwareNow();
     m_response = head;
+    m_statement = m_state.headerNames.decodeStatement(head);
     m_state.replicas.recordFirstByte(m_replica, std::exchange(m_promptMs, 0));
-    recordRateLimit(head);
-    const bool isUsable = !head.header(m_state.headerNames.stamp).empty() && head.header("Content-Encoding").empty();
+    recordStatement();
+    const bool isUsable = m_statement.isStamped && head.header("Content-Encoding").empty();
     if (!http_status::isSuccess(head.status) || !isUsable)
         return;
-    if (const auto model = escalation(head))
+    if (const auto model = escalation())
         return escalate(*model);
     m_isStream = m_route->retryRule == retry_rule::stream && isEventStream(head);
 }
 
-void gateway_exchange::recordRateLimit(const message_head &head)
+void gateway_exchange::recordStatement()
 {
-    if (head.status == http_status::kMisdirectedRequest)
+    if (m_response.status == http_status::kMisdirectedRequest)
         return; // another replica at the address
-    const auto text = head.header(m_state.headerNames.rateLimit);
-    std::optional<double> perSecond;
-    if (!text.empty()) {
-        perSecond = parseDecimal(trimmed(text));
-        if (!perSecond || *perSecond < 0)
-            return logInvalidRateLimit(text);
-    } else if (head.header(m_state.headerNames.stamp).empty()) {
-        return; // may be the response of something other than the replica
-    }
-    const auto before = m_state.limits.advertisedLimit(m_replica);
-    if (!m_state.limits.recordResponse(m_replica, perSecond, m_sentAt, *m_firstByteAt))
-        return;
-    nlohmann::ordered_json fields{{"upstream", m_replica}};
-    if (perSecond)
-        fields["per_second"] = *perSecond;
-    if (before)
-        fields["before"] = *before;
-    m_state.log.write(perSecond ? "replica_limit_advertised" : "replica_limit_ended", fields);
+    const replica_run replica{m_replica, m_replicaStartedAtMs};
+    logStatementEffect(m_state.gate.recordStatement(replica, m_statement, m_sentAt, *m_firstByteAt));
 }
 
-void gateway_exchange::logInvalidRateLimit(std::string_view text) const
+void gateway_exchange::logStatementEffect(const statement_effect &effect) const
 {
-    constexpr std::size_t kMaxLoggedBytes = 32;
-    m_state.log.write(
-        "replica_limit_invalid",
-        {{"request_id", m_metadata.id}, {"upstream", m_replica}, {"text", text.substr(0, kMaxLoggedBytes)}},
-        log_subject::request);
+    for (const auto &unusable : m_statement.unusable)
+        m_state.log.write("replica_statement_invalid",
+                          {{"request_id", m_metadata.id},
+                           {"upstream", m_replica},
+                           {"field", nameOf(unusable.field)},
+                           {"text", unusable.text}},
+                          log_subject::request);
+    if (effect.isNewlyLeaving)
+        m_state.log.write("replica_leaving", {{"upstream", m_replica}, {"request_id", m_metadata.id}});
+    if (effect.pause)
+        m_state.log.write("replica_paused",
+                          {{"upstream", m_replica},
+                           {"request_id", m_metadata.id},
+                           {"ms", effect.pause->count()},
+                           {"stated_s", *m_statement.retryAfterSeconds},
+                           {"bounded", effect.isPauseBounded}},
+                          log_subject::request);
+    if (!effect.hasLimitChanged)
+        return;
+    nlohmann::ordered_json fields{{"upstream", m_replica}};
+    if (m_statement.rateLimit)
+        fields["per_second"] = *m_statement.rateLimit;
+    if (effect.limitBefore)
+        fields["before"] = *effect.limitBefore;
+    m_state.log.write(m_statement.rateLimit ? "replica_limit_advertised" : "replica_limit_ended", fields);
 }
 
-std::optional<std::size_t> gateway_exchange::escalation(const message_head &head)
+std::optional<std::size_t> gateway_exchange::escalation()
 {
-    m_confidence = parseNumber(head.header(m_state.headerNames.confidence));
     if (m_route->models.empty() || m_hasStreamStarted)
         return std::nullopt;
     cascade_step step;
@@ -119,7 +123,7 @@
     step.current = m_model;
     step.sends = m_sends;
     step.maxSends = m_route->maxAttempts;
-    step.confidence = m_confidence;
+    step.confidence = m_statement.confidence;
     step.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(suspendAwareNow() - m_request.readAt);
     step.objective = m_route->objective;
     const auto next = nextModel(m_state.cascade, step);
@@ -131,7 +135,7 @@
                        {"upstream", m_replica},
                        {"from", m_route->models[m_model]},
                        {"to", m_route->models[*next]},
-                       {"confidence", m_confidence.value_or(0)},
+                       {"confidence", m_statement.confidence.value_or(0)},
                        {"threshold", m_state.cascade.confidenceToKeep},
                        {"ms", step.elapsed.count()},
                        {"sends", m_sends},
@@ -220,7 +224,7 @@
         return attempt_result::broken;
     if (m_response.status == http_status::kMisdirectedRequest)
         return attempt_result::wrong_replica;
-    if (!m_response.header(m_state.headerNames.notRun).empty())
+    if (m_statement.hasNotRun)
         return attempt_result::not_run;
     if (m_response.status >= kServerError)
         return attempt_result::server_error;
@@ -228,8 +232,8 @@
     if (m_hasStreamStarted && !m_isStream)
         return attempt_result::unusable;
     const bool isEncoded = !m_response.header("Content-Encoding").empty();
-    const bool isStamped = !m_response.header(m_state.headerNames.stamp).empty();
-    if (isEncoded || (http_status::isSuccess(m_response.status) && !isStamped) || impliesNotRun(m_response.status))
+    if (isEncoded || (http_status::isSuccess(m_response.status) && !m_statement.isStamped)
+        || impliesNotRun(m_response.status))
         return attempt_result::unusable;
     return m_isStream && !isWholeStream() ? attempt_result::truncated : attempt_result::answered;
 }
@@ -244,7 +248,9 @@
         clearBody();
     if (result == attempt_result::wrong_replica || result == attempt_result::not_connected)
         m_state.replicas.recordUnreachable(m_replica, suspendAwareNow());
-    closeAttempt(result == attempt_result::answered);
+    // A replica that states how long it wants no requests doesn't fail; it gets none until then.
+    const bool isPaused = m_statement.retryAfterSeconds.has_value();
+    closeAttempt(isPaused ? std::nullopt : std::optional(result == attempt_result::answered));
     handleAttemptResult(result);
 }
 
@@ -356,6 +362,11 @@
     m_callerResponse.sendResponse(row.status, headers, {});
 }
 
+void gateway_exchange::abortResponse(refusal reason)
+{
+    abortResponse(rowOf(reason).reason);
+}
+
 void gateway_exchange::abortResponse(std::string_view reason)
 {
     finish(m_response.status, reason);
@@ -368,8 +379,10 @@
 {
     std::uniform_real_distribution<double> spread(kMinRetryAfterS, kMaxRetryAfterS);
     double seconds = spread(m_state.random);
-    if (reason == refusal::rate_limited)
-        seconds = std::chrono::duration<double>(m_state.limits.returnDelay(m_service, suspendAwareNow())).count();
+    if (reason == refusal::rate_limited || reason == refusal::paused) {
+        const auto delay = m_state.gate.returnDelay(m_service, m_exclusion, suspendAwareNow());
+        seconds = std::chrono::duration<double>(delay).count();
+    }
     if (reason == refusal::quarantined)
         seconds += std::chrono::duration<double>(m_block->remaining).count();
     std::array<char, 16> text{};
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -70,6 +70,10 @@
                                "Requests that are refused because they have crashed several replicas");
     Gauge &limitedReplicas =
         gauge(registry, "foxtaildyke_gateway_limited_replicas", "Replicas that advertise a rate limit");
+    Gauge &leavingReplicas =
+        gauge(registry, "foxtaildyke_gateway_leaving_replicas", "Replicas that have stated that they leave");
+    Gauge &pausedReplicas = gauge(registry, "foxtaildyke_gateway_paused_replicas",
+                                  "Replicas that have stated that they want no requests for some time");
     Gauge &replicas = gauge(registry, "foxtaildyke_gateway_replicas", "Registered replicas");
 };
 
@@ -154,6 +158,16 @@
     m_impl->limitedReplicas.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::setLeavingReplicas(std::size_t count)
+{
+    m_impl->leavingReplicas.Set(static_cast<double>(count));
+}
+
+void gateway_metrics::setPausedReplicas(std::size_t count)
+{
+    m_impl->pausedReplicas.Set(static_cast<double>(count));
+}
+
 std::string gateway_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -41,6 +41,8 @@
     void setReplicas(std::size_t count);
     void setQuarantined(std::size_t requests);
     void setLimitedReplicas(std::size_t count);
+    void setLeavingReplicas(std::size_t count);
+    void setPausedReplicas(std::size_t count);
 
     /// @returns all metrics in the Prometheus text format.
     [[nodiscard]] std::string text() const;
--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -110,6 +110,12 @@
     std::chrono::milliseconds coldRemaining{}; ///< remaining warm-up time, in which the replica is slower
 };
 
+/// One run of a replica; after a restart it knows nothing of what it has stated before.
+struct replica_run {
+    std::string id;
+    std::int64_t startedAtMs = 0; ///< as in replica_entry
+};
+
 /// Outstanding requests at a replica.
 struct replica_load {
     std::string replica; ///< id
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -4,6 +4,7 @@
 #include "http_status_p.h"
 
 #include <arpa/inet.h>
+#include <cmath>
 #include <event2/listener.h>
 #include <nlohmann/json.hpp>
 
@@ -32,7 +33,7 @@
               .configConfirmedAt = std::nullopt,
               .hasReplicas = false,
               .replicas = replica_table(m_settings.failureDomain, std::random_device{}()),
-              .limits = replica_limits(m_settings.host, std::random_device{}()),
+              .gate = replica_gate(m_settings.host, std::random_device{}()),
               .budget = retry_budget({m_settings.retryRatio, m_settings.retryWindow, m_settings.retrySlack}),
               .rollouts = rollout_policy({m_settings.canaryShare, m_settings.canarySlack}),
               .cascade = {.confidenceToKeep = m_settings.confidenceToKeep, .startsSmall = m_settings.startsSmall},
@@ -171,19 +172,30 @@
     if (m_state.configConfirmedAt)
         m_metrics.setConfigAge(now - *m_state.configConfirmedAt);
     advanceLimits(now);
+    logEjections();
     shareHostReport(now);
     if (m_isDraining)
         advanceStop();
     m_tick.start(kTickInterval);
 }
 
+void gateway_task::logEjections()
+{
+    for (const auto &ejected : m_state.replicas.takeEjections())
+        m_log.write("replica_ejected",
+                    {{"upstream", ejected.replica},
+                     {"ms", ejected.time.count()},
+                     {"consecutive_failures", ejected.consecutiveFailures},
+                     {"failure_percent", std::lround(ejected.failureRate * 100)}});
+}
+
 void gateway_task::stop()
 {
     if (m_isDraining)
         return;
     m_isDraining = true;
     m_stopStartedAt = suspendAwareNow();
-    m_state.limits.leave(m_stopStartedAt);
+    m_state.gate.limits().leave(m_stopStartedAt);
     m_log.write("stop_begun", {{"connections", m_connections.size()}});
 }
 
--- a/src/gateway_task_feed.cpp
+++ b/src/gateway_task_feed.cpp
@@ -73,7 +73,7 @@
 void gateway_task::applyReplicas()
 {
     m_state.replicas.setReplicas(m_registry.entries());
-    m_state.limits.setReplicas(m_registry.entries(), suspendAwareNow());
+    m_state.gate.setReplicas(m_registry.entries(), suspendAwareNow());
     m_metrics.setReplicas(m_state.replicas.size());
 }
 
@@ -95,13 +95,13 @@
 {
     const auto now = suspendAwareNow();
     m_hostReports = reports;
-    m_state.limits.setReports(reports, now);
+    m_state.gate.limits().setReports(reports, now);
     crash_reports_by_host crashes;
     for (const auto &[host, report] : reports) {
         const bool hasOpenEvidence = std::ranges::any_of(
             report.rollouts, [this](const rollout_report &entry) { return m_state.rollouts.isUndecided(entry); });
         // Without crashes and anything else in use, the registry treats the report as that of a host that is gone.
-        if (!report.crashes.empty() || !(hasOpenEvidence || m_state.limits.hasLiveClaim(host, now)))
+        if (!report.crashes.empty() || !(hasOpenEvidence || m_state.gate.limits().hasLiveClaim(host, now)))
             crashes.emplace(host, report.crashes);
     }
     applyPeerEvidence();
@@ -121,7 +121,7 @@
     if (isWritten)
         return;
     m_state.crashes.recordPublishFailure();
-    m_state.limits.recordPublishFailure();
+    m_state.gate.limits().recordPublishFailure();
     m_sharedEvidence.clear(); // shared again at the next interval
 }
 
@@ -152,11 +152,11 @@
     const bool hasCrashes = m_state.crashes.takeUnpublished(now).has_value();
     auto evidence = m_state.rollouts.reports();
     const bool hasEvidence = now >= m_nextEvidenceShare && m_state.crashes.hasAdopted() && evidence != m_sharedEvidence;
-    const bool hasClaims = m_state.crashes.hasAdopted() && m_state.limits.isPublishDue(now);
+    const bool hasClaims = m_state.crashes.hasAdopted() && m_state.gate.limits().isPublishDue(now);
     if (hasCrashes || hasEvidence || hasClaims) {
         m_nextEvidenceShare = now + kEvidenceShareInterval;
         m_sharedEvidence = evidence;
-        const host_report report{m_state.crashes.ownReports(), std::move(evidence), m_state.limits.publish(now)};
+        const host_report report{m_state.crashes.ownReports(), std::move(evidence), m_state.gate.limits().publish(now)};
         m_log.write("host_report_shared",
                     {{"crashes", report.crashes.size()},
                      {"rollouts", report.rollouts.size()},
@@ -173,9 +173,11 @@
 
 void gateway_task::advanceLimits(instant now)
 {
-    m_state.limits.advance(now);
-    m_metrics.setLimitedReplicas(m_state.limits.count(now));
-    for (const auto &changed : m_state.limits.takeChangedShares())
+    m_state.gate.limits().advance(now);
+    m_metrics.setLimitedReplicas(m_state.gate.limits().count(now));
+    m_metrics.setLeavingReplicas(m_state.gate.notices().leavingCount());
+    m_metrics.setPausedReplicas(m_state.gate.notices().pausedCount(now));
+    for (const auto &changed : m_state.gate.limits().takeChangedShares())
         m_log.write("replica_limit_share",
                     {{"upstream", changed.replica},
                      {"per_second", changed.perSecond},
@@ -205,14 +207,14 @@
     m_state.rollouts.recordRewind(suspendAwareNow());
     // This host's report may be gone; it is written again.
     m_state.crashes.recordPublishFailure();
-    m_state.limits.recordPublishFailure();
+    m_state.gate.limits().recordPublishFailure();
     m_sharedEvidence.clear();
 }
 
 void gateway_task::onFeedReachable(bool isReachable)
 {
     m_registry.setStoreReachable(isReachable, suspendAwareNow());
-    m_state.limits.setStoreReachable(isReachable, suspendAwareNow());
+    m_state.gate.limits().setStoreReachable(isReachable, suspendAwareNow());
 }
 
 void gateway_task::onFeedEvent(std::string_view type, const std::string &subject, const std::string &detail)
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -56,7 +56,7 @@
     {
         m_state.budget.setHosts(hosts);
         m_state.rollouts.setHosts(hosts);
-        m_state.limits.setHosts(hosts);
+        m_state.gate.limits().setHosts(hosts);
     }
     std::vector<replica_load> ownLoad() const override { return m_state.replicas.ownLoad(); }
     void onOthersLoad(const std::vector<replica_load> &loads) override
@@ -77,6 +77,7 @@
     void advanceRollouts();
     /// Updates this host's shares of the replicas' rate limits and logs them.
     void advanceLimits(instant now);
+    void logEjections();
     void recordCrash(const broken_attempt &attempt);
     void shareHostReport(instant now);
     void logQuarantines(instant now);
--- a/src/header_names_p.h
+++ b/src/header_names_p.h
@@ -1,5 +1,5 @@
-// Names of the headers that the gateway reads and sets, provided by an adapter so that the core contains no wire
-// names.
+// Names of the headers that the gateway reads and sets, and the decoding of those that replicas set, provided by an
+// adapter so that the core contains no wire names.
 #pragma once
 
 #include <string>
@@ -8,6 +8,9 @@
 namespace foxtaildyke
 {
 
+struct message_head;
+struct replica_statement;
+
 struct header_names {
     std::string requestId; ///< unique for each attempt of a caller
     std::string deadline; ///< time in ms for which the sender waits
@@ -20,12 +23,10 @@
     std::string account; ///< name of the client account; set by the gateway
     std::string expectReplica; ///< id of the intended replica; set by the gateway
     std::string priority; ///< scheduling priority in an engine, 0 is highest; set by the gateway
-    std::string notRun; ///< present if a replica states that it did not run the request
-    std::string stamp; ///< identifies responses that originate from a replica
-    std::string rateLimit; ///< requests per second that a replica accepts from all hosts together, while it states so
-    std::string confidence; ///< 0 to 100: the model's confidence in its output
     std::string keyScheme; ///< Authorization scheme for API keys
     std::vector<std::string> reserved; ///< removed from callers' requests: only the gateway may set them
+    /// Decodes what a replica states about itself in the head of a response.
+    replica_statement (*decodeStatement)(const message_head &) = nullptr;
 };
 
 } // namespace foxtaildyke
--- a/src/limit_claims_p.h
+++ b/src/limit_claims_p.h
@@ -8,12 +8,6 @@
 namespace foxtaildyke
 {
 
-/// One run of a replica; after a restart it knows nothing of its limit before.
-struct replica_run {
-    std::string id;
-    std::int64_t startedAtMs = 0; ///< as in replica_entry
-};
-
 /// A limit as a replica has advertised it.
 struct known_limit {
     double perSecond = 0; ///< for all hosts together
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -60,20 +60,24 @@
     const auto &entry = candidate.entry;
     const bool hasRequestedVersion = query.version.empty() || entry.version == query.version;
     const bool isExcluded = query.excludedVersions && query.excludedVersions->contains(entry.version);
-    return !entry.isDraining && entry.service == query.service && hasRequestedVersion && !isExcluded;
+    const bool isLeaving = entry.isDraining || (query.gate && query.gate->isLeaving(entry.id));
+    return !isLeaving && entry.service == query.service && hasRequestedVersion && !isExcluded;
 }
 
-bool replica_table::hasRoom(const replica &candidate, const replica_query &query, instant now)
+send_exclusion replica_table::exclusionOf(const replica &candidate, const replica_query &query, instant now)
 {
-    return !query.limits || query.limits->hasRoom(candidate.entry.id, now);
+    return query.gate ? query.gate->check(candidate.entry.id, now) : send_exclusion::none;
 }
 
-bool replica_table::isLimited(const replica_query &query, instant now) const
+send_exclusion replica_table::exclusion(const replica_query &query, instant now) const
 {
-    return std::ranges::any_of(m_replicas, [&](const auto &entry) {
-        const bool isTried = query.tried && query.tried->contains(entry.first);
-        return isEligible(entry.second, query) && !isTried && !hasRoom(entry.second, query, now);
-    });
+    auto strongest = send_exclusion::none;
+    for (const auto &[id, known] : m_replicas) {
+        const bool isTried = query.tried && query.tried->contains(id);
+        if (isEligible(known, query) && !isTried)
+            strongest = std::max(strongest, exclusionOf(known, query, now));
+    }
+    return strongest;
 }
 
 replica_table::candidate_list replica_table::candidates(const replica_query &query, instant now)
@@ -89,7 +93,9 @@
     if (query.tried)
         std::erase_if(eligible,
                       [&query](const replica *candidate) { return query.tried->contains(candidate->entry.id); });
-    std::erase_if(eligible, [&](const replica *candidate) { return !hasRoom(*candidate, query, now); });
+    std::erase_if(eligible, [&](const replica *candidate) {
+        return exclusionOf(*candidate, query, now) != send_exclusion::none;
+    });
     candidate_list available;
     std::ranges::copy_if(eligible, std::back_inserter(available),
                          [now](const replica *candidate) { return candidate->ejectedUntil <= now; });
@@ -253,23 +259,25 @@
     }
     ++target.consecutiveFailures;
     if (target.consecutiveFailures >= kFailuresToEject || target.failureRate >= kFailureRateToEject)
-        eject(target, now);
+        eject(id, target, now);
 }
 
 void replica_table::recordUnreachable(const std::string &id, instant now)
 {
     const auto found = m_replicas.find(id);
     if (found != m_replicas.end())
-        eject(found->second, now);
+        eject(id, found->second, now);
 }
 
-void replica_table::eject(replica &target, instant now)
+void replica_table::eject(const std::string &id, replica &target, instant now)
 {
     if (target.ejectedUntil > now)
         return;
     constexpr std::uint32_t kMaxDoublings = 3;
     const auto time = kBaseEjectionTime * (1U << std::min(target.consecutiveEjections, kMaxDoublings));
-    target.ejectedUntil = now + std::min(std::chrono::milliseconds(time), kMaxEjectionTime);
+    const auto limited = std::min(std::chrono::milliseconds(time), kMaxEjectionTime);
+    target.ejectedUntil = now + limited;
+    m_ejections.push_back({id, limited, target.consecutiveFailures, target.failureRate});
     ++target.consecutiveEjections;
     target.consecutiveFailures = 0;
     target.failureRate = 0; // only responses after the ejection count
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -3,7 +3,7 @@
 // uneven load.
 #pragma once
 
-#include "replica_limits_p.h"
+#include "replica_gate_p.h"
 
 #include <random>
 #include <set>
@@ -27,7 +27,7 @@
     /// Fraction of the matching replicas to select from, at least two; the same ones on all hosts.
     double replicaShare = 1;
     const std::set<std::string> *tried = nullptr; ///< replicas that this request has already been sent to
-    replica_limits *limits = nullptr; ///< rate limits of the replicas; null: none
+    replica_gate *gate = nullptr; ///< what the replicas have stated; null: nothing
 };
 
 /// State of a replica that a selection was based on.
@@ -40,6 +40,14 @@
     bool hasCachedPrefix = false; ///< this host has sent the shared prefix to the replica
 };
 
+/// A replica that isn't selected for some time because it has failed, for the log.
+struct replica_ejection {
+    std::string replica; ///< id
+    std::chrono::milliseconds time{};
+    std::uint32_t consecutiveFailures = 0;
+    double failureRate = 0;
+};
+
 class replica_table
 {
 public:
@@ -51,8 +59,9 @@
     /// @returns a replica, or null if none is eligible. The pointer is valid until setReplicas().
     [[nodiscard]] const replica_entry *pick(const replica_query &query, instant now);
 
-    /// @returns whether rate limits alone exclude a replica that the query matches.
-    [[nodiscard]] bool isLimited(const replica_query &query, instant now) const;
+    /// @returns for what a replica that the query matches is excluded at present, or none: limited if any replica is,
+    /// as a rate limit allows a request soon.
+    [[nodiscard]] send_exclusion exclusion(const replica_query &query, instant now) const;
 
     /// @returns the present state of a replica, for the log; all zero if it isn't registered.
     [[nodiscard]] selection_basis basisOf(const std::string &id, std::uint64_t sharedPrefixHash, instant now) const;
@@ -79,6 +88,9 @@
     /// Ejects a replica that responded with a different id, or whose address refuses connections.
     void recordUnreachable(const std::string &id, instant now);
 
+    /// @returns the replicas that have been ejected since the last call.
+    [[nodiscard]] std::vector<replica_ejection> takeEjections() { return std::exchange(m_ejections, {}); }
+
     [[nodiscard]] std::size_t size() const { return m_replicas.size(); }
     [[nodiscard]] std::uint32_t running(const std::string &id) const;
 
@@ -119,19 +131,20 @@
     using candidate_list = std::vector<replica *>;
 
     [[nodiscard]] static bool isEligible(const replica &candidate, const replica_query &query);
-    [[nodiscard]] static bool hasRoom(const replica &candidate, const replica_query &query, instant now);
+    [[nodiscard]] static send_exclusion exclusionOf(const replica &candidate, const replica_query &query, instant now);
     [[nodiscard]] candidate_list candidates(const replica_query &query, instant now);
     [[nodiscard]] replica *earliestFirstToken(const candidate_list &available, const replica_query &query, instant now);
     [[nodiscard]] static double waitMs(const replica &candidate);
     void expireOthersLoad(instant now);
     [[nodiscard]] static bool hasCachedPrefix(const replica &candidate, std::uint64_t sharedPrefixHash, instant now);
     [[nodiscard]] replica *leastLoaded(const candidate_list &available);
-    void eject(replica &target, instant now);
+    void eject(const std::string &id, replica &target, instant now);
 
     std::string m_failureDomain;
     std::mt19937_64 m_random;
     std::unordered_map<std::string, replica> m_replicas; ///< by id
     std::optional<instant> m_othersReportedAt; ///< unset: the load from other hosts is unknown
+    std::vector<replica_ejection> m_ejections; ///< since takeEjections()
     std::vector<std::string> m_sortedIds; ///< ids; a fixed order makes selections reproducible
 };
 
--- a/tests/test_replica_limits_path.cpp
+++ b/tests/test_replica_limits_path.cpp
@@ -1,6 +1,6 @@
 // Rate limits advertised by replicas, kept by a gateway between scripted callers and replicas.
-#include "gateway_harness.h"
 #include "rate_limit_rule.h"
+#include "steady_load.h"
 
 using namespace foxtaildyke;
 using rate_limit_rule::allowedInWindow;
@@ -8,22 +8,16 @@
 namespace
 {
 
-/// A gateway between callers that send at a steady rate, and replicas that count what they get.
-struct limited_fixture : gateway_harness {
-    limited_fixture() { publish(makeConfig()); }
-
+/// Replicas that advertise limits, beside others.
+struct limited_fixture : steady_load {
     /// @param limit value of the header with the limit; empty: none.
     scripted_replica &addReplica(const std::string &id, const std::string &limit)
     {
         limits[id] = limit;
-        auto respond = [this, id](const received_request &request) {
-            arrivals[id].push_back(suspendAwareNow());
+        return steady_load::addReplica(id, [this, id](const received_request &request) {
             const auto &advertised = limits.at(id);
-            const auto header = advertised.empty() ? std::string() : "Server-Limit: " + advertised + "\r\n";
-            return respondTo(request, header);
-        };
-        replicas.push_back(std::make_unique<scripted_replica>(loop, id, std::move(respond)));
-        return *replicas.back();
+            return respondTo(request, advertised.empty() ? std::string() : "Server-Limit: " + advertised + "\r\n");
+        });
     }
 
     /// Responds so that each kind of request needs further attempts: routes with models get a low confidence, streams
@@ -43,38 +37,6 @@
         return {responseText(200, id, "whole body", limitHeader)};
     }
 
-    void publishAll()
-    {
-        std::vector<replica_entry> entries;
-        std::ranges::transform(replicas, std::back_inserter(entries),
-                               [](const auto &replica) { return replica->entry("s"); });
-        publishReplicas(std::move(entries));
-    }
-
-    /// Sends requests at the given rate to the targets in turn, each on a connection of its own, and waits for the last
-    /// responses.
-    void load(double perSecond, std::chrono::milliseconds time, const std::vector<std::string> &targets = {"/safe/x"})
-    {
-        const auto interval = std::chrono::microseconds{static_cast<std::int64_t>(1e6 / perSecond)};
-        std::vector<std::unique_ptr<scripted_caller>> callers;
-        const auto end = suspendAwareNow() + time;
-        for (auto next = suspendAwareNow(); next < end; next += interval) {
-            runUntil([next] { return suspendAwareNow() >= next; });
-            feed.listener->onConfigConfirmed(suspendAwareNow()); // keeps the key lease
-            callers.push_back(std::make_unique<scripted_caller>(loop, task.callerPort()));
-            const auto &target = targets.at(static_cast<std::size_t>(m_lastId) % targets.size());
-            callers.back()->send(requestText("GET", target, "id-" + std::to_string(++m_lastId)));
-        }
-        for (const auto &caller : callers) {
-            REQUIRE(runUntil(
-                [&] { return caller->isClosed || (!caller->responses.empty() && caller->responses[0].isComplete); }));
-            REQUIRE_FALSE(caller->responses.empty());
-            ++statuses[caller->responses[0].head.status];
-            if (caller->responses[0].head.status == 503)
-                retryAfters.insert(std::string(caller->responses[0].head.header("Retry-After")));
-        }
-    }
-
     /// @returns the largest number of requests that a replica received in a window; it advertises its limit from the
     /// first one on.
     std::size_t mostInWindow(const std::string &id)
@@ -83,15 +45,10 @@
         return times.empty() ? 0 : rate_limit_rule::mostInWindow(times, times.front());
     }
 
-    std::vector<std::unique_ptr<scripted_replica>> replicas;
     std::map<std::string, std::string> limits; ///< by replica
-    std::map<std::string, std::vector<instant>> arrivals; ///< by replica
-    std::map<int, std::size_t> statuses; ///< number of responses by status
-    std::set<std::string> retryAfters; ///< distinct values
     bool rejects = false; ///< see respondTo()
 
 private:
-    int m_lastId = 0;
     int m_answered = 0;
 };
 
