Rate limits: hosts know the size of their relay's group, and wait for claims if they don't

Change: a relay states the size of its group (itself and the hosts that query it), also when it refuses to serve. A host takes 1 / (group x relays); over all hosts this adds up to 1, whatever the groups. A host that knows no size waits for claims up to 5 s while the store is reachable. New hosts begin with a part of a request.

Without any relay the number stays 16: with L = 3 the rule allows 23 requests in 4 s, and 16 hosts with a saved request each use 28 - 16 = 12 + 16 of them in the worst case, so a larger share isn't safe there.

--- a/src/fleet_feed_p.h
+++ b/src/fleet_feed_p.h
@@ -44,7 +44,8 @@
     /// The source of the replicas became reachable or unreachable.
     virtual void onFeedReachable(bool isReachable) = 0;
 
-    /// Estimated number of hosts; not reported in small fleets.
+    /// Estimated number of hosts: the size of the group of hosts around this host's relay times the number of relays.
+    /// Hosts of different groups get different estimates, whose reciprocals add up to 1 over all hosts.
     virtual void onFleetSize(std::size_t hosts) = 0;
 
     /// @returns this host's outstanding requests at the replicas, to be reported to other hosts.
--- a/src/replica_limits.cpp
+++ b/src/replica_limits.cpp
@@ -115,6 +115,12 @@
     return m_claims.others(run, now) > 0 ? std::optional(0.0) : std::nullopt;
 }
 
+double replica_limits::unclaimedShare(const limited_replica &limited, instant now) const
+{
+    const bool awaitsClaims = !m_isSizeKnown && m_isStoreReachable && now - limited.knownSince < kClaimPatience;
+    return awaitsClaims ? 0.0 : (isLargeFleet() ? kUnclaimedPart : 1.0) / static_cast<double>(m_hosts);
+}
+
 bool replica_limits::update(const std::string &replica, limited_replica &limited, instant now)
 {
     refill(limited, now);
@@ -123,7 +129,7 @@
         return false;
     limited.perSecond = limit->perSecond;
     const auto claimed = claimedShare(replica, limited, now);
-    const auto share = claimed.value_or((isLargeFleet() ? kUnclaimedPart : 1.0) / static_cast<double>(m_hosts));
+    const auto share = claimed.value_or(unclaimedShare(limited, now));
     // Random moments of the first request keep the hosts from sending at the same time.
     if (claimed && !limited.isShareClaimed)
         limited.tokens = std::max(limited.tokens, std::uniform_real_distribution<double>(0, 1)(m_random));
@@ -140,7 +146,7 @@
 {
     for (const auto &replica : m_claims.replicas())
         if (m_registered.contains(replica) && m_claims.others(runOf(replica), now) > 0)
-            m_limited.try_emplace(replica, limited_replica{.refilledAt = now});
+            m_limited.try_emplace(replica, limited_replica{.knownSince = now, .refilledAt = now});
     const bool isRenewalDue = now >= m_renewAt;
     std::set<std::string> unlimited;
     for (auto &[replica, limited] : m_limited) {
@@ -181,9 +187,11 @@
         return true;
     }
     if (known == m_limited.end()) {
-        // In a large fleet many hosts learn of the limit at the same time, and must not send at the same time.
-        const double tokens = isLargeFleet() ? std::uniform_real_distribution<double>(0, 1)(m_random) : 1.0;
-        known = m_limited.emplace(replica, limited_replica{.tokens = tokens, .refilledAt = now}).first;
+        // Many hosts may learn of the limit at the same time, and must not send at the same time.
+        const double tokens =
+            m_isSizeKnown && !isLargeFleet() ? 1.0 : std::uniform_real_distribution<double>(0, 1)(m_random);
+        known =
+            m_limited.emplace(replica, limited_replica{.knownSince = now, .tokens = tokens, .refilledAt = now}).first;
     }
     auto &limited = known->second;
     const auto before = std::exchange(limited.advertised, known_limit{*perSecond, now});
--- a/src/replica_limits_p.h
+++ b/src/replica_limits_p.h
@@ -26,8 +26,13 @@
     /// Replaces the registered replicas. A replica that has restarted has no limit until it advertises one.
     void setReplicas(const std::vector<replica_entry> &replicas, instant now);
 
-    /// Sets the number of hosts, at least kAssumedHosts.
-    void setHosts(std::size_t hosts) { m_hosts = std::max(kAssumedHosts, hosts); }
+    /// Sets the number of hosts, as this host's relay estimates it. It may differ from host to host: the estimates of
+    /// the relays' groups are such that the hosts' shares add up to the limit.
+    void setHosts(std::size_t hosts)
+    {
+        m_hosts = std::max<std::size_t>(1, hosts);
+        m_isSizeKnown = true;
+    }
 
     void setStoreReachable(bool isReachable, instant now);
 
@@ -76,7 +81,7 @@
     /// @returns the number of replicas with a limit.
     [[nodiscard]] std::size_t count(instant now) const;
 
-    /// Hosts assumed while no host has stored a claim, as the actual number isn't known in small fleets.
+    /// Hosts assumed while no host has stored a claim and the actual number isn't known.
     static constexpr std::size_t kAssumedHosts = 16;
     /// Fraction of the limit that the hosts of a large fleet use together without claims, as the requests of that many
     /// hosts coincide at random.
@@ -100,6 +105,9 @@
     /// Time after its last confirmed renewal for which a host uses its own claim. Ends before it expires for others.
     static constexpr std::chrono::seconds kLease{30};
     static_assert(kRenewInterval * 1.2 < kLease && kLease < limit_claims::kLifetime);
+    /// Time from the first advertisement of a limit for which a host that doesn't know the number of hosts waits for
+    /// claims, if the store is reachable. It ends, as the store may accept no claims.
+    static constexpr std::chrono::seconds kClaimPatience{5};
     /// Minimum time between two writes of this host's claims.
     static constexpr std::chrono::milliseconds kPublishInterval{1000};
     /// Time for which a host states in the store that a limit has ended, so that those that don't send to the replica
@@ -129,6 +137,7 @@
             advertised; ///< to this host; unset: it learned of the limit from others, or the limit has ended
         instant endedAt = instant::min(); ///< when the replica advertised no limit any more; older claims don't count
         bool isEndAnnounced = false; ///< this host states in the store that the limit has ended
+        instant knownSince{}; ///< when this host learned of the limit
         bool isClaimed = false; ///< this host has or wants a claim
         std::optional<instant> visibleSince; ///< this host's claim is in the store
         instant demandAt{}; ///< last call of hasRoom()
@@ -150,6 +159,8 @@
     static void refill(limited_replica &limited, instant now);
     /// Recomputes the share. @returns whether the replica has a limit.
     bool update(const std::string &replica, limited_replica &limited, instant now);
+    /// @returns this host's share while the hosts don't share the limit by claims.
+    [[nodiscard]] double unclaimedShare(const limited_replica &limited, instant now) const;
     /// @returns this host's share by the claims of all hosts, or nothing if the hosts don't share the limit by claims.
     [[nodiscard]] std::optional<double> claimedShare(const std::string &replica, const limited_replica &limited,
                                                      instant now) const;
@@ -162,6 +173,7 @@
     std::mt19937_64 m_random;
     limit_claims m_claims;
     std::size_t m_hosts = kAssumedHosts;
+    bool m_isSizeKnown = false; ///< m_hosts is an estimate, not kAssumedHosts
     bool m_isStoreReachable = true;
     bool m_isLeaving = false;
     std::unordered_map<std::string, registered_replica> m_registered; ///< by id
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -22,7 +22,7 @@
 
 std::string encodedUpdates(const platform::kind_mirror &mirror, std::uint64_t revision)
 {
-    return platform::encodeFeed({{"servers", mirror.updatesFor(revision)}}, 0ms, 1, "{}");
+    return platform::encodeFeed({{"servers", mirror.updatesFor(revision)}}, {.queriers = 1}, "{}");
 }
 
 nlohmann::json replicaSpec()
@@ -175,7 +175,8 @@
     }
     // At most one watch per kind and change, by the relay alone.
     CHECK(net.store.calls - callsBefore < 30);
-    CHECK(net.hosts[0]->recorder.fleetSize == 8); // 8 hosts that query the relay, times one relay
+    // The relay and the 8 hosts that query it, times one relay.
+    CHECK(net.runUntil([&] { return net.hosts[0]->recorder.fleetSize == 9 && net.relay->recorder.fleetSize == 9; }));
     net.relay->recorder.ownLoads = {{"r1", 1, 5}};
     net.hosts[1]->recorder.ownLoads = {{"r1", 2, 10}};
     net.hosts[2]->recorder.ownLoads = {{"r1", 4, 20}};
@@ -196,6 +197,23 @@
     }));
 }
 
+TEST_CASE("feed relay: the hosts of a small fleet learn their number from it, also without the store")
+{
+    relayed_hosts net(3);
+    REQUIRE(net.runUntil([&] { return net.hosts[0]->recorder.fleetSize == 4; }));
+    CHECK_FALSE(net.hosts[0]->recorder.hasEvent("relay_followed 127.0.0.1"));
+    net.store.setState(store_state::silent);
+    net.hosts.pop_back();
+    CHECK(net.runUntil([&] { return net.hosts[0]->recorder.fleetSize == 3; })); // once that host's query is old
+}
+
+TEST_CASE("kind mirror: a relay that refuses states the size of its group, or nothing that can be read")
+{
+    CHECK(platform::decodeRefusal(platform::encodeRefusal(7)) == 7);
+    for (const auto *body : {"", "[]", "{}", R"({"group":-1})", R"({"group":"7"})"})
+        CHECK(platform::decodeRefusal(body) == 0);
+}
+
 TEST_CASE("feed relay: after it stops or loses the store, the hosts read the store themselves")
 {
     for (const bool isRelayStopped : {true, false}) {
--- a/tests/test_replica_limits.cpp
+++ b/tests/test_replica_limits.cpp
@@ -245,13 +245,18 @@
 
 TEST_CASE("rate limit: a large fleet that doesn't know its size keeps a limit")
 {
-    simulation_plan plan;
-    plan.hosts = 350;
-    plan.requestsPerSecond = 105;
-    limit_simulation simulation(plan);
-    simulation.limit = 0.2;
-    simulation.run(seconds{100});
-    CHECK(simulation.worst(0.2) <= 1);
+    for (const std::size_t hosts : {88, 350})
+        for (const double perSecond : {0.2, 0.9, 3.0})
+            for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+                CAPTURE(hosts);
+                CAPTURE(perSecond);
+                CAPTURE(seed);
+                limit_simulation simulation(
+                    {.hosts = hosts, .requestsPerSecond = 0.3 * static_cast<double>(hosts), .seed = seed});
+                simulation.limit = perSecond;
+                simulation.run(seconds{60});
+                CHECK(simulation.worst(perSecond) <= 1);
+            }
 }
 
 TEST_CASE("rate limit: hosts that restart, come, freeze, lose the store or its newest content, or have no requests "
@@ -324,6 +329,49 @@
     }
 }
 
+TEST_CASE("rate limit: in a store outage, hosts that know their number use a limit and keep it together")
+{
+    for (const std::size_t hosts : {1, 3, 6, 9}) {
+        CAPTURE(hosts);
+        simulation_plan plan;
+        plan.hosts = hosts;
+        plan.isFleetSizeKnown = true;
+        plan.requestsPerSecond = 300;
+        limit_simulation simulation(plan);
+        simulation.run(seconds{1});
+        for (std::size_t index = 0; index < hosts; ++index)
+            simulation.at(index).isCutOff = true;
+        simulation.limit = 3;
+        simulation.run(seconds{60});
+        CHECK(simulation.worst(3) <= 1);
+        CHECK(simulation.rateInLast(seconds{40}) >= 0.8 * 3);
+    }
+}
+
+TEST_CASE("rate limit: in a store outage, hosts in groups of unequal size keep a limit together")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        // Each relay and the hosts that query it form a group; each host knows the size of its own.
+        const std::array<std::size_t, 3> groups{1 + seed % 2, 1 + seed % 3, 1 + seed % 6};
+        simulation_plan plan;
+        plan.hosts = groups[0] + groups[1] + groups[2];
+        plan.requestsPerSecond = 300;
+        plan.seed = seed;
+        limit_simulation simulation(plan);
+        std::size_t index = 0;
+        for (const auto group : groups)
+            for (std::size_t member = 0; member < group; ++member)
+                simulation.at(index++).limits->setHosts(group * groups.size());
+        for (index = 0; index < plan.hosts; ++index)
+            simulation.at(index).isCutOff = true;
+        simulation.limit = 3;
+        simulation.run(seconds{40});
+        CHECK(simulation.worst(3) <= 1);
+        CHECK(simulation.rateInLast(seconds{30}) >= 0.8 * 3);
+    }
+}
+
 TEST_CASE("rate limit: a limit that rises, falls or ends holds on all hosts, also without requests in between")
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
