--- a/src/fleet_feed_p.h
+++ b/src/fleet_feed_p.h
@@ -7,6 +7,26 @@
 namespace foxtaildyke
 {
 
+/// Why a host calls the platform's store, which prices each call.
+enum class store_call_cause : std::uint8_t {
+    start, ///< first list of a kind
+    change, ///< to go on after a change
+    renewal, ///< to go on after a watch without changes
+    retry, ///< after a failed call
+    relay_lost, ///< the relay that this host followed doesn't respond or refuses
+    era, ///< the store has come back from an older copy, or its history is gone
+    relay_duty, ///< other hosts follow this one, which must confirm the configuration more often
+    rollout, ///< to write the state of a roll-out
+    host_report, ///< to write this host's report, or to remove that of a host that is gone
+    count
+};
+
+template <>
+struct enum_names<store_call_cause> {
+    static constexpr std::array kNames{"start", "change",     "renewal", "retry",      "relay_lost",
+                                       "era",   "relay_duty", "rollout", "host_report"};
+};
+
 /// Receives published changes. Called on the gateway's task.
 class fleet_listener
 {
@@ -54,6 +74,10 @@
     /// Estimated outstanding requests of all other hosts at the replicas; repeated as long as it is known.
     virtual void onOthersLoad(const std::vector<replica_load> &loads) = 0;
 
+    /// The store has been called.
+    /// @param kind of the objects, as the store names it.
+    virtual void onStoreCall(std::string_view kind, store_call_cause cause) = 0;
+
     /// An event to be logged.
     virtual void onFeedEvent(std::string_view type, const std::string &subject, const std::string &detail) = 0;
 };
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -55,6 +55,8 @@
                 "Ended streams of replicas by framing, result, and whether they ended inside an event");
     Family<Counter> &retries = counter(registry, "foxtaildyke_gateway_retries_total",
                                        "Retries by service, reason, and whether the retry budget allowed them");
+    Family<Counter> &storeCalls =
+        counter(registry, "foxtaildyke_gateway_store_calls_total", "Calls to the platform's store by kind and cause");
     Family<Counter> &crashes =
         counter(registry, "foxtaildyke_gateway_crashed_attempts_total",
                 "Attempts during which the replica ended, by whether they count towards a quarantine of the request");
@@ -133,6 +135,11 @@
     m_impl->feed.Add({{"type", std::string(type)}}).Increment();
 }
 
+void gateway_metrics::recordStoreCall(std::string_view kind, std::string_view cause)
+{
+    m_impl->storeCalls.Add({{"kind", std::string(kind)}, {"cause", std::string(cause)}}).Increment();
+}
+
 void gateway_metrics::setConfigVersion(generation_number version)
 {
     m_impl->configVersion.Set(static_cast<double>(version));
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -36,6 +36,9 @@
     /// Counts a feed event, such as a lost or restored dependency or an unusable entry.
     void recordFeedEvent(std::string_view type);
 
+    /// Counts a call to the platform's store.
+    void recordStoreCall(std::string_view kind, std::string_view cause);
+
     void setConfigVersion(generation_number version);
     void setConfigAge(std::chrono::microseconds age);
     void setReplicas(std::size_t count);
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -173,12 +173,23 @@
         m_metrics.setConfigAge(now - *m_state.configConfirmedAt);
     advanceLimits(now);
     logEjections();
+    if (now >= m_nextStoreCallLog)
+        logStoreCalls();
     shareHostReport(now);
     if (m_isDraining)
         advanceStop();
     m_tick.start(kTickInterval);
 }
 
+void gateway_task::logStoreCalls()
+{
+    m_nextStoreCallLog = suspendAwareNow() + kStoreCallLogInterval;
+    if (m_storeCalls.empty())
+        return;
+    const nlohmann::ordered_json fields(std::exchange(m_storeCalls, {}));
+    m_log.write("store_calls", fields);
+}
+
 void gateway_task::logEjections()
 {
     for (const auto &ejected : m_state.replicas.takeEjections())
@@ -231,6 +242,7 @@
         connection->closeIfIdle();
     if (hasActiveRequests() && elapsed < m_settings.grace - kStopMargin)
         return;
+    logStoreCalls();
     m_log.write("stop", {{"open_connections", m_connections.size()}});
     m_loop.stop();
 }
--- a/src/gateway_task_feed.cpp
+++ b/src/gateway_task_feed.cpp
@@ -217,6 +217,13 @@
     m_state.gate.limits().setStoreReachable(isReachable, suspendAwareNow());
 }
 
+void gateway_task::onStoreCall(std::string_view kind, store_call_cause cause)
+{
+    const auto name = nameOf(cause);
+    m_metrics.recordStoreCall(kind, name);
+    ++m_storeCalls[std::string(kind).append("/").append(name)];
+}
+
 void gateway_task::onFeedEvent(std::string_view type, const std::string &subject, const std::string &detail)
 {
     m_metrics.recordFeedEvent(type);
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -63,6 +63,7 @@
     {
         m_state.replicas.setOthersLoad(loads, suspendAwareNow());
     }
+    void onStoreCall(std::string_view kind, store_call_cause cause) override;
     void onFeedEvent(std::string_view type, const std::string &subject, const std::string &detail) override;
 
     [[nodiscard]] result<void> listenForCallers();
@@ -78,6 +79,8 @@
     /// Updates this host's shares of the replicas' rate limits and logs them.
     void advanceLimits(instant now);
     void logEjections();
+    /// Logs the calls to the store since the last time.
+    void logStoreCalls();
     void recordCrash(const broken_attempt &attempt);
     void shareHostReport(instant now);
     void logQuarantines(instant now);
@@ -91,6 +94,7 @@
     /// Time before the end of the grace period at which the process exits even if requests are still in flight.
     static constexpr std::chrono::milliseconds kStopMargin{250};
     static constexpr std::chrono::milliseconds kTickInterval{250};
+    static constexpr std::chrono::seconds kStoreCallLogInterval{5};
 
     event_loop &m_loop;
     gateway_settings m_settings;
@@ -114,6 +118,8 @@
     std::vector<rollout_report> m_sharedEvidence; ///< last written
     instant m_nextEvidenceShare{};
     loop_timer m_rolloutTimer;
+    std::map<std::string, std::uint64_t> m_storeCalls; ///< by "kind/cause", not yet logged
+    instant m_nextStoreCallLog{};
     std::optional<instant> m_rolloutWriteAt; ///< set while a roll-out is due for its next state
     instant m_nextCrashReportPurge{};
     std::set<std::uint64_t> m_loggedQuarantines; ///< traits, see crash_evidence_p.h
--- a/src/timeline.cpp
+++ b/src/timeline.cpp
@@ -285,6 +285,19 @@
     return counts;
 }
 
+std::map<std::string, std::uint64_t> countStoreCalls(const std::vector<timeline_event> &events)
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (const auto &event : events) {
+        if (event.type != "store_calls")
+            continue;
+        for (const auto &[cause, text] : event.details)
+            if (const auto count = json::parse(text, nullptr, false); count.is_number_unsigned())
+                counts[cause] += count.get<std::uint64_t>();
+    }
+    return counts;
+}
+
 std::string formatEventText(const timeline_event &event)
 {
     auto text = formatTime(event.orderUs) + ' ' + event.host + ' ' + event.process + '#'
--- a/src/timeline_p.h
+++ b/src/timeline_p.h
@@ -56,6 +56,9 @@
 /// @returns the number of refused or failed requests by "outcome: reason".
 [[nodiscard]] std::map<std::string, std::size_t> countRefusals(const std::vector<timeline_event> &events);
 
+/// @returns the number of calls to the platform's store that the hosts have logged, by kind and cause.
+[[nodiscard]] std::map<std::string, std::uint64_t> countStoreCalls(const std::vector<timeline_event> &events);
+
 [[nodiscard]] std::string formatEventText(const timeline_event &event);
 [[nodiscard]] std::string formatEventJson(const timeline_event &event);
 
--- a/tests/feed_recorder.h
+++ b/tests/feed_recorder.h
@@ -14,6 +14,7 @@
     host_reports hostReports;
     std::vector<bool> reportWrites; ///< results of this host's writes of crash reports
     std::vector<std::string> events;
+    std::map<store_call_cause, std::size_t> storeCalls;
     bool isReachable = false;
     int rewinds = 0;
     std::size_t fleetSize = 0;
@@ -42,6 +43,7 @@
     void onFleetSize(std::size_t hosts) override { fleetSize = hosts; }
     std::vector<replica_load> ownLoad() const override { return ownLoads; }
     void onOthersLoad(const std::vector<replica_load> &loads) override { othersLoads = loads; }
+    void onStoreCall(std::string_view, store_call_cause cause) override { ++storeCalls[cause]; }
     void onFeedEvent(std::string_view type, const std::string &subject, const std::string &) override
     {
         events.push_back(std::string(type) + ' ' + subject);
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -175,6 +175,8 @@
     }
     // At most one watch per kind and change, by the relay alone.
     CHECK(net.store.calls - callsBefore < 30);
+    CHECK(net.runUntil([&] { return net.relay->recorder.storeCalls[store_call_cause::change] >= 5; }));
+    CHECK(net.relay->recorder.storeCalls[store_call_cause::start] == 4); // one for each kind
     // The relay and the 8 hosts that query it, times one relay.
     CHECK(net.runUntil([&] { return net.hosts[0]->recorder.fleetSize == 9 && net.relay->recorder.fleetSize == 9; }));
     net.relay->recorder.ownLoads = {{"r1", 1, 5}};
--- a/tests/test_timeline.cpp
+++ b/tests/test_timeline.cpp
@@ -103,6 +103,15 @@
     CHECK(count({.generation = 4}) == 1);
 }
 
+TEST_CASE("calls to the store are added up by cause over hosts")
+{
+    const auto events = parseAndOrder(line(1, "a", 1, "store_calls", R"(,"servers/change":3,"config/renewal":1)")
+                                      + line(2, "b", 1, "store_calls", R"(,"servers/change":4,"x":"y","z":-1)")
+                                      + line(3, "b", 2, "other", R"(,"servers/change":9)"));
+    CHECK(countStoreCalls(events)
+          == std::map<std::string, std::uint64_t>{{"config/renewal", 1}, {"servers/change", 7}});
+}
+
 TEST_CASE("text and JSON contain all fields, and the original clock where the order was corrected")
 {
     timeline_event event;
--- a/tools/timeline_main.cpp
+++ b/tools/timeline_main.cpp
@@ -14,7 +14,7 @@
 
 const program_spec kProgram{
     "foxtaildyke-timeline",
-    "Merges event logs into one timeline and counts refusals by reason.",
+    "Merges event logs into one timeline, and counts refusals by reason and calls to the store by cause.",
     "FILE...",
     {{"request", "ID", "only events of this request"},
      {"session", "ID", "only events of this session"},
@@ -75,15 +75,20 @@
 void printSummary(const std::vector<timeline_event> &events, std::size_t damagedLines, bool asJson)
 {
     const auto refusals = countRefusals(events);
+    const auto storeCalls = countStoreCalls(events);
     if (asJson) {
-        const nlohmann::json summary{
-            {"events", events.size()}, {"damaged_lines", damagedLines}, {"refusals", refusals}};
+        const nlohmann::json summary{{"events", events.size()},
+                                     {"damaged_lines", damagedLines},
+                                     {"refusals", refusals},
+                                     {"store_calls", storeCalls}};
         std::cout << nlohmann::json{{"summary", summary}}.dump() << '\n';
         return;
     }
     std::cout << "\n" << events.size() << " events, " << damagedLines << " damaged lines\n";
     for (const auto &[reason, count] : refusals)
         std::cout << "refused " << count << " " << reason << '\n';
+    for (const auto &[cause, count] : storeCalls)
+        std::cout << "store calls " << count << " " << cause << '\n';
 }
 
 int run(const command_line &line, const timeline_filter &filter)
