Large fleets: hosts search for a relay instead of reading the store, deputies, compressed pages

Relays refused at the first call that failed, so that one watch that was cut off or a history that was dropped sent all hosts to the store. All hosts read 8 calls at the start (1,560). A configuration of 1,986 routes took longer to hand out than a call may last, so that all relays were lost and it was in force only 12 s later. 98 hosts wrote the same state of a roll-out.

Change: - A host that starts or loses its relay queries the others in rounds; it reads the store only if nobody serves it, after a random time, later if relays respond that they can't read the store either. - Each relay names four of its hosts as deputies. Queried by others, a deputy reads the store and serves them, until a relay does. - Relays refuse only once calls have failed for 0.5 s, or the configuration isn't confirmed for 1.3 s; the watch after a change is shorter, so that this doesn't happen after each change. - A response is a line of state and pages that are encoded and compressed (zlib) once for all hosts with the same revisions. - Hosts that read the store write the state of a roll-out first; after a conflict a host waits for the newer state.

Five tests with 60 hosts in one process; each fails on the code before (not all were run there).

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -39,8 +39,9 @@
     src/rollout_evidence.cpp
     src/rollout_policy.cpp
     src/stream_socket.cpp
+    src/text_compression.cpp
     src/upstream_exchange.cpp)
 target_include_directories(foxtaildyke-gateway-lib PUBLIC include src platform)
-target_link_libraries(foxtaildyke-gateway-lib PUBLIC foxtaildyke-base)
+target_link_libraries(foxtaildyke-gateway-lib PUBLIC foxtaildyke-base ZLIB::ZLIB)
 add_executable(foxtaildyke-gateway tools/gateway_main.cpp)
 target_link_libraries(foxtaildyke-gateway PRIVATE foxtaildyke-gateway-lib)
--- a/src/fleet_feed_p.h
+++ b/src/fleet_feed_p.h
@@ -57,6 +57,11 @@
     /// A write of this host's report has ended; if it has failed, it may still have been carried out.
     virtual void onHostReportWritten(bool isWritten) = 0;
 
+    /// A write of a roll-out's state has ended.
+    /// @param isConflict the object has another revision than `order.revision`; the newer one will arrive through
+    /// onRollouts().
+    virtual void onRolloutWritten(const rollout_order &order, bool isConflict) = 0;
+
     /// The store has come back from an older copy: what was written since may be gone, also by this host. Everything
     /// is listed again.
     virtual void onStoreRewound() = 0;
@@ -89,8 +94,8 @@
 
     virtual void start(fleet_listener &listener) = 0;
 
-    /// Records the state of a roll-out unless its object has changed since `order.revision`. The result arrives through
-    /// onRollouts().
+    /// Records the state of a roll-out unless its object has changed since `order.revision`. Its end is reported
+    /// through onRolloutWritten(), the result arrives through onRollouts().
     virtual void writeRollout(const rollout_order &order) = 0;
 
     /// Replaces the stored report of this host. Its end is reported through onHostReportWritten().
@@ -98,6 +103,9 @@
 
     /// Removes the stored report of a host that is gone.
     virtual void removeHostReport(const std::string &host) = 0;
+
+    /// @returns whether this host reads the store itself, as few hosts of a large fleet do.
+    [[nodiscard]] virtual bool readsStore() const = 0;
 };
 
 } // namespace foxtaildyke
--- a/src/gateway_task_feed.cpp
+++ b/src/gateway_task_feed.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds kRolloutCheckInterval{50};
 /// Longest random delay until a host writes the next state of a roll-out, so that few hosts write the same state.
 constexpr std::chrono::milliseconds kRolloutWriteSpread{200};
+/// Delay of hosts that follow a relay, in which they learn of the write of one that reads the store.
+constexpr std::chrono::milliseconds kFollowerWriteDelay{500};
 /// Time after a write in which the state is not written again: its result is to arrive from the store first.
 constexpr std::chrono::milliseconds kRolloutWritePause{500};
 /// Shortest interval between writes of this host's evidence on roll-outs.
@@ -201,8 +203,15 @@
     m_loggedQuarantines = std::move(blocked);
 }
 
+void gateway_task::onRolloutWritten(const rollout_order &order, bool isConflict)
+{
+    if (isConflict)
+        m_staleRollouts.insert_or_assign(order.service, order.revision);
+}
+
 void gateway_task::onStoreRewound()
 {
+    m_staleRollouts.clear(); // revisions are given out again
     m_registry.recordRewind(suspendAwareNow());
     m_state.rollouts.recordRewind(suspendAwareNow());
     // This host's report may be gone; it is written again.
@@ -237,13 +246,18 @@
     m_rolloutTimer.start(kRolloutCheckInterval);
     const auto now = suspendAwareNow();
     const auto next = m_state.rollouts.nextState(now);
-    if (!next || !m_feed) {
+    // Another host has written; the new state is on its way.
+    const auto stale = next ? m_staleRollouts.find(next->service) : m_staleRollouts.end();
+    const bool isStale = stale != m_staleRollouts.end() && stale->second == next->revision;
+    if (!next || isStale || !m_feed) {
         m_rolloutWriteAt.reset();
         return;
     }
     if (!m_rolloutWriteAt) {
         std::uniform_int_distribution<std::int64_t> spread(0, kRolloutWriteSpread.count());
         m_rolloutWriteAt = now + std::chrono::milliseconds{spread(m_state.random)};
+        if (!m_feed->readsStore())
+            *m_rolloutWriteAt += kFollowerWriteDelay;
     }
     if (now < *m_rolloutWriteAt)
         return;
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -50,6 +50,7 @@
     void onRollouts(const std::vector<rollout_order> &orders) override;
     void onHostReports(const host_reports &reports) override;
     void onHostReportWritten(bool isWritten) override;
+    void onRolloutWritten(const rollout_order &order, bool isConflict) override;
     void onStoreRewound() override;
     void onFeedReachable(bool isReachable) override;
     void onFleetSize(std::size_t hosts) override
@@ -120,6 +121,7 @@
     loop_timer m_rolloutTimer;
     std::map<std::string, std::uint64_t> m_storeCalls; ///< by "kind/cause", not yet logged
     instant m_nextStoreCallLog{};
+    std::map<std::string, std::uint64_t> m_staleRollouts; ///< by service: revision on which a write has conflicted
     std::optional<instant> m_rolloutWriteAt; ///< set while a roll-out is due for its next state
     instant m_nextCrashReportPurge{};
     std::set<std::uint64_t> m_loggedQuarantines; ///< traits, see crash_evidence_p.h
--- a/src/relay_choice_p.h
+++ b/src/relay_choice_p.h
@@ -23,6 +23,18 @@
     /// @returns the relay to query, or null if none is available or this host is a relay itself.
     [[nodiscard]] const http_endpoint *next(instant now) const;
 
+    /// Replaces the deputies: hosts that read the store if no relay does.
+    /// @param source host that this one follows and that has named them. Only relays name any; each deputy would name
+    /// others.
+    void setDeputies(const http_endpoint &source, std::vector<http_endpoint> deputies);
+
+    /// @param round number of the round of a search for a source; 0: the first.
+    /// @param lost relay that this host has just lost; unset if it has just started.
+    /// @returns the hosts to query at the same time in this round. A host that starts queries its preferred relay
+    /// first, one that has lost its relay the others. If none serves it, relays and deputies are queried in turn.
+    [[nodiscard]] std::vector<http_endpoint> contacts(std::uint32_t round,
+                                                      const std::optional<http_endpoint> &lost) const;
+
     /// Called when the relay did not respond or refused.
     /// @param isStoreUnreachable whether this host can't read the store either; the relay is then not skipped.
     void recordFailure(const http_endpoint &relay, bool isStoreUnreachable, instant now);
@@ -44,6 +56,21 @@
     static constexpr std::size_t kMinQueriers = 6;
     /// Time for which a failed relay is not queried.
     static constexpr std::chrono::seconds kFailureBackoff{3};
+    /// First round of a search in which deputies are queried as well, and their number in each round.
+    static constexpr std::uint32_t kDeputyRound = 1;
+    static constexpr std::size_t kDeputiesPerRound = 2;
+    /// Interval between the rounds of a search; the first ones after the start follow each other sooner, as the hosts
+    /// of a fleet start at the same time.
+    static constexpr std::chrono::milliseconds kSearchInterval{300};
+    static constexpr std::chrono::milliseconds kStartSearchInterval{100};
+    static constexpr std::uint32_t kStartSearchRounds = 10;
+    /// Range of the random time after which a host that finds no source reads the store itself. In a fleet that has
+    /// lost all relays and deputies, the hosts then don't call the store at the same moment.
+    static constexpr std::chrono::milliseconds kMinSearchTime{800};
+    static constexpr std::chrono::milliseconds kMaxSearchTime{1800};
+    /// The same if relays respond, but refuse because they can't read the store.
+    static constexpr std::chrono::milliseconds kMinRefusedTime{2000};
+    static constexpr std::chrono::milliseconds kMaxRefusedTime{5000};
     /// Time between two queries to a relay that this host does not follow.
     static constexpr std::chrono::milliseconds kPollInterval{1500};
     /// The same while the store is unreachable: the relays keep trying to reach it, and the other hosts receive its
@@ -59,6 +86,9 @@
         instant skippedUntil{};
     };
     std::vector<relay> m_relays; ///< in this host's order of preference
+    http_endpoint m_own;
+    std::uint64_t m_hostHash = 0;
+    std::vector<http_endpoint> m_deputies; ///< as the relay named them that this host followed last
     bool m_isRelay = false;
 };
 
@@ -66,7 +96,18 @@
 class relay_query_tracker
 {
 public:
-    void recordQuery(const std::string &host, instant now) { m_queriedAt[host] = now; }
+    /// @param address at which the host serves others; unset: unknown.
+    /// @param isFollowing whether the host follows this one, rather than querying it to find out whether it should.
+    void recordQuery(const std::string &host, const std::optional<http_endpoint> &address, bool isFollowing,
+                     instant now)
+    {
+        m_queriers[host] = {now, address, isFollowing};
+    }
+
+    [[nodiscard]] bool hasFollowers(instant now);
+
+    /// @returns addresses of a few of the hosts that queried recently, the same ones as long as these are among them.
+    [[nodiscard]] std::vector<http_endpoint> deputies(instant now);
 
     /// @returns the number of hosts that queried recently.
     [[nodiscard]] std::size_t size(instant now);
@@ -79,12 +120,21 @@
     /// Age of the store's last response beyond which a relay no longer responds. Together with the wait of a host's
     /// call it stays below the shortest time in which the users' replicas leave (2 s).
     static constexpr std::chrono::milliseconds kMaxConfirmationAge{1300};
+    /// Number of hosts that each relay names as deputies.
+    static constexpr std::size_t kDeputies = 4;
     /// Longest wait of a relay's watch call for the configuration; keeps its responses recent enough.
     static constexpr std::chrono::milliseconds kMaxWatchWait{800};
 
 private:
+    struct querier {
+        instant queriedAt{};
+        std::optional<http_endpoint> address;
+        bool isFollowing = false;
+    };
+    void evictExpired(instant now);
+
     static constexpr std::chrono::seconds kQuerierLifetime{10};
-    std::map<std::string, instant> m_queriedAt; ///< by host
+    std::map<std::string, querier> m_queriers; ///< by host
 };
 
 } // namespace foxtaildyke
--- a/tests/feed_recorder.h
+++ b/tests/feed_recorder.h
@@ -17,6 +17,7 @@
     std::map<store_call_cause, std::size_t> storeCalls;
     bool isReachable = false;
     int rewinds = 0;
+    int rolloutConflicts = 0;
     std::size_t fleetSize = 0;
     std::vector<replica_load> ownLoads; ///< load that this host reports, set by the test
     std::vector<replica_load> othersLoads; ///< load of the other hosts as last received
@@ -38,6 +39,7 @@
     void onRollouts(const std::vector<rollout_order> &all) override { orders = all; }
     void onHostReports(const host_reports &reports) override { hostReports = reports; }
     void onHostReportWritten(bool isWritten) override { reportWrites.push_back(isWritten); }
+    void onRolloutWritten(const rollout_order &, bool isConflict) override { rolloutConflicts += isConflict ? 1 : 0; }
     void onStoreRewound() override { ++rewinds; }
     void onFeedReachable(bool isReachableNow) override { isReachable = isReachableNow; }
     void onFleetSize(std::size_t hosts) override { fleetSize = hosts; }
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -21,6 +21,7 @@
     void writeRollout(const rollout_order &order) override { written.push_back(order); }
     void writeHostReport(const host_report &report) override { writtenReport = report; }
     void removeHostReport(const std::string &) override { }
+    [[nodiscard]] bool readsStore() const override { return true; }
 };
 
 /// A request as received by a replica.
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -22,7 +22,8 @@
 
 std::string encodedUpdates(const platform::kind_mirror &mirror, std::uint64_t revision)
 {
-    return platform::encodeFeed({{"servers", mirror.updatesFor(revision)}}, {.queriers = 1}, "{}");
+    return platform::encodeState({.queriers = 1}, "{}") + '\n'
+        + platform::encodePages({{"servers", mirror.updatesFor(revision)}});
 }
 
 nlohmann::json replicaSpec()
@@ -111,11 +112,11 @@
 {
     relay_query_tracker queriers;
     for (int i = 0; i < 5; ++i)
-        queriers.recordQuery("host-" + std::to_string(i), 1s);
+        queriers.recordQuery("host-" + std::to_string(i), std::nullopt, false, 1s);
     CHECK_FALSE(relay_choice::shouldFollow(queriers.size(2s)));
-    queriers.recordQuery("host-0", 2s);
+    queriers.recordQuery("host-0", std::nullopt, false, 2s);
     CHECK_FALSE(relay_choice::shouldFollow(queriers.size(2s)));
-    queriers.recordQuery("host-5", 2s);
+    queriers.recordQuery("host-5", std::nullopt, false, 2s);
     CHECK(relay_choice::shouldFollow(queriers.size(2s)));
     CHECK_FALSE(relay_choice::shouldFollow(queriers.size(11'500ms))); // queries of absent hosts expire
 
@@ -158,8 +159,9 @@
 TEST_CASE("kind mirror: a malformed response is rejected with the name of the field")
 {
     for (const std::string body :
-         {"", "[]", "{}", R"({"config_age_ms":-1,"kinds":{}})",
-          R"({"config_age_ms":1,"kinds":{"servers":{"items":[]}}})", R"({"config_age_ms":1,"kinds":{"servers":7}})"})
+         {"", "[]", "{}", "{}\n{}", "{\"config_age_ms\":-1}\n{}", "{\"config_age_ms\":1}", "{\"config_age_ms\":1}\n[]",
+          "{\"config_age_ms\":1}\nx\x9c garbage", "{\"config_age_ms\":1}\n{\"servers\":{\"items\":[]}}",
+          "{\"config_age_ms\":1}\n{\"servers\":7}"})
         CHECK(platform::decodeFeed(body).has_error());
 }
 
@@ -211,9 +213,15 @@
 
 TEST_CASE("kind mirror: a relay that refuses states the size of its group, or nothing that can be read")
 {
-    CHECK(platform::decodeRefusal(platform::encodeRefusal(7)) == 7);
-    for (const auto *body : {"", "[]", "{}", R"({"group":-1})", R"({"group":"7"})"})
-        CHECK(platform::decodeRefusal(body) == 0);
+    const std::vector<http_endpoint> deputies{{"10.0.0.1", 80}, {"10.0.0.2", 81}};
+    const auto state = platform::decodeRefusal(platform::encodeRefusal({.groupSize = 7, .deputies = deputies}));
+    CHECK(state.groupSize == 7);
+    CHECK(state.deputies == deputies);
+    for (const auto *body : {"", "[]", "{}", R"({"group":-1})", R"({"group":"7","deputies":{}})",
+                             R"({"deputies":["x",7,"10.0.0.1","10.0.0.1:99999"]})"}) {
+        CHECK(platform::decodeRefusal(body).groupSize == 0);
+        CHECK(platform::decodeRefusal(body).deputies.empty());
+    }
 }
 
 TEST_CASE("feed relay: after it stops or loses the store, the hosts read the store themselves")
--- /dev/null
+++ b/tests/test_relay_fleet.cpp
@@ -0,0 +1,180 @@
+// Calls to the platform's store from a large fleet: hosts that start, lose relays, or lose the store.
+#include "failure_support.h"
+#include "feed_recorder.h"
+#include "gateway_harness.h"
+#include "standin_store.h"
+#include "store_feed.h"
+
+using namespace foxtaildyke;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+nlohmann::json replicaSpec()
+{
+    return {{"service", "s"},  {"address", "10.0.0.1:80"}, {"zone", "d1"},
+            {"version", "v1"}, {"batch_slots", 8},         {"state", "ready"}};
+}
+
+constexpr std::size_t kKinds = 4;
+constexpr std::size_t kRelays = 3;
+
+/// Hosts of which the first three are the relays, connected to an emulated store. Each host serves at an address of its
+/// own, as any may become a deputy.
+struct fleet : test_loop {
+    struct host {
+        host(event_loop &loop, const http_endpoint &store, platform::relay_addresses addresses)
+            : feed(loop, store, {300ms, 300ms}, std::move(addresses))
+        {
+        }
+        feed_recorder recorder;
+        platform::store_feed feed;
+    };
+
+    explicit fleet(std::size_t count)
+    {
+        store.put("config", "main", {{"version", 1}});
+        store.put("servers", "r1", replicaSpec());
+        for (std::size_t index = 0; index < count; ++index)
+            addresses.push_back({"127.0.0.1", testing::reservePort()});
+        hosts.resize(count);
+        for (std::size_t index = 0; index < count; ++index)
+            start(index);
+    }
+
+    void start(std::size_t index)
+    {
+        const std::vector<http_endpoint> relays(addresses.begin(), addresses.begin() + kRelays);
+        auto &target = hosts[index];
+        target = std::make_unique<host>(
+            loop, store.endpoint, platform::relay_addresses{"host-" + std::to_string(index), relays, addresses[index]});
+        REQUIRE(target->feed.listen().has_value());
+        target->feed.start(target->recorder);
+    }
+
+    /// @returns whether a property holds for all running hosts.
+    bool all(const std::function<bool(const host &)> &holds) const
+    {
+        return std::ranges::all_of(hosts, [&](const auto &each) { return !each || holds(*each); });
+    }
+
+    bool allHaveReplica(const std::string &replica) const
+    {
+        return all([&](const host &each) {
+            return std::ranges::find(each.recorder.replicas, replica) != each.recorder.replicas.end();
+        });
+    }
+
+    /// @returns the number of running hosts that read the store themselves.
+    std::size_t readers() const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(hosts, [](const auto &each) { return each && each->feed.readsStore(); }));
+    }
+
+    bool waitUntilFollowing()
+    {
+        return runUntil([&] { return readers() == kRelays && allHaveReplica("r1"); });
+    }
+
+    standin_store store{loop};
+    std::vector<http_endpoint> addresses;
+    std::vector<std::unique_ptr<host>> hosts;
+};
+
+constexpr std::size_t kHosts = 60;
+
+} // namespace
+
+TEST_CASE("relay fleet: hosts that start get everything from the relays")
+{
+    fleet net(kHosts);
+    REQUIRE(net.waitUntilFollowing());
+    // Each relay lists each kind, and goes on with a watch of each; the configuration's watch is restarted once.
+    CHECK(net.store.calls <= kRelays * (2 * kKinds + 4));
+    for (const auto &host : net.hosts)
+        CHECK_FALSE(host->recorder.hasEvent("relay_lost 127.0.0.1"));
+    // One host that starts later calls nobody but the relays.
+    net.runFor(200ms);
+    const auto fromHosts = [&net] {
+        std::size_t sum = 0;
+        for (std::size_t index = kRelays; index < kHosts; ++index)
+            for (const auto &[cause, count] : net.hosts[index]->recorder.storeCalls)
+                sum += count;
+        return sum;
+    };
+    net.start(kHosts - 1);
+    REQUIRE(net.waitUntilFollowing());
+    CHECK(fromHosts() == 0);
+}
+
+TEST_CASE("relay fleet: when a relay is lost, its hosts follow another one without calling the store")
+{
+    fleet net(kHosts);
+    REQUIRE(net.waitUntilFollowing());
+    net.hosts[0].reset();
+    net.store.put("servers", "later", replicaSpec());
+    REQUIRE(net.runUntil([&] { return net.allHaveReplica("later"); }));
+    for (std::size_t index = kRelays; index < kHosts; ++index)
+        CHECK(net.hosts[index]->recorder.storeCalls.empty());
+    CHECK(net.readers() == kRelays - 1);
+}
+
+TEST_CASE("relay fleet: when all relays are lost, a few hosts read the store for all until the relays are back")
+{
+    fleet net(kHosts);
+    REQUIRE(net.waitUntilFollowing());
+    net.runFor(600ms); // all hosts have learned of the deputies
+    for (std::size_t index = 0; index < kRelays; ++index)
+        net.hosts[index].reset();
+    net.store.put("servers", "later", replicaSpec());
+    REQUIRE(net.runUntil([&] { return net.allHaveReplica("later"); }));
+    // Each relay has named up to four deputies.
+    CHECK(net.readers() <= kRelays * relay_query_tracker::kDeputies);
+    CHECK(net.readers() >= 1);
+    for (std::size_t index = 0; index < kRelays; ++index)
+        net.start(index);
+    CHECK(net.runUntil([&] { return net.readers() == kRelays; }));
+    net.store.put("servers", "last", replicaSpec());
+    CHECK(net.runUntil([&] { return net.allHaveReplica("last"); }));
+}
+
+TEST_CASE("relay fleet: in a store outage the hosts' calls are bounded, and all detect its end")
+{
+    for (const auto state : {store_state::refusing, store_state::silent, store_state::dropping}) {
+        fleet net(kHosts);
+        REQUIRE(net.waitUntilFollowing());
+        net.runFor(600ms);
+        net.store.setState(state);
+        const auto callsBefore = net.store.calls;
+        net.runFor(4s);
+        // Each relay retries the configuration every 0.4 s at least, deputies and hosts that have found no source
+        // begin with each kind once, retry the configuration after 0.1, 0.2, 0.4, 0.8, 1.6 s.
+        CHECK(net.store.calls - callsBefore
+              <= kRelays * (kKinds + 12) + kRelays * relay_query_tracker::kDeputies * 10 + kHosts * (kKinds + 4));
+        net.store.setState(store_state::serving);
+        net.store.put("servers", "later", replicaSpec());
+        CHECK(net.runUntil([&] { return net.allHaveReplica("later"); }));
+        CHECK(net.runUntil([&] { return net.readers() == kRelays; }));
+    }
+}
+
+TEST_CASE("relay fleet: a watch that is cut off, and a history that is gone, concern the relays only")
+{
+    fleet net(kHosts);
+    REQUIRE(net.waitUntilFollowing());
+    for (int round = 0; round < 3; ++round) {
+        net.store.setState(store_state::dropping);
+        net.runFor(100ms);
+        net.store.setState(store_state::serving);
+        net.runFor(500ms);
+        net.store.discardHistory();
+        net.store.put("servers", "later-" + std::to_string(round), replicaSpec());
+        REQUIRE(net.runUntil([&] { return net.allHaveReplica("later-" + std::to_string(round)); }));
+    }
+    for (std::size_t index = kRelays; index < kHosts; ++index) {
+        CHECK(net.hosts[index]->recorder.storeCalls.empty());
+        CHECK_FALSE(net.hosts[index]->recorder.hasEvent("relay_lost 127.0.0.1"));
+    }
+}
