Roll-outs: relays take the evidence of the hosts that follow them

Change: a host that follows a relay passes its evidence to it with its queries, in batches that are counted once; the relay adds them to its own report. Pooled evidence stays complete, as sharing only bad responses would bias the tests against good versions.

--- a/src/fleet_feed_p.h
+++ b/src/fleet_feed_p.h
@@ -79,6 +79,16 @@
     /// Estimated outstanding requests of all other hosts at the replicas; repeated as long as it is known.
     virtual void onOthersLoad(const std::vector<replica_load> &loads) = 0;
 
+    /// This host follows a relay from now on, or not any more.
+    virtual void onFollowing(bool isFollowing) = 0;
+
+    /// @returns evidence on roll-outs that the followed relay is to share for this host; returned once.
+    [[nodiscard]] virtual std::vector<rollout_report> takeRelayedEvidence() = 0;
+
+    /// Evidence that another host has passed to this one, or that takeRelayedEvidence() returned and no relay has
+    /// taken: it is to be shared by this host.
+    virtual void onEvidence(const std::vector<rollout_report> &reports) = 0;
+
     /// The store has been called.
     /// @param kind of the objects, as the store names it.
     virtual void onStoreCall(std::string_view kind, store_call_cause cause) = 0;
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -64,6 +64,9 @@
     {
         m_state.replicas.setOthersLoad(loads, suspendAwareNow());
     }
+    void onFollowing(bool isFollowing) override { m_state.rollouts.setRelayed(isFollowing); }
+    std::vector<rollout_report> takeRelayedEvidence() override { return m_state.rollouts.takeRelayed(); }
+    void onEvidence(const std::vector<rollout_report> &reports) override { m_state.rollouts.absorb(reports); }
     void onStoreCall(std::string_view kind, store_call_cause cause) override;
     void onFeedEvent(std::string_view type, const std::string &subject, const std::string &detail) override;
 
--- a/src/relay_choice_p.h
+++ b/src/relay_choice_p.h
@@ -69,8 +69,8 @@
     static constexpr std::chrono::milliseconds kMinSearchTime{800};
     static constexpr std::chrono::milliseconds kMaxSearchTime{1800};
     /// The same if relays respond, but refuse because they can't read the store.
-    static constexpr std::chrono::milliseconds kMinRefusedTime{2000};
-    static constexpr std::chrono::milliseconds kMaxRefusedTime{5000};
+    static constexpr std::chrono::milliseconds kMinRefusedTime{5000};
+    static constexpr std::chrono::milliseconds kMaxRefusedTime{9000};
     /// Time between two queries to a relay that this host does not follow.
     static constexpr std::chrono::milliseconds kPollInterval{1500};
     /// The same while the store is unreachable: the relays keep trying to reach it, and the other hosts receive its
--- a/src/rollout_evidence.cpp
+++ b/src/rollout_evidence.cpp
@@ -9,6 +9,20 @@
 namespace foxtaildyke
 {
 
+namespace
+{
+
+void addTo(rollout_report &sum, const rollout_report &report)
+{
+    sum.ratio += report.ratio;
+    sum.responses += report.responses;
+    sum.badResponses += report.badResponses;
+    sum.replicas.insert(report.replicas.begin(), report.replicas.end());
+    sum.badReplicas.insert(report.badReplicas.begin(), report.badReplicas.end());
+}
+
+} // namespace
+
 void version_baseline::recordResponse(const version_response &response)
 {
     m_failureRate += kFailureWeight * ((response.isFailure ? 1.0 : 0.0) - m_failureRate);
@@ -49,24 +63,36 @@
     m_isRejected = m_isRejected || (hasReached && isWidespread);
 }
 
-void rollout_evidence::recordResponse(const version_response &response, bool isBad, double goodRate)
+void rollout_evidence::recordResponse(const version_response &response, bool isBad, double goodRate, bool isRelayed)
 {
     const double good = std::max(kGoodRate, goodRate);
     const double bad = std::min(0.9, std::max(kBadRate, 2.5 * good));
     const double ratio = isBad ? std::log(bad / good) : std::log((1 - bad) / (1 - good));
-    const std::string replica(response.replica);
-    m_own.ratio += ratio;
-    ++m_own.responses;
-    m_own.replicas.insert(replica);
-    m_replicas.insert(replica);
-    if (isBad) {
-        ++m_own.badResponses;
-        m_own.badReplicas.insert(replica);
-        m_badReplicas.insert(replica);
-    }
-    m_ratio += ratio;
+    rollout_report report;
+    report.ratio = ratio;
+    report.responses = 1;
+    report.badResponses = isBad ? 1 : 0;
+    report.replicas.emplace(response.replica);
+    if (isBad)
+        report.badReplicas = report.replicas;
+    m_responses += report.responses;
+    m_badResponses += report.badResponses;
     addToCusum(std::string(response.stratum), ratio);
-    addToCusum({}, ratio);
+    if (!isRelayed)
+        return absorb(report);
+    addTo(m_relayed, report);
+    m_replicas.merge(report.replicas);
+    m_badReplicas.merge(report.badReplicas);
+    updateRejection();
+}
+
+void rollout_evidence::absorb(const rollout_report &report)
+{
+    addTo(m_own, report);
+    m_ratio += report.ratio;
+    addToCusum({}, report.ratio);
+    m_replicas.insert(report.replicas.begin(), report.replicas.end());
+    m_badReplicas.insert(report.badReplicas.begin(), report.badReplicas.end());
     updateRejection();
 }
 
--- a/src/rollout_evidence_p.h
+++ b/src/rollout_evidence_p.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace foxtaildyke
 {
@@ -68,7 +69,14 @@
 {
 public:
     /// @param goodRate failure rate expected of a good version.
-    void recordResponse(const version_response &response, bool isBad, double goodRate);
+    /// @param isRelayed a relay adds the response to its own evidence, which this host then receives as that of a peer.
+    void recordResponse(const version_response &response, bool isBad, double goodRate, bool isRelayed);
+
+    /// @returns the relayed responses since the last call.
+    [[nodiscard]] rollout_report takeRelayed() { return std::exchange(m_relayed, {}); }
+
+    /// Adds responses of another host, or of this one that no relay has taken, to this host's evidence.
+    void absorb(const rollout_report &report);
 
     /// Replaces the evidence of another host. A report with fewer responses than the one before is that of a restarted
     /// host and adds to it.
@@ -78,8 +86,8 @@
 
     /// @returns this host's evidence; the order's fields are empty.
     [[nodiscard]] const rollout_report &own() const { return m_own; }
-    [[nodiscard]] std::uint32_t responses() const { return m_own.responses; }
-    [[nodiscard]] std::uint32_t badResponses() const { return m_own.badResponses; }
+    [[nodiscard]] std::uint32_t responses() const { return m_responses; }
+    [[nodiscard]] std::uint32_t badResponses() const { return m_badResponses; }
     [[nodiscard]] std::uint32_t peerResponses() const;
 
     /// Log-likelihood ratio at which a version is rejected.
@@ -95,7 +103,10 @@
     /// Rejects the version if a CUSUM has reached the threshold and not only a single one of several replicas is bad.
     void updateRejection();
 
-    rollout_report m_own;
+    rollout_report m_own; ///< responses of this host that aren't relayed, and those that it relays for others
+    rollout_report m_relayed; ///< see takeRelayed()
+    std::uint32_t m_responses = 0; ///< of this host
+    std::uint32_t m_badResponses = 0;
     std::map<std::string, rollout_report> m_peers; ///< by host
     double m_ratio = 0; ///< sum of the log-likelihood ratios of all hosts' responses
     std::map<std::string, double, std::less<>> m_cusums; ///< by stratum, and of all hosts under the empty name; >= 0
--- a/src/rollout_policy.cpp
+++ b/src/rollout_policy.cpp
@@ -17,6 +17,14 @@
     return order.state == rollout_state::completed || order.state == rollout_state::rolled_back;
 }
 
+rollout_report withOrder(rollout_report report, const rollout_order &order)
+{
+    report.service = order.service;
+    report.target = order.target;
+    report.createdRevision = order.createdRevision;
+    return report;
+}
+
 /// @returns when an order began that was first seen in its present stage: at the latest at the earliest end of the
 /// stage before.
 instant startOf(const rollout_order &order, instant now)
@@ -165,20 +173,40 @@
     auto &target = m_rollouts.find(response.service)->second;
     const auto limit = slowLimit(target, response.stratum);
     const bool isSlow = limit && response.latency && *response.latency > *limit;
-    target.evidence.recordResponse(response, response.isFailure || isSlow, known->second.failureRate());
+    target.evidence.recordResponse(response, response.isFailure || isSlow, known->second.failureRate(), m_isRelayed);
+}
+
+void rollout_policy::setRelayed(bool isRelayed)
+{
+    m_isRelayed = isRelayed;
+    if (!isRelayed)
+        absorb(takeRelayed());
+}
+
+std::vector<rollout_report> rollout_policy::takeRelayed()
+{
+    std::vector<rollout_report> reports;
+    for (auto &[service, active] : m_rollouts) {
+        auto report = active.evidence.takeRelayed();
+        if (report.responses > 0 && !isDecided(active.order))
+            reports.push_back(withOrder(std::move(report), active.order));
+    }
+    return reports;
+}
+
+void rollout_policy::absorb(const std::vector<rollout_report> &reports)
+{
+    for (const auto &report : reports)
+        if (isUndecided(report))
+            m_rollouts.find(report.service)->second.evidence.absorb(report);
 }
 
 std::vector<rollout_report> rollout_policy::reports() const
 {
     std::vector<rollout_report> reports;
     for (const auto &[service, active] : m_rollouts) {
-        if (isDecided(active.order) || active.evidence.responses() == 0)
-            continue;
-        auto report = active.evidence.own();
-        report.service = service;
-        report.target = active.order.target;
-        report.createdRevision = active.order.createdRevision;
-        reports.push_back(std::move(report));
+        if (!isDecided(active.order) && active.evidence.own().responses > 0)
+            reports.push_back(withOrder(active.evidence.own(), active.order));
     }
     return reports;
 }
--- a/src/rollout_policy_p.h
+++ b/src/rollout_policy_p.h
@@ -74,6 +74,15 @@
     /// @returns this host's evidence on undecided orders, for the other hosts; empty without responses.
     [[nodiscard]] std::vector<rollout_report> reports() const;
 
+    /// @param isRelayed a relay adds this host's responses to its own evidence from now on.
+    void setRelayed(bool isRelayed);
+
+    /// @returns the responses to undecided orders that were recorded since the last call while they were relayed.
+    [[nodiscard]] std::vector<rollout_report> takeRelayed();
+
+    /// Adds responses that another host has passed to this one, or that no relay has taken, to this host's evidence.
+    void absorb(const std::vector<rollout_report> &reports);
+
     /// Replaces the evidence of another host.
     void setPeerReports(const std::string &host, const std::vector<rollout_report> &reports);
 
@@ -120,6 +129,7 @@
     void freezeLimits(tracked_rollout &target) const;
 
     exposure_limits m_limits;
+    bool m_isRelayed = false;
     std::size_t m_hosts = kAssumedHosts; ///< among which the slack is divided
     rollout_map m_rollouts; ///< by service
     /// Versions that were rolled back, by service; without the target of the present order. Their replicas may stay
--- a/tests/feed_recorder.h
+++ b/tests/feed_recorder.h
@@ -11,6 +11,8 @@
     int confirmations = 0;
     std::vector<std::string> replicas; ///< ids of the current replicas
     std::vector<rollout_order> orders;
+    std::vector<rollout_report> evidence; ///< to be relayed, set by the test
+    std::vector<rollout_report> absorbed; ///< passed to this host, or returned to it
     host_reports hostReports;
     std::vector<bool> reportWrites; ///< results of this host's writes of crash reports
     std::vector<std::string> events;
@@ -45,6 +47,12 @@
     void onFleetSize(std::size_t hosts) override { fleetSize = hosts; }
     std::vector<replica_load> ownLoad() const override { return ownLoads; }
     void onOthersLoad(const std::vector<replica_load> &loads) override { othersLoads = loads; }
+    void onFollowing(bool) override { }
+    std::vector<rollout_report> takeRelayedEvidence() override { return std::exchange(evidence, {}); }
+    void onEvidence(const std::vector<rollout_report> &reports) override
+    {
+        absorbed.insert(absorbed.end(), reports.begin(), reports.end());
+    }
     void onStoreCall(std::string_view, store_call_cause cause) override { ++storeCalls[cause]; }
     void onFeedEvent(std::string_view type, const std::string &subject, const std::string &) override
     {
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -245,12 +245,13 @@
     relayed_hosts net(8);
     REQUIRE(net.runUntil([&] { return net.allRecorded("relay_followed 127.0.0.1"); }));
     net.store.setState(store_state::refusing);
-    REQUIRE(net.runUntil([&] { return net.allRecorded("store_lost servers"); }));
+    REQUIRE(net.runUntil([&] { return net.allRecorded("relay_lost 127.0.0.1"); }));
     const auto callsBefore = net.store.calls;
     net.runFor(3s);
-    // The relay retries every 0.4 s, the others after 0.1, 0.2, 0.4, 0.8 and 1.6 s: 8 and 5 calls, besides the first
-    // call of each kind.
-    CHECK(net.store.calls - callsBefore < 12 + 8 * 8);
+    // The relay retries every 0.4 s; the others only query the relay as long as it responds.
+    CHECK(net.store.calls - callsBefore < 12);
+    for (const auto &host : net.hosts)
+        CHECK(host->recorder.storeCalls[store_call_cause::relay_lost] == 0);
     net.store.setState(store_state::serving);
     net.store.put("servers", "later", replicaSpec());
     CHECK(net.runUntil([&] { return net.allHaveReplica("later"); }));
--- a/tests/test_relay_fleet.cpp
+++ b/tests/test_relay_fleet.cpp
@@ -178,3 +178,64 @@
         CHECK_FALSE(net.hosts[index]->recorder.hasEvent("relay_lost 127.0.0.1"));
     }
 }
+
+namespace
+{
+
+/// @returns evidence with one response.
+std::vector<rollout_report> oneResponse()
+{
+    rollout_report report;
+    report.service = "s";
+    report.target = "v2";
+    report.createdRevision = 7;
+    report.ratio = -0.3;
+    report.responses = 1;
+    report.replicas = {"r1"};
+    return {report};
+}
+
+/// @returns the number of responses that hosts have taken to share.
+std::size_t takenResponses(const fleet &net)
+{
+    std::size_t sum = 0;
+    for (const auto &host : net.hosts)
+        if (host)
+            for (const auto &report : host->recorder.absorbed)
+                sum += report.responses;
+    return sum;
+}
+
+} // namespace
+
+TEST_CASE("relay fleet: evidence of each host is taken by its relay once, also if that is lost later")
+{
+    fleet net(kHosts);
+    REQUIRE(net.waitUntilFollowing());
+    for (std::size_t index = kRelays; index < kHosts; ++index)
+        net.hosts[index]->recorder.evidence = oneResponse();
+    REQUIRE(net.runUntil([&] { return takenResponses(net) == kHosts - kRelays; }));
+    for (std::size_t index = kRelays; index < kHosts; ++index)
+        CHECK(net.hosts[index]->recorder.absorbed.empty());
+    CHECK(net.hosts[0]->recorder.absorbed.front() == oneResponse().front());
+    // Nothing is repeated to another relay, to deputies, or by a host that reads the store itself.
+    net.runFor(600ms);
+    net.hosts[0].reset();
+    REQUIRE(net.runUntil([&] { return net.readers() == kRelays - 1; }));
+    const auto taken = takenResponses(net);
+    net.hosts[1].reset();
+    net.hosts[2].reset();
+    net.store.put("servers", "later", replicaSpec());
+    REQUIRE(net.runUntil([&] { return net.allHaveReplica("later"); }));
+    net.runFor(600ms);
+    CHECK(takenResponses(net) <= taken);
+    // Evidence that comes now is taken by the deputies, or shared by the host itself.
+    const auto before = takenResponses(net);
+    std::size_t added = 0;
+    for (const auto &host : net.hosts)
+        if (host && !host->feed.readsStore()) {
+            host->recorder.evidence = oneResponse();
+            ++added;
+        }
+    CHECK(net.runUntil([&] { return takenResponses(net) == before + added; }));
+}
--- a/tests/test_rollouts.cpp
+++ b/tests/test_rollouts.cpp
@@ -186,6 +186,52 @@
     }
 }
 
+TEST_CASE("roll-out: the evidence of hosts that follow relays is pooled as that of hosts that share it themselves")
+{
+    for (const bool isBad : {false, true}) {
+        CAPTURE(isBad);
+        std::vector<rollout_policy> relays(2);
+        std::vector<rollout_policy> followers(40);
+        const auto forAll = [&](const auto &action) {
+            std::ranges::for_each(relays, action);
+            std::ranges::for_each(followers, action);
+        };
+        forAll([](rollout_policy &policy) { policy.setOrders({makeOrder(rollout_state::in_progress, 1)}, 0s); });
+        std::ranges::for_each(followers, [](rollout_policy &policy) { policy.setRelayed(true); });
+        std::uint32_t responses = 0;
+        for (int round = 0; round < 3; ++round) {
+            for (std::size_t index = 0; index < followers.size(); ++index) {
+                const auto *replica = index % 2 ? "n1" : "n2";
+                followers[index].recordResponse(makeResponse("v2", replica, isBad && index % 4 < 2));
+                ++responses;
+            }
+            CHECK(followers[0].reports().empty());
+            // Some hosts haven't passed on their newest evidence yet, and take the next relay for it.
+            for (std::size_t index = 0; index < followers.size(); ++index)
+                if (round == 2 || index % 5 > 0)
+                    relays[(index + static_cast<std::size_t>(round)) % 2].absorb(followers[index].takeRelayed());
+            forAll([&](rollout_policy &policy) {
+                for (std::size_t index = 0; index < relays.size(); ++index)
+                    if (&policy != &relays[index])
+                        policy.setPeerReports("relay-" + std::to_string(index), relays[index].reports());
+            });
+        }
+        forAll([&](const rollout_policy &policy) {
+            const auto &evidence = policy.find("s")->evidence;
+            CHECK(evidence.verdict() == (isBad ? evidence_verdict::rejected : evidence_verdict::accepted));
+        });
+        for (const auto &policy : followers)
+            CHECK(policy.find("s")->evidence.peerResponses() == responses);
+        CHECK(relays[0].find("s")->evidence.own().responses + relays[1].find("s")->evidence.own().responses
+              == responses);
+        // A host that reads the store itself again shares what no relay has taken.
+        followers[0].recordResponse(makeResponse("v2", "n1", false));
+        followers[0].setRelayed(false);
+        REQUIRE(followers[0].reports().size() == 1);
+        CHECK(followers[0].reports().front().responses == 1);
+    }
+}
+
 TEST_CASE("roll-out: evidence of a restarted host adds to that from before, and that of another order is ignored")
 {
     rollout_policy policy;
