--- a/src/relay_choice.cpp
+++ b/src/relay_choice.cpp
@@ -3,8 +3,6 @@
 
 #include "text_hash_p.h"
 
-#include <ranges>
-
 namespace foxtaildyke
 {
 
@@ -91,9 +89,9 @@
         if (known.address)
             ranked.emplace_back(hashOf(host), *known.address);
     std::ranges::sort(ranked);
+    ranked.resize(std::min(ranked.size(), kDeputies));
     std::vector<http_endpoint> addresses;
-    std::ranges::transform(ranked | std::views::take(kDeputies), std::back_inserter(addresses),
-                           [](const auto &entry) { return entry.second; });
+    std::ranges::transform(ranked, std::back_inserter(addresses), &std::pair<std::uint64_t, http_endpoint>::second);
     return addresses;
 }
 
