Relays: a watch that hangs doesn't make a relay refuse the hosts that follow it

Cause: a relay's watch of the configuration could take 0.8 s of wait and 0.8 s of timeout, while its content counts as confirmed for 1.3 s. When connections to the store went silent, all relays refused at once and 192 hosts began to search.

--- a/src/relay_choice_p.h
+++ b/src/relay_choice_p.h
@@ -118,8 +118,8 @@
     [[nodiscard]] static bool mayRespond(std::optional<instant> confirmedAt, bool isComplete, instant now);
 
     /// Age of the store's last response beyond which a relay no longer responds. Together with the wait of a host's
-    /// call it stays below the shortest time in which the users' replicas leave (2 s).
-    static constexpr std::chrono::milliseconds kMaxConfirmationAge{1300};
+    /// call it stays at the shortest time in which the users' replicas leave (2 s).
+    static constexpr std::chrono::milliseconds kMaxConfirmationAge{1500};
     /// Number of hosts that each relay names as deputies.
     static constexpr std::size_t kDeputies = 4;
     /// Longest wait of a relay's watch call for the configuration; keeps its responses recent enough.
--- a/tests/standin_store.cpp
+++ b/tests/standin_store.cpp
@@ -127,6 +127,13 @@
     exchange->respond(status, body, {{"Store-Era", std::to_string(era)}});
 }
 
+void standin_store::silenceWatches()
+{
+    for (auto &watch : m_waiting)
+        m_openExchanges.push_back(std::move(watch.exchange));
+    m_waiting.clear();
+}
+
 void standin_store::setState(store_state state)
 {
     m_state = state;
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -48,6 +48,8 @@
     void takeCopy();
     /// Comes back from the copy: changes since then are gone, revisions are given out again, and the era rises.
     void rewind();
+    /// Never responds to the watches that wait now; other calls are served.
+    void silenceWatches();
     /// Changes how calls are handled and drops the connections of all open calls.
     void setState(store_state state);
 
