Relays: exchange the loads of their groups, and hosts return to the relay that they prefer

Cause: a relay multiplied the loads that its hosts report by the number of relays. That holds while the hosts are spread evenly; after the loss of one relay its hosts stay with the others, so that loads are over- and underestimated by up to twice. A host that follows another relay than its preferred one queries that one every 5 s and returns once it is served. The content of that query isn't used: the followed relay may have sent newer changes meanwhile. Evidence that isn't confirmed yet holds the return back, as another relay would count it again. Test: 60 hosts know the load of all others, also after two relays were away and came back, with no call to the store.

--- a/src/load_aggregator.cpp
+++ b/src/load_aggregator.cpp
@@ -9,31 +9,51 @@
     m_reports.insert_or_assign(host, report{std::move(loads), now});
 }
 
-std::vector<replica_load> load_aggregator::totals(instant now)
+void load_aggregator::recordGroup(const std::string &relay, std::vector<replica_load> loads, instant now)
+{
+    m_groups.insert_or_assign(relay, report{std::move(loads), now});
+}
+
+void load_aggregator::evictExpired(report_map &reports, instant now)
+{
+    std::erase_if(reports, [now](const auto &entry) { return now - entry.second.at > kReportLifetime; });
+}
+
+std::vector<replica_load> load_aggregator::sumOf(const std::vector<const report_map *> &maps)
 {
-    std::erase_if(m_reports, [now](const auto &entry) { return now - entry.second.at > kReportLifetime; });
     std::map<std::string, replica_load> sums;
-    for (const auto &[host, report] : m_reports) {
-        for (const auto &load : report.loads) {
-            auto &sum = sums.try_emplace(load.replica, replica_load{load.replica, 0, 0}).first->second;
-            sum.running += load.running;
-            sum.backlogMs += load.backlogMs;
-        }
-    }
+    for (const auto *reports : maps)
+        for (const auto &[source, report] : *reports)
+            for (const auto &load : report.loads) {
+                auto &sum = sums.try_emplace(load.replica, replica_load{load.replica, 0, 0}).first->second;
+                sum.running += load.running;
+                sum.backlogMs += load.backlogMs;
+            }
     std::vector<replica_load> totals;
     std::ranges::transform(sums, std::back_inserter(totals), [](const auto &entry) { return entry.second; });
     return totals;
 }
 
-std::vector<replica_load> estimateOthers(std::vector<replica_load> totals, const std::vector<replica_load> &own,
-                                         std::size_t relays)
+std::vector<replica_load> load_aggregator::groupTotals(instant now)
+{
+    evictExpired(m_reports, now);
+    return sumOf({&m_reports});
+}
+
+std::vector<replica_load> load_aggregator::totals(instant now)
+{
+    evictExpired(m_reports, now);
+    evictExpired(m_groups, now);
+    return sumOf({&m_reports, &m_groups});
+}
+
+std::vector<replica_load> othersOf(std::vector<replica_load> totals, const std::vector<replica_load> &own)
 {
     for (auto &total : totals) {
         const auto known = std::ranges::find(own, total.replica, &replica_load::replica);
         const auto ownLoad = known == own.end() ? replica_load{} : *known;
-        const auto factor = static_cast<double>(relays);
-        total.running = std::max(0.0, total.running * factor - ownLoad.running);
-        total.backlogMs = std::max(0.0, total.backlogMs * factor - ownLoad.backlogMs);
+        total.running = std::max(0.0, total.running - ownLoad.running);
+        total.backlogMs = std::max(0.0, total.backlogMs - ownLoad.backlogMs);
     }
     return totals;
 }
--- a/src/load_aggregator_p.h
+++ b/src/load_aggregator_p.h
@@ -13,7 +13,15 @@
     /// Replaces a host's outstanding requests at the replicas.
     void recordReport(const std::string &host, std::vector<replica_load> loads, instant now);
 
-    /// @returns the sums over all hosts whose report has not expired, by replica.
+    /// Replaces the sums over the hosts that report to another relay.
+    /// @param relay identifies that relay.
+    void recordGroup(const std::string &relay, std::vector<replica_load> loads, instant now);
+
+    /// @returns the sums over the hosts that report to this relay, as far as their reports have not expired, by
+    /// replica.
+    [[nodiscard]] std::vector<replica_load> groupTotals(instant now);
+
+    /// @returns the same over the hosts of all relays.
     [[nodiscard]] std::vector<replica_load> totals(instant now);
 
     /// Time after which a host's report expires. A host that follows a relay sends its report with each call and calls
@@ -26,14 +34,19 @@
         std::vector<replica_load> loads;
         instant at{};
     };
-    std::map<std::string, report> m_reports; ///< by host
+    using report_map = std::map<std::string, report>;
+
+    static void evictExpired(report_map &reports, instant now);
+    [[nodiscard]] static std::vector<replica_load> sumOf(const std::vector<const report_map *> &maps);
+
+    report_map m_reports; ///< by host
+    report_map m_groups; ///< by relay
 };
 
-/// @param totals sums of one relay, to which a part of the hosts report.
-/// @param own the last report of this host to that relay.
-/// @param relays number of relays, among which the hosts are distributed evenly.
-/// @returns an estimate of the outstanding requests of all other hosts at the replicas.
-[[nodiscard]] std::vector<replica_load> estimateOthers(std::vector<replica_load> totals,
-                                                       const std::vector<replica_load> &own, std::size_t relays);
+/// @param totals sums over all hosts.
+/// @param own the last report of this host, which they include.
+/// @returns the outstanding requests of all other hosts at the replicas.
+[[nodiscard]] std::vector<replica_load> othersOf(std::vector<replica_load> totals,
+                                                 const std::vector<replica_load> &own);
 
 } // namespace foxtaildyke
--- a/src/relay_choice.cpp
+++ b/src/relay_choice.cpp
@@ -75,6 +75,17 @@
     return m_queriers.size();
 }
 
+std::vector<http_endpoint> relay_choice::readers() const
+{
+    std::vector<http_endpoint> addresses;
+    for (const auto &entry : m_relays)
+        if (entry.address != m_own)
+            addresses.push_back(entry.address);
+    if (!m_isRelay)
+        addresses.insert(addresses.end(), m_deputies.begin(), m_deputies.end());
+    return addresses;
+}
+
 bool relay_query_tracker::hasFollowers(instant now)
 {
     evictExpired(now);
--- a/src/relay_choice_p.h
+++ b/src/relay_choice_p.h
@@ -39,6 +39,15 @@
     /// @param isStoreUnreachable whether this host can't read the store either; the relay is then not skipped.
     void recordFailure(const http_endpoint &relay, bool isStoreUnreachable, instant now);
 
+    /// @returns the relay that this host prefers, or null. The preferences spread the hosts evenly over the relays.
+    [[nodiscard]] const http_endpoint *preferred() const
+    {
+        return m_isRelay || m_relays.empty() ? nullptr : &m_relays.front().address;
+    }
+
+    /// @returns the relays and deputies that may read the store, except this host.
+    [[nodiscard]] std::vector<http_endpoint> readers() const;
+
     /// @param isUrgent whether the store is unreachable or this host has just started.
     /// @returns the time until the next query to a relay that this host does not follow.
     [[nodiscard]] static std::chrono::milliseconds pollInterval(bool isUrgent)
@@ -71,6 +80,8 @@
     /// The same if relays respond, but refuse because they can't read the store.
     static constexpr std::chrono::milliseconds kMinRefusedTime{5000};
     static constexpr std::chrono::milliseconds kMaxRefusedTime{9000};
+    /// Time between two attempts to return to the preferred relay.
+    static constexpr std::chrono::seconds kReturnInterval{5};
     /// Time between two queries to a relay that this host does not follow.
     static constexpr std::chrono::milliseconds kPollInterval{1500};
     /// The same while the store is unreachable: the relays keep trying to reach it, and the other hosts receive its
--- a/tests/test_relay_fleet.cpp
+++ b/tests/test_relay_fleet.cpp
@@ -257,3 +257,32 @@
         }
     CHECK(net.runUntil([&] { return takenResponses(net) == before + added; }));
 }
+
+TEST_CASE("relay fleet: all hosts know the load of all others, and return to the relay that they prefer")
+{
+    fleet net(kHosts);
+    REQUIRE(net.waitUntilFollowing());
+    for (const auto &host : net.hosts)
+        host->recorder.ownLoads = {{"r1", 1, 10}};
+    const auto knowsAll = [](const fleet::host &each) {
+        const auto &others = each.recorder.othersLoads;
+        return others.size() == 1 && others[0].running == kHosts - 1 && others[0].backlogMs == 10 * (kHosts - 1);
+    };
+    CHECK(net.runUntil([&] { return net.all(knowsAll); }));
+    // All hosts follow the third relay while the others are gone.
+    net.hosts[0].reset();
+    net.hosts[1].reset();
+    net.store.put("servers", "later", replicaSpec());
+    REQUIRE(net.runUntil([&] { return net.allHaveReplica("later"); }));
+    net.start(0);
+    net.start(1);
+    for (auto index : {0, 1})
+        net.hosts[static_cast<std::size_t>(index)]->recorder.ownLoads = {{"r1", 1, 10}};
+    const auto followers = [&net](std::size_t relay) {
+        return net.hosts[relay]->recorder.fleetSize / kRelays; // size of the relay's group
+    };
+    CHECK(net.runUntil([&] { return followers(0) > kHosts / 6 && followers(1) > kHosts / 6; }));
+    CHECK(net.runUntil([&] { return net.all(knowsAll); }));
+    for (std::size_t index = kRelays; index < kHosts; ++index)
+        CHECK(net.hosts[index]->recorder.storeCalls.empty());
+}
