--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -28,6 +28,7 @@
     src/http_parser.cpp
     src/limit_claims.cpp
     src/load_aggregator.cpp
+    src/load_forecast.cpp
     src/model_cascade.cpp
     src/relay_choice.cpp
     src/replica_gate.cpp
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -30,6 +30,13 @@
 
 } // namespace
 
+replica_table::replica *replica_table::preferredFor(std::uint64_t sharedPrefixHash, const candidate_list &available)
+{
+    return *std::ranges::max_element(available, {}, [sharedPrefixHash](const replica *candidate) {
+        return rendezvousWeight(sharedPrefixHash, candidate->idHash);
+    });
+}
+
 replica_table::replica_table(std::string failureDomain, std::uint64_t seed)
     : m_failureDomain(std::move(failureDomain))
     , m_random(seed)
@@ -109,15 +116,20 @@
     return sent != candidate.sentPrefixes.end() && now - sent->second < kPrefixCacheLifetime;
 }
 
-/// @returns the estimated time in ms until a replica starts to process a new request.
-double replica_table::waitMs(const replica &candidate)
+std::chrono::duration<double, std::milli> replica_table::meanDuration(const std::string &service) const
+{
+    const auto found = m_durations.find(service);
+    return found == m_durations.end() ? duration_estimator::kDefault : found->second.mean();
+}
+
+/// @param running requests at the replica.
+/// @returns the estimated time in ms until the replica starts to process a new request.
+double replica_table::waitMs(const replica &candidate, double running, double delayPerRequestMs) const
 {
-    const double running = candidate.running + candidate.othersRunning;
-    const double slots = candidate.entry.slots;
-    const double slotWaitMs = std::max(0.0, running + 1 - slots) * kSlotOccupancyMs / slots;
-    const double weighted = candidate.running + kOthersLoadWeight * candidate.othersRunning;
-    return candidate.backlogMs + kOthersLoadWeight * candidate.othersBacklogMs + weighted * kDelayPerRequestMs
-        + slotWaitMs;
+    const double slots = std::max(1U, candidate.entry.slots);
+    const double slotWaitMs =
+        std::max(0.0, running + 1 - slots) * meanDuration(candidate.entry.service).count() / slots;
+    return candidate.backlogMs + running * delayPerRequestMs + slotWaitMs;
 }
 
 std::vector<replica_load> replica_table::ownLoad() const
@@ -155,20 +167,56 @@
 replica_table::replica *replica_table::earliestFirstToken(const candidate_list &available, const replica_query &query,
                                                           instant now)
 {
-    const auto preferred = std::ranges::max_element(available, {}, [&](const replica *candidate) {
-        return rendezvousWeight(query.sharedPrefixHash, candidate->idHash);
-    });
-    const double repeatedPrefillMs = query.work.sharedMs * (m_othersReportedAt ? kRepeatedPrefillWeight : 1.0);
+    return m_othersReportedAt ? earliestByForecast(available, query, now) : earliestByOwnLoad(available, query, now);
+}
+
+replica_table::replica *replica_table::earliestByOwnLoad(const candidate_list &available, const replica_query &query,
+                                                         instant now)
+{
+    const auto *preferred = preferredFor(query.sharedPrefixHash, available);
     const auto delay = [&](const replica *candidate) {
         // The other hosts prefer the same replica for this prefix, so the prefix is assumed to be cached there.
         const bool isCached = query.sharedPrefixHash != 0
-            && (candidate == *preferred || hasCachedPrefix(*candidate, query.sharedPrefixHash, now));
-        return waitMs(*candidate) + query.work.ownMs + (isCached ? 0.0 : repeatedPrefillMs)
+            && (candidate == preferred || hasCachedPrefix(*candidate, query.sharedPrefixHash, now));
+        return waitMs(*candidate, candidate->running, kDelayPerRequestMs) + query.work.ownMs + (isCached ? 0.0 : query.work.sharedMs)
             + std::uniform_real_distribution<double>(0, kDelayPerRequestMs)(m_random);
     };
     return *std::ranges::min_element(available, {}, delay);
 }
 
+/// Compares the replica that all hosts prefer for the prefix, those that this host has sent it to, and a few drawn ones.
+replica_table::replica *replica_table::earliestByForecast(const candidate_list &available, const replica_query &query,
+                                                          instant now)
+{
+    std::vector<replica_occupancy> occupancies;
+    std::ranges::transform(available, std::back_inserter(occupancies), [](const replica *candidate) {
+        return replica_occupancy{static_cast<double>(candidate->entry.slots), candidate->othersRunning,
+                                 static_cast<double>(candidate->running)};
+    });
+    const load_forecast forecast(std::move(occupancies), now - *m_othersReportedAt + kReportDelay,
+                                 meanDuration(available.front()->entry.service));
+    const auto *preferred = preferredFor(query.sharedPrefixHash, available);
+    std::vector<std::size_t> drawn(kDraws);
+    std::ranges::generate(drawn, [&] { return forecast.draw(std::uniform_real_distribution<double>(0, 1)(m_random)); });
+    replica *best = nullptr;
+    double bestDelay = 0;
+    for (std::size_t index = 0; index < available.size(); ++index) {
+        auto *candidate = available[index];
+        const bool isCached = query.sharedPrefixHash != 0
+            && (candidate == preferred || hasCachedPrefix(*candidate, query.sharedPrefixHash, now));
+        if (!isCached && std::ranges::find(drawn, index) == drawn.end())
+            continue;
+        const double delay = waitMs(*candidate, forecast.running(index), kForecastDelayPerRequestMs)
+            + (isCached ? 0.0 : kRepeatedPrefillWeight * query.work.sharedMs)
+            + std::uniform_real_distribution<double>(0, kDelayPerRequestMs)(m_random);
+        if (!best || delay < bestDelay) {
+            best = candidate;
+            bestDelay = delay;
+        }
+    }
+    return best;
+}
+
 /// Ignores the load from other hosts: reports are half a second old, while a call to a service without inference engine
 /// takes about 20 ms.
 replica_table::replica *replica_table::leastLoaded(const candidate_list &available)
@@ -223,6 +271,7 @@
         return 0;
     auto &target = found->second;
     ++target.running;
+    m_durations[target.entry.service].recordStart(now);
     const bool isCached = sharedPrefixHash != 0 && hasCachedPrefix(target, sharedPrefixHash, now);
     const double promptMs = work.ownMs + (isCached ? 0.0 : work.sharedMs);
     target.backlogMs += promptMs;
@@ -247,6 +296,7 @@
     if (found == m_replicas.end())
         return;
     auto &target = found->second;
+    m_durations[target.entry.service].recordEnd(now);
     // The count starts at 0 again when the replica restarts, so it lacks attempts that began before the restart.
     target.running = target.running > 0 ? target.running - 1 : 0;
     if (!isGood)
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -3,6 +3,7 @@
 // uneven load.
 #pragma once
 
+#include "load_forecast_p.h"
 #include "replica_gate_p.h"
 
 #include <random>
@@ -98,13 +99,17 @@
     static constexpr std::chrono::seconds kPrefixCacheLifetime{15};
     /// Delay of the first token per running request, in ms. A step of the engine takes 0.05 ms longer for each of them.
     static constexpr double kDelayPerRequestMs = 0.5;
-    /// Time for which a request occupies a slot, in ms: 2 to 38 events of 10 tokens, at 3.55 ms per step.
-    static constexpr double kSlotOccupancyMs = 500;
-    /// Weight of the load from other hosts, which is half a second old on average.
-    static constexpr double kOthersLoadWeight = 0.5;
+    /// The same in a large fleet, where the prompts of the other hosts' requests aren't known: the time to the first token
+    /// grows by this for each running request of any kind.
+    static constexpr double kForecastDelayPerRequestMs = 10;
+    /// Age of the loads in a report when it arrives: the hosts report to their relays, and these to each other, each
+    /// half a second.
+    static constexpr std::chrono::milliseconds kReportDelay{400};
     /// Weight of prefilling a shared prefix at another replica against waiting, where the load from other hosts is
-    /// known. Waiting is preferred because that load may be gone when the request arrives.
-    static constexpr double kRepeatedPrefillWeight = 6;
+    /// known: the prefix also displaces others there.
+    static constexpr double kRepeatedPrefillWeight = 2;
+    /// Number of replicas drawn by the forecast of which the best one is used.
+    static constexpr int kDraws = 2;
     /// Age at which the load from other hosts is discarded: three report intervals.
     static constexpr std::chrono::milliseconds kMaxLoadAge{1500};
     /// Consecutive failures at which a replica is ejected.
@@ -134,7 +139,12 @@
     [[nodiscard]] static send_exclusion exclusionOf(const replica &candidate, const replica_query &query, instant now);
     [[nodiscard]] candidate_list candidates(const replica_query &query, instant now);
     [[nodiscard]] replica *earliestFirstToken(const candidate_list &available, const replica_query &query, instant now);
-    [[nodiscard]] static double waitMs(const replica &candidate);
+    [[nodiscard]] replica *earliestByOwnLoad(const candidate_list &available, const replica_query &query, instant now);
+    [[nodiscard]] replica *earliestByForecast(const candidate_list &available, const replica_query &query, instant now);
+    [[nodiscard]] double waitMs(const replica &candidate, double running, double delayPerRequestMs) const;
+    [[nodiscard]] std::chrono::duration<double, std::milli> meanDuration(const std::string &service) const;
+    /// @returns the replica on which all hosts gather the requests with a shared prefix.
+    [[nodiscard]] static replica *preferredFor(std::uint64_t sharedPrefixHash, const candidate_list &available);
     void expireOthersLoad(instant now);
     [[nodiscard]] static bool hasCachedPrefix(const replica &candidate, std::uint64_t sharedPrefixHash, instant now);
     [[nodiscard]] replica *leastLoaded(const candidate_list &available);
@@ -143,6 +153,7 @@
     std::string m_failureDomain;
     std::mt19937_64 m_random;
     std::unordered_map<std::string, replica> m_replicas; ///< by id
+    std::map<std::string, duration_estimator> m_durations; ///< by service
     std::optional<instant> m_othersReportedAt; ///< unset: the load from other hosts is unknown
     std::vector<replica_ejection> m_ejections; ///< since takeEjections()
     std::vector<std::string> m_sortedIds; ///< ids; a fixed order makes selections reproducible
