Placing in large fleets: a forecast of old loads, drawn at random; noise once for each replica

All hosts read the same reports, some half a second old, and all chose the replica that was idle in them.

Change: load_forecast estimates what runs now: of the reported requests those that have ended are replaced by others, which fill the replicas up to a common level, as all hosts place by it; a host draws in proportion to what is missing and compares the drawn replica with the preferred one for the prefix. How long requests go on is measured (duration_estimator).

--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -288,7 +288,7 @@
 
 void gateway_exchange::closeAttempt(std::optional<bool> isGood)
 {
-    m_state.replicas.recordEnd(m_replica, std::exchange(m_promptMs, 0), isGood, suspendAwareNow());
+    m_state.replicas.recordEnd(m_replica, std::exchange(m_promptMs, 0), isGood, m_sentAt, suspendAwareNow());
     m_upstream.reset();
 }
 
--- a/src/load_aggregator.cpp
+++ b/src/load_aggregator.cpp
@@ -25,9 +25,8 @@
     for (const auto *reports : maps)
         for (const auto &[source, report] : *reports)
             for (const auto &load : report.loads) {
-                auto &sum = sums.try_emplace(load.replica, replica_load{load.replica, 0, 0}).first->second;
+                auto &sum = sums.try_emplace(load.replica, replica_load{load.replica, 0}).first->second;
                 sum.running += load.running;
-                sum.backlogMs += load.backlogMs;
             }
     std::vector<replica_load> totals;
     std::ranges::transform(sums, std::back_inserter(totals), [](const auto &entry) { return entry.second; });
@@ -53,7 +52,6 @@
         const auto known = std::ranges::find(own, total.replica, &replica_load::replica);
         const auto ownLoad = known == own.end() ? replica_load{} : *known;
         total.running = std::max(0.0, total.running - ownLoad.running);
-        total.backlogMs = std::max(0.0, total.backlogMs - ownLoad.backlogMs);
     }
     return totals;
 }
--- a/src/load_forecast.cpp
+++ b/src/load_forecast.cpp
@@ -16,42 +16,32 @@
 
 } // namespace
 
-void duration_estimator::advance(instant now)
+void duration_estimator::record(instant duration)
 {
-    if (m_updatedAt && now > *m_updatedAt) {
-        const std::chrono::duration<double, std::milli> elapsed = now - *m_updatedAt;
-        const double decay = std::exp(-(elapsed / kMemory));
-        m_runningMs = m_runningMs * decay + m_running * elapsed.count();
-        m_ended *= decay;
-    }
-    m_updatedAt = now;
+    const double ms = milliseconds(duration).count();
+    const double decay = std::exp(-1 / kMemory);
+    m_ended = m_ended * decay + 1;
+    m_sum = m_sum * decay + ms;
+    m_squaresSum = m_squaresSum * decay + ms * ms;
 }
 
-void duration_estimator::recordStart(instant now)
+duration_estimator::milliseconds duration_estimator::mean() const
 {
-    advance(now);
-    ++m_running;
+    return m_ended < kMinEnded ? kDefault : milliseconds(m_sum / m_ended);
 }
 
-void duration_estimator::recordEnd(instant now)
+duration_estimator::milliseconds duration_estimator::meanRest() const
 {
-    advance(now);
-    m_running = std::max(0.0, m_running - 1);
-    ++m_ended;
-}
-
-std::chrono::duration<double, std::milli> duration_estimator::mean() const
-{
-    return m_ended < kMinEnded ? kDefault : std::chrono::duration<double, std::milli>(m_runningMs / m_ended);
+    return m_ended < kMinEnded || m_sum <= 0 ? kDefault : milliseconds(m_squaresSum / (2 * m_sum));
 }
 
 load_forecast::load_forecast(std::vector<replica_occupancy> replicas, instant age,
-                             std::chrono::duration<double, std::milli> meanDuration)
+                             duration_estimator::milliseconds meanRest)
     : m_replicas(std::move(replicas))
 {
-    const std::chrono::duration<double, std::milli> elapsed = std::max(age, instant::zero());
-    m_survival = meanDuration.count() > 0 ? std::exp(-(elapsed / meanDuration)) : 0.0;
-    double requests = 0;
+    const duration_estimator::milliseconds elapsed = std::max(age, instant::zero());
+    m_survival = meanRest.count() > 0 ? std::exp(-(elapsed / meanRest)) : 0.0;
+    double requests = 1; // the one to be placed
     double slots = 0;
     for (auto &replica : m_replicas) {
         replica.slots = std::max(replica.slots, kMinSlots);
@@ -63,17 +53,17 @@
     std::vector<const replica_occupancy *> below;
     std::ranges::transform(m_replicas, std::back_inserter(below), [](const auto &replica) { return &replica; });
     while (true) {
-        const auto above = std::ranges::partition(below, [this](const auto *replica) {
+        const auto above = std::partition(below.begin(), below.end(), [this](const auto *replica) {
             return remaining(*replica) <= m_level * replica->slots;
         });
-        if (above.empty() || above.size() == below.size())
+        if (above == below.end() || above == below.begin())
             return;
-        for (const auto *replica : above) {
+        std::for_each(above, below.end(), [&](const auto *replica) {
             requests -= remaining(*replica);
             slots -= replica->slots;
-        }
-        below.resize(below.size() - above.size());
-        m_level = std::max(0.0, requests / slots);
+        });
+        below.erase(above, below.end());
+        m_level = requests / slots;
     }
 }
 
@@ -100,9 +90,6 @@
     double sum = 0;
     for (std::size_t index = 0; index < sums.size(); ++index)
         sums[index] = sum += missing(index);
-    // Without missing requests, all replicas are at the level.
-    if (sum <= 0)
-        return std::min(static_cast<std::size_t>(draw * static_cast<double>(sums.size())), sums.size() - 1);
     const auto found = std::ranges::upper_bound(sums, draw * sum);
     return std::min(static_cast<std::size_t>(found - sums.begin()), sums.size() - 1);
 }
--- a/src/load_forecast_p.h
+++ b/src/load_forecast_p.h
@@ -1,6 +1,6 @@
 // Forecast of the requests that run at the replicas of a service, from a report that is some time old. Addresses large
-// fleets whose hosts all read the same reports: the replica that was idle in the report would get the requests of all of
-// them until the next one. No I/O, no clock.
+// fleets whose hosts all read the same reports: the replica that was idle in the report would get the requests of all
+// of them until the next one. No I/O, no clock.
 //
 // Of the reported requests, a part has ended since, and as many others have started, as the total changes little within
 // the age of a report. The hosts all place by this forecast, so the new ones are expected to fill the replicas with the
@@ -10,35 +10,34 @@
 
 #include "foxtaildyke/foxtaildyke.h"
 
-#include <unordered_map>
 #include <vector>
 
 namespace foxtaildyke
 {
 
-/// Estimates how long a request runs from the numbers of requests that run and end (Little's law).
+/// Estimates how long requests run at a replica, from those that have ended lately.
 class duration_estimator
 {
 public:
-    void recordStart(instant now);
-    void recordEnd(instant now);
+    using milliseconds = std::chrono::duration<double, std::milli>;
 
-    /// @returns the mean time for which a request runs at a replica; a default until enough requests have ended.
-    [[nodiscard]] std::chrono::duration<double, std::milli> mean() const;
+    void record(instant duration);
 
-    static constexpr std::chrono::duration<double, std::milli> kDefault{500};
-    /// Number of ended requests below which the default is used.
+    /// @returns the mean time for which a request runs.
+    [[nodiscard]] milliseconds mean() const;
+
+    /// @returns the mean time for which a request that runs at some instant still goes on. Long requests are more
+    /// likely to run then, so this exceeds the mean if few requests take most of the time.
+    [[nodiscard]] milliseconds meanRest() const;
+
+    static constexpr milliseconds kDefault{500}; ///< until enough requests have ended
     static constexpr double kMinEnded = 5;
-    /// Time after which a past request counts 1/e.
-    static constexpr std::chrono::duration<double> kMemory{10};
+    static constexpr double kMemory = 64; ///< number of requests after which one counts 1/e
 
 private:
-    void advance(instant now);
-
-    std::optional<instant> m_updatedAt;
-    double m_running = 0;
-    double m_runningMs = 0; ///< integral of the running requests over time, decayed
-    double m_ended = 0; ///< decayed
+    double m_ended = 0; ///< decayed, as are the sums
+    double m_sum = 0; ///< in ms
+    double m_squaresSum = 0;
 };
 
 /// Requests at one replica.
@@ -52,12 +51,11 @@
 {
 public:
     /// @param age of the report.
-    /// @param meanDuration of a request.
-    load_forecast(std::vector<replica_occupancy> replicas, instant age,
-                  std::chrono::duration<double, std::milli> meanDuration);
+    /// @param meanRest time for which a reported request goes on after the report.
+    load_forecast(std::vector<replica_occupancy> replicas, instant age, duration_estimator::milliseconds meanRest);
 
-    /// @returns the expected number of requests at a replica. One that was above the level is expected to stay there: it
-    /// gets requests that prefer it.
+    /// @returns the expected number of requests at a replica. One that was above the level is expected to stay there:
+    /// it gets requests that prefer it.
     [[nodiscard]] double running(std::size_t replica) const;
 
     /// @returns the requests up to the common level that are missing at a replica; 0 if there are more.
@@ -72,7 +70,7 @@
 
     std::vector<replica_occupancy> m_replicas; ///< at least one
     double m_survival = 1; ///< fraction of the reported requests that still run
-    double m_level = 0; ///< in requests per slot
+    double m_level = 0; ///< in requests per slot, including the request to be placed; so some replica is below it
 };
 
 } // namespace foxtaildyke
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -32,6 +32,8 @@
 
 replica_table::replica *replica_table::preferredFor(std::uint64_t sharedPrefixHash, const candidate_list &available)
 {
+    if (sharedPrefixHash == 0)
+        return nullptr;
     return *std::ranges::max_element(available, {}, [sharedPrefixHash](const replica *candidate) {
         return rendezvousWeight(sharedPrefixHash, candidate->idHash);
     });
@@ -116,10 +118,11 @@
     return sent != candidate.sentPrefixes.end() && now - sent->second < kPrefixCacheLifetime;
 }
 
-std::chrono::duration<double, std::milli> replica_table::meanDuration(const std::string &service) const
+const duration_estimator &replica_table::durations(const std::string &service) const
 {
+    static const duration_estimator s_unknown;
     const auto found = m_durations.find(service);
-    return found == m_durations.end() ? duration_estimator::kDefault : found->second.mean();
+    return found == m_durations.end() ? s_unknown : found->second;
 }
 
 /// @param running requests at the replica.
@@ -128,7 +131,7 @@
 {
     const double slots = std::max(1U, candidate.entry.slots);
     const double slotWaitMs =
-        std::max(0.0, running + 1 - slots) * meanDuration(candidate.entry.service).count() / slots;
+        std::max(0.0, running + 1 - slots) * durations(candidate.entry.service).mean().count() / slots;
     return candidate.backlogMs + running * delayPerRequestMs + slotWaitMs;
 }
 
@@ -137,20 +140,19 @@
     std::vector<replica_load> loads;
     for (const auto &[id, known] : m_replicas)
         if (known.running > 0)
-            loads.push_back({id, static_cast<double>(known.running), known.backlogMs});
+            loads.push_back({id, static_cast<double>(known.running)});
     return loads;
 }
 
 void replica_table::setOthersLoad(const std::vector<replica_load> &loads, instant now)
 {
     for (auto &[id, known] : m_replicas)
-        known.othersRunning = known.othersBacklogMs = 0;
+        known.othersRunning = 0;
     for (const auto &load : loads) {
         const auto found = m_replicas.find(load.replica);
         if (found == m_replicas.end())
             continue;
         found->second.othersRunning = load.running;
-        found->second.othersBacklogMs = load.backlogMs;
     }
     m_othersReportedAt = now;
 }
@@ -174,17 +176,16 @@
                                                          instant now)
 {
     const auto *preferred = preferredFor(query.sharedPrefixHash, available);
-    const auto delay = [&](const replica *candidate) {
+    return leastOf(available, [&](const replica &candidate) {
         // The other hosts prefer the same replica for this prefix, so the prefix is assumed to be cached there.
-        const bool isCached = query.sharedPrefixHash != 0
-            && (candidate == preferred || hasCachedPrefix(*candidate, query.sharedPrefixHash, now));
-        return waitMs(*candidate, candidate->running, kDelayPerRequestMs) + query.work.ownMs + (isCached ? 0.0 : query.work.sharedMs)
-            + std::uniform_real_distribution<double>(0, kDelayPerRequestMs)(m_random);
-    };
-    return *std::ranges::min_element(available, {}, delay);
+        const bool isCached = &candidate == preferred || hasCachedPrefix(candidate, query.sharedPrefixHash, now);
+        return waitMs(candidate, candidate.running, kDelayPerRequestMs) + (isCached ? 0.0 : query.work.sharedMs)
+            + noise(kDelayPerRequestMs);
+    });
 }
 
-/// Compares the replica that all hosts prefer for the prefix, those that this host has sent it to, and a few drawn ones.
+/// Compares the replica that all hosts prefer for the prefix, those that this host has sent it to, and a few drawn
+/// ones.
 replica_table::replica *replica_table::earliestByForecast(const candidate_list &available, const replica_query &query,
                                                           instant now)
 {
@@ -194,43 +195,29 @@
                                  static_cast<double>(candidate->running)};
     });
     const load_forecast forecast(std::move(occupancies), now - *m_othersReportedAt + kReportDelay,
-                                 meanDuration(available.front()->entry.service));
+                                 durations(available.front()->entry.service).meanRest());
+    const auto drawn = forecast.draw(noise(1));
     const auto *preferred = preferredFor(query.sharedPrefixHash, available);
-    std::vector<std::size_t> drawn(kDraws);
-    std::ranges::generate(drawn, [&] { return forecast.draw(std::uniform_real_distribution<double>(0, 1)(m_random)); });
-    replica *best = nullptr;
-    double bestDelay = 0;
+    std::vector<std::pair<double, replica *>> compared; ///< delay, replica
     for (std::size_t index = 0; index < available.size(); ++index) {
         auto *candidate = available[index];
-        const bool isCached = query.sharedPrefixHash != 0
-            && (candidate == preferred || hasCachedPrefix(*candidate, query.sharedPrefixHash, now));
-        if (!isCached && std::ranges::find(drawn, index) == drawn.end())
+        const bool isCached = candidate == preferred || hasCachedPrefix(*candidate, query.sharedPrefixHash, now);
+        if (!isCached && index != drawn)
             continue;
         const double delay = waitMs(*candidate, forecast.running(index), kForecastDelayPerRequestMs)
-            + (isCached ? 0.0 : kRepeatedPrefillWeight * query.work.sharedMs)
-            + std::uniform_real_distribution<double>(0, kDelayPerRequestMs)(m_random);
-        if (!best || delay < bestDelay) {
-            best = candidate;
-            bestDelay = delay;
-        }
+            + (isCached ? 0.0 : kRepeatedPrefillWeight * query.work.sharedMs) + noise(kDelayPerRequestMs);
+        compared.emplace_back(delay, candidate);
     }
-    return best;
+    return std::ranges::min_element(compared)->second;
 }
 
-/// Ignores the load from other hosts: reports are half a second old, while a call to a service without inference engine
-/// takes about 20 ms.
-replica_table::replica *replica_table::leastLoaded(const candidate_list &available)
+/// @returns the candidate with the lowest score, which is computed once for each, as it may contain noise.
+template <typename score_function>
+replica_table::replica *replica_table::leastOf(const candidate_list &candidates, const score_function &score)
 {
-    const auto score = [this](const replica &candidate) {
-        const double tieBreak = std::uniform_real_distribution<double>(0, kOtherDomainPenalty)(m_random);
-        const bool isInOtherDomain = candidate.entry.failureDomain != m_failureDomain;
-        const bool isCold = candidate.entry.coldRemaining.count() > 0;
-        return candidate.running + (isCold ? kColdPenalty : 0.0) + (isInOtherDomain ? kOtherDomainPenalty : 0.0)
-            + candidate.failureRate + tieBreak;
-    };
     replica *best = nullptr;
     double bestScore = 0;
-    for (auto *candidate : available) {
+    for (auto *candidate : candidates) {
         const double value = score(*candidate);
         if (!best || value < bestScore) {
             best = candidate;
@@ -240,6 +227,23 @@
     return best;
 }
 
+double replica_table::noise(double most)
+{
+    return std::uniform_real_distribution<double>(0, most)(m_random);
+}
+
+/// Ignores the load from other hosts: reports are half a second old, while a call to a service without inference engine
+/// takes about 20 ms.
+replica_table::replica *replica_table::leastLoaded(const candidate_list &available)
+{
+    return leastOf(available, [this](const replica &candidate) {
+        const bool isInOtherDomain = candidate.entry.failureDomain != m_failureDomain;
+        const bool isCold = candidate.entry.coldRemaining.count() > 0;
+        return candidate.running + (isCold ? kColdPenalty : 0.0) + (isInOtherDomain ? kOtherDomainPenalty : 0.0)
+            + candidate.failureRate + noise(kOtherDomainPenalty);
+    });
+}
+
 const replica_entry *replica_table::pick(const replica_query &query, instant now)
 {
     expireOthersLoad(now);
@@ -271,7 +275,6 @@
         return 0;
     auto &target = found->second;
     ++target.running;
-    m_durations[target.entry.service].recordStart(now);
     const bool isCached = sharedPrefixHash != 0 && hasCachedPrefix(target, sharedPrefixHash, now);
     const double promptMs = work.ownMs + (isCached ? 0.0 : work.sharedMs);
     target.backlogMs += promptMs;
@@ -289,14 +292,15 @@
         found->second.backlogMs = std::max(0.0, found->second.backlogMs - promptMs);
 }
 
-void replica_table::recordEnd(const std::string &id, double promptMs, std::optional<bool> isGood, instant now)
+void replica_table::recordEnd(const std::string &id, double promptMs, std::optional<bool> isGood, instant sentAt,
+                              instant now)
 {
     recordFirstByte(id, promptMs);
     const auto found = m_replicas.find(id);
     if (found == m_replicas.end())
         return;
     auto &target = found->second;
-    m_durations[target.entry.service].recordEnd(now);
+    m_durations[target.entry.service].record(now - sentAt);
     // The count starts at 0 again when the replica restarts, so it lacks attempts that began before the restart.
     target.running = target.running > 0 ? target.running - 1 : 0;
     if (!isGood)
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -78,7 +78,8 @@
     /// Records the end of an attempt.
     /// @param promptMs as returned by recordStart() if the prompt has not been processed, otherwise 0.
     /// @param isGood whether the replica responded as it should; unset if the end says nothing about the replica.
-    void recordEnd(const std::string &id, double promptMs, std::optional<bool> isGood, instant now);
+    /// @param sentAt when the attempt was sent.
+    void recordEnd(const std::string &id, double promptMs, std::optional<bool> isGood, instant sentAt, instant now);
 
     /// @returns the load of the replicas at which this host has outstanding requests.
     [[nodiscard]] std::vector<replica_load> ownLoad() const;
@@ -99,17 +100,15 @@
     static constexpr std::chrono::seconds kPrefixCacheLifetime{15};
     /// Delay of the first token per running request, in ms. A step of the engine takes 0.05 ms longer for each of them.
     static constexpr double kDelayPerRequestMs = 0.5;
-    /// The same in a large fleet, where the prompts of the other hosts' requests aren't known: the time to the first token
-    /// grows by this for each running request of any kind.
+    /// The same in a large fleet, where the prompts of the other hosts' requests aren't known: the time to the first
+    /// token grows by this for each running request of any kind.
     static constexpr double kForecastDelayPerRequestMs = 10;
-    /// Age of the loads in a report when it arrives: the hosts report to their relays, and these to each other, each
-    /// half a second.
-    static constexpr std::chrono::milliseconds kReportDelay{400};
+    /// Mean age of the loads in a report when it arrives: the hosts report to their relays, and these to each other,
+    /// several times a second.
+    static constexpr std::chrono::milliseconds kReportDelay{150};
     /// Weight of prefilling a shared prefix at another replica against waiting, where the load from other hosts is
     /// known: the prefix also displaces others there.
     static constexpr double kRepeatedPrefillWeight = 2;
-    /// Number of replicas drawn by the forecast of which the best one is used.
-    static constexpr int kDraws = 2;
     /// Age at which the load from other hosts is discarded: three report intervals.
     static constexpr std::chrono::milliseconds kMaxLoadAge{1500};
     /// Consecutive failures at which a replica is ejected.
@@ -126,7 +125,6 @@
         std::uint32_t running = 0; ///< outstanding attempts of this host
         double backlogMs = 0; ///< prefill time of their prompts that aren't processed yet
         double othersRunning = 0; ///< attempts of all other hosts, if known
-        double othersBacklogMs = 0;
         std::unordered_map<std::uint64_t, instant> sentPrefixes; ///< by shared prefix hash: when this host last sent it
         double failureRate = 0; ///< exponentially weighted moving average
         std::uint32_t consecutiveFailures = 0;
@@ -142,12 +140,16 @@
     [[nodiscard]] replica *earliestByOwnLoad(const candidate_list &available, const replica_query &query, instant now);
     [[nodiscard]] replica *earliestByForecast(const candidate_list &available, const replica_query &query, instant now);
     [[nodiscard]] double waitMs(const replica &candidate, double running, double delayPerRequestMs) const;
-    [[nodiscard]] std::chrono::duration<double, std::milli> meanDuration(const std::string &service) const;
-    /// @returns the replica on which all hosts gather the requests with a shared prefix.
+    [[nodiscard]] const duration_estimator &durations(const std::string &service) const;
+    /// @returns the replica on which all hosts gather the requests with a shared prefix, or null without prefix.
     [[nodiscard]] static replica *preferredFor(std::uint64_t sharedPrefixHash, const candidate_list &available);
     void expireOthersLoad(instant now);
     [[nodiscard]] static bool hasCachedPrefix(const replica &candidate, std::uint64_t sharedPrefixHash, instant now);
     [[nodiscard]] replica *leastLoaded(const candidate_list &available);
+    template <typename score_function>
+    [[nodiscard]] static replica *leastOf(const candidate_list &candidates, const score_function &score);
+    /// @returns a number that is uniformly distributed in [0, most).
+    [[nodiscard]] double noise(double most);
     void eject(const std::string &id, replica &target, instant now);
 
     std::string m_failureDomain;
