Start of a host: requests wait until it knows configuration, replicas and roll-outs

Cause: a host listens from its start on, and rejected all requests until configuration and replicas were read (0.4 to 0.7 s on the large fleet). A host also sent requests before it knew the roll-outs, so that a version that had been rolled back could get them.

Change: start_queue holds such requests for up to 1.5 s after the start, a quarter of their time at most; then 503 as not run, at once for later ones. Nothing is sent, and the host isn't ready, before the list of roll-outs is known.

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -50,6 +50,25 @@
 }
 
 void gateway_exchange::begin()
+{
+    if (m_state.hasStarted())
+        return process();
+    const auto now = suspendAwareNow();
+    const auto wait = m_state.starting.waitTime(now, m_metadata.timeout.value_or(start_queue::kMaxWait));
+    if (wait <= std::chrono::milliseconds{0})
+        return refuse(refusal::no_config);
+    m_state.starting.push(*this);
+    m_timer.start(wait);
+}
+
+void gateway_exchange::onHostStarted()
+{
+    m_timer.stop();
+    m_config = m_state.config;
+    process();
+}
+
+void gateway_exchange::process()
 {
     if (const auto reason = validate())
         return refuse(*reason);
@@ -73,8 +92,6 @@
 /// Validates the request against the configuration. @returns the reason for a refusal, or nothing.
 std::optional<gateway_exchange::refusal> gateway_exchange::validate()
 {
-    if (!m_config || !m_state.hasReplicas)
-        return refusal::no_config;
     if (m_metadata.id.empty())
         return refusal::missing_id;
     m_route = m_config->findRoute(m_metadata.host, m_request.head.target);
@@ -284,6 +301,8 @@
 {
     if (m_isFinished)
         return;
+    if (!m_route)
+        return refuse(refusal::no_config); // the host has not started in time
     const bool hasNoResponse = m_upstream && !m_firstByteAt;
     m_mayHaveRun = m_mayHaveRun || m_upstream != nullptr;
     if (hasNoResponse)
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -16,6 +16,7 @@
 #include "replica_table_p.h"
 #include "retry_budget_p.h"
 #include "rollout_policy_p.h"
+#include "start_queue_p.h"
 #include "upstream_exchange_p.h"
 
 namespace foxtaildyke
@@ -31,6 +32,8 @@
     gateway_config_ptr config; ///< null: none received yet
     std::optional<instant> configConfirmedAt; ///< when the configuration was last known to be the newest
     bool hasReplicas = false; ///< the list of replicas has been received
+    bool hasRollouts = false; ///< the list of roll-outs has been received
+    start_queue starting; ///< requests received before these
     replica_table replicas;
     replica_gate gate; ///< what the replicas have stated about themselves
     retry_budget budget;
@@ -45,9 +48,12 @@
     /// @returns whether keys may be accepted: the configuration is recent enough that no accepted key can have been
     /// withdrawn for longer than the key lease.
     [[nodiscard]] bool hasKeyLease(instant now) const;
+
+    /// @returns whether everything has been received that requests are processed by.
+    [[nodiscard]] bool hasStarted() const { return config && hasReplicas && hasRollouts; }
 };
 
-class gateway_exchange : public request_work, private upstream_listener
+class gateway_exchange : public request_work, private upstream_listener, private starting_request
 {
 public:
     gateway_exchange(gateway_state &state, inbound_request request, caller_response &response);
@@ -79,6 +85,7 @@
     struct refusal_row;
     static const refusal_row &rowOf(refusal reason);
 
+    void onHostStarted() override;
     void onUpstreamHead(const message_head &head) override;
     [[nodiscard]] bool onUpstreamBody(std::string_view bytes) override;
     void onUpstreamEnd(upstream_end end) override;
@@ -86,6 +93,7 @@
     /// Appends to the body of a non-streamed response. @returns false if a limit would be exceeded.
     [[nodiscard]] bool bufferBody(std::string_view bytes);
     void clearBody();
+    void process();
     [[nodiscard]] std::optional<refusal> validate();
     void chooseService();
     void attempt();
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -32,6 +32,8 @@
               .config = nullptr,
               .configConfirmedAt = std::nullopt,
               .hasReplicas = false,
+              .hasRollouts = false,
+              .starting = start_queue(suspendAwareNow()),
               .replicas = replica_table(m_settings.failureDomain, std::random_device{}()),
               .gate = replica_gate(m_settings.host, std::random_device{}()),
               .budget = retry_budget({m_settings.retryRatio, m_settings.retryWindow, m_settings.retrySlack}),
@@ -48,6 +50,7 @@
     , m_readiness(loop, [this](const http_exchange_ptr &exchange) { serveReadiness(exchange); })
     , m_metricsServer(loop, [this](const http_exchange_ptr &exchange) { serveMetrics(exchange); })
     , m_tick(loop, [this] { tick(); })
+    , m_startTimer(loop, [this] { m_state.starting.resume(); })
     , m_rolloutTimer(loop, [this] { advanceRollouts(); })
 {
 }
@@ -143,7 +146,7 @@
 
 bool gateway_task::isReady() const
 {
-    return !m_isDraining && m_state.config && m_state.hasReplicas && m_state.hasKeyLease(suspendAwareNow());
+    return !m_isDraining && m_state.hasStarted() && m_state.hasKeyLease(suspendAwareNow());
 }
 
 void gateway_task::serveReadiness(const http_exchange_ptr &exchange)
--- a/src/gateway_task_feed.cpp
+++ b/src/gateway_task_feed.cpp
@@ -39,6 +39,14 @@
                  {"keys", config->accountsByKey.size()}});
     m_metrics.setConfigVersion(config->version);
     m_state.config = std::move(config);
+    resumeStarting();
+}
+
+void gateway_task::resumeStarting()
+{
+    // The configuration is confirmed, and the other kinds are delivered, in the same iteration of the loop.
+    if (m_state.hasStarted())
+        m_startTimer.start(std::chrono::microseconds{0});
 }
 
 void gateway_task::onConfigConfirmed(instant at)
@@ -52,6 +60,7 @@
     m_registry.replaceAll(std::move(replicas), suspendAwareNow());
     m_state.hasReplicas = true;
     applyReplicas();
+    resumeStarting();
 }
 
 void gateway_task::onReplicaChanged(replica_entry replica)
@@ -89,8 +98,10 @@
                      {"stage", order.stage},
                      {"revision", order.revision}});
     m_state.rollouts.setOrders(orders, suspendAwareNow());
+    m_state.hasRollouts = true;
     applyPeerEvidence();
     m_rolloutTimer.start(std::chrono::milliseconds{0});
+    resumeStarting();
 }
 
 void gateway_task::onHostReports(const host_reports &reports)
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -76,6 +76,8 @@
     void serveMetrics(const http_exchange_ptr &exchange);
     [[nodiscard]] bool isReady() const;
     void applyReplicas();
+    /// Processes the requests that have arrived before the host knew enough.
+    void resumeStarting();
     void tick();
     void applyPeerEvidence();
     /// Writes the next state of a roll-out that is due for it, as long as one is undecided.
@@ -121,6 +123,7 @@
     host_reports m_hostReports; ///< of all hosts, as last delivered by the store
     std::vector<rollout_report> m_sharedEvidence; ///< last written
     instant m_nextEvidenceShare{};
+    loop_timer m_startTimer; ///< see resumeStarting()
     loop_timer m_rolloutTimer;
     std::map<std::string, std::uint64_t> m_storeCalls; ///< by "kind/cause", not yet logged
     instant m_nextStoreCallLog{};
--- a/tests/gateway_harness.cpp
+++ b/tests/gateway_harness.cpp
@@ -293,6 +293,9 @@
 
 void gateway_harness::publishReplicas(std::vector<replica_entry> replicas)
 {
+    if (publishesRollouts)
+        feed.listener->onRollouts({});
+    publishesRollouts = false;
     feed.listener->onReplicaList(std::move(replicas));
 }
 
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -131,6 +131,7 @@
 
     scripted_feed feed;
     gateway_task task;
+    bool publishesRollouts = true; ///< none are published with the first replicas; if unset, the test publishes them
 
     static gateway_settings makeSettings();
 
