Roll-outs: a test whether a version is slower than usual, beside the one on bad responses

Change: a second pair of sequential tests over responses that are slower than the upper quartile and 1.5 times the median of the old version (good: at most half of them, slow: over 0.8), pooled over hosts and relays like the first. Either one rejects; completion needs both, the second once six responses could be compared. Tests of reports carry the new fields; the one on restarted hosts states both ratios.

--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -141,10 +141,13 @@
     std::string target; ///< version
     std::uint64_t createdRevision = 0; ///< of the order
     double ratio = 0; ///< sum of the log-likelihood ratios of the host's responses
+    double paceRatio = 0; ///< the same of the test whether the version is slower than the one in use
     std::uint32_t responses = 0;
     std::uint32_t badResponses = 0;
+    std::uint32_t pacedResponses = 0; ///< those that could be compared with the version in use
     std::set<std::string> replicas; ///< ids of those that responded
     std::set<std::string> badReplicas; ///< ids of those with bad responses
+    std::set<std::string> slowerReplicas; ///< ids of those with responses slower than most of the version in use
     bool operator==(const rollout_report &) const = default;
 };
 
--- a/src/rollout_evidence.cpp
+++ b/src/rollout_evidence.cpp
@@ -12,13 +12,28 @@
 namespace
 {
 
-void addTo(rollout_report &sum, const rollout_report &report)
+void addReport(rollout_report &sum, const rollout_report &report)
 {
     sum.ratio += report.ratio;
+    sum.paceRatio += report.paceRatio;
     sum.responses += report.responses;
     sum.badResponses += report.badResponses;
+    sum.pacedResponses += report.pacedResponses;
     sum.replicas.insert(report.replicas.begin(), report.replicas.end());
     sum.badReplicas.insert(report.badReplicas.begin(), report.badReplicas.end());
+    sum.slowerReplicas.insert(report.slowerReplicas.begin(), report.slowerReplicas.end());
+}
+
+double quantileOf(const std::vector<std::chrono::microseconds> &sorted, double share)
+{
+    const auto at = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
+    return static_cast<double>(sorted[at].count());
+}
+
+/// @returns the log-likelihood ratio of one observation for the hypothesis that it is likelier than expected.
+double likelihoodRatio(bool isObserved, double expectedRate, double higherRate)
+{
+    return isObserved ? std::log(higherRate / expectedRate) : std::log((1 - higherRate) / (1 - expectedRate));
 }
 
 } // namespace
@@ -33,67 +48,95 @@
         m_latencies.pop_front();
 }
 
-std::optional<std::chrono::microseconds> version_baseline::slowLimit() const
+std::vector<std::chrono::microseconds> version_baseline::sortedLatencies() const
 {
     if (m_latencies.size() < kMinLatencies)
-        return std::nullopt;
+        return {};
     std::vector<std::chrono::microseconds> sorted(m_latencies.begin(), m_latencies.end());
     std::ranges::sort(sorted);
-    const auto quantile = [&sorted](double share) {
-        const auto at = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
-        return static_cast<double>(sorted[at].count());
-    };
+    return sorted;
+}
+
+std::optional<std::chrono::microseconds> version_baseline::slowLimit() const
+{
+    const auto sorted = sortedLatencies();
+    if (sorted.empty())
+        return std::nullopt;
     const double uncertainty = 1 + kUncertaintyPerSample / static_cast<double>(sorted.size());
-    const double limit =
-        uncertainty * std::max(kSlowQuantileFactor * quantile(kSlowQuantile), kSlowMedianFactor * quantile(0.5));
+    const double limit = uncertainty
+        * std::max(kSlowQuantileFactor * quantileOf(sorted, kSlowQuantile),
+                   kSlowMedianFactor * quantileOf(sorted, 0.5));
     return std::chrono::microseconds{static_cast<std::int64_t>(limit)} + kSlowMargin;
 }
 
-void rollout_evidence::addToCusum(const std::string &stratum, double ratio)
+std::optional<std::chrono::microseconds> version_baseline::usualLimit() const
+{
+    const auto sorted = sortedLatencies();
+    if (sorted.empty())
+        return std::nullopt;
+    const double limit = std::max(quantileOf(sorted, kUsualQuantile), kUsualMedianFactor * quantileOf(sorted, 0.5));
+    return std::chrono::microseconds{static_cast<std::int64_t>(limit)} + kUsualMargin;
+}
+
+void rollout_evidence::addTo(cusum_map &cusums, const std::string &stratum, double ratio)
 {
-    auto &score = m_cusums[stratum];
+    auto &score = cusums[stratum];
     score = std::max(0.0, score + ratio);
 }
 
+void rollout_evidence::addReplicas(const rollout_report &report)
+{
+    m_replicas.insert(report.replicas.begin(), report.replicas.end());
+    m_badReplicas.insert(report.badReplicas.begin(), report.badReplicas.end());
+    m_slowerReplicas.insert(report.slowerReplicas.begin(), report.slowerReplicas.end());
+    updateRejection();
+}
+
 void rollout_evidence::updateRejection()
 {
-    const bool hasReached =
-        std::ranges::any_of(m_cusums, [](const auto &entry) { return entry.second >= kRejectThreshold; });
-    const bool isWidespread = m_replicas.size() == 1 || m_badReplicas.size() > 1;
-    m_isRejected = m_isRejected || (hasReached && isWidespread);
+    const auto hasReached = [this](const cusum_map &cusums, const std::set<std::string> &replicas) {
+        const bool isWidespread = m_replicas.size() == 1 || replicas.size() > 1;
+        return isWidespread
+            && std::ranges::any_of(cusums, [](const auto &entry) { return entry.second >= kRejectThreshold; });
+    };
+    m_isRejected = m_isRejected || hasReached(m_cusums, m_badReplicas) || hasReached(m_paceCusums, m_slowerReplicas);
 }
 
-void rollout_evidence::recordResponse(const version_response &response, bool isBad, double goodRate, bool isRelayed)
+void rollout_evidence::recordResponse(const version_response &response, const response_rating &rating, bool isRelayed)
 {
-    const double good = std::max(kGoodRate, goodRate);
+    const double good = std::max(kGoodRate, rating.goodRate);
     const double bad = std::min(0.9, std::max(kBadRate, 2.5 * good));
-    const double ratio = isBad ? std::log(bad / good) : std::log((1 - bad) / (1 - good));
     rollout_report report;
-    report.ratio = ratio;
+    report.ratio = likelihoodRatio(rating.isBad, good, bad);
     report.responses = 1;
-    report.badResponses = isBad ? 1 : 0;
+    report.badResponses = rating.isBad ? 1 : 0;
     report.replicas.emplace(response.replica);
-    if (isBad)
+    if (rating.isBad)
         report.badReplicas = report.replicas;
+    if (rating.isSlower) {
+        report.pacedResponses = 1;
+        report.paceRatio = likelihoodRatio(*rating.isSlower, kGoodSlowerRate, kBadSlowerRate);
+    }
+    if (rating.isSlower.value_or(false))
+        report.slowerReplicas = report.replicas;
     m_responses += report.responses;
     m_badResponses += report.badResponses;
-    addToCusum(std::string(response.stratum), ratio);
+    addTo(m_cusums, std::string(response.stratum), report.ratio);
+    addTo(m_paceCusums, std::string(response.stratum), report.paceRatio);
     if (!isRelayed)
         return absorb(report);
-    addTo(m_relayed, report);
-    m_replicas.merge(report.replicas);
-    m_badReplicas.merge(report.badReplicas);
-    updateRejection();
+    addReport(m_relayed, report);
+    addReplicas(report);
 }
 
 void rollout_evidence::absorb(const rollout_report &report)
 {
-    addTo(m_own, report);
+    addReport(m_own, report);
     m_ratio += report.ratio;
-    addToCusum({}, report.ratio);
-    m_replicas.insert(report.replicas.begin(), report.replicas.end());
-    m_badReplicas.insert(report.badReplicas.begin(), report.badReplicas.end());
-    updateRejection();
+    m_paceRatio += report.paceRatio;
+    addTo(m_cusums, {}, report.ratio);
+    addTo(m_paceCusums, {}, report.paceRatio);
+    addReplicas(report);
 }
 
 void rollout_evidence::setPeerReport(const std::string &host, const rollout_report &report)
@@ -101,12 +144,13 @@
     auto &known = m_peers[host];
     const bool hasRestarted = report.responses < known.responses;
     const double added = report.ratio - (hasRestarted ? 0.0 : known.ratio);
+    const double addedPace = report.paceRatio - (hasRestarted ? 0.0 : known.paceRatio);
     known = report;
     m_ratio += added;
-    addToCusum({}, added);
-    m_replicas.insert(report.replicas.begin(), report.replicas.end());
-    m_badReplicas.insert(report.badReplicas.begin(), report.badReplicas.end());
-    updateRejection();
+    m_paceRatio += addedPace;
+    addTo(m_cusums, {}, added);
+    addTo(m_paceCusums, {}, addedPace);
+    addReplicas(report);
 }
 
 std::uint32_t rollout_evidence::peerResponses() const
@@ -119,7 +163,11 @@
 {
     if (m_isRejected)
         return evidence_verdict::rejected;
-    return m_ratio <= kAcceptThreshold ? evidence_verdict::accepted : evidence_verdict::undecided;
+    const auto paced =
+        std::accumulate(m_peers.begin(), m_peers.end(), m_own.pacedResponses,
+                        [](std::uint32_t sum, const auto &entry) { return sum + entry.second.pacedResponses; });
+    const bool hasUsualPace = m_paceRatio <= kAcceptThreshold || paced < kMinPacedResponses;
+    return m_ratio <= kAcceptThreshold && hasUsualPace ? evidence_verdict::accepted : evidence_verdict::undecided;
 }
 
 } // namespace foxtaildyke
--- a/src/rollout_evidence_p.h
+++ b/src/rollout_evidence_p.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace foxtaildyke
 {
@@ -37,13 +38,24 @@
     /// @returns the latency above which a response is slow, or nothing if too few responses are known.
     [[nodiscard]] std::optional<std::chrono::microseconds> slowLimit() const;
 
+    /// @returns the latency that at most half of the responses of a good version exceed, also if its replicas are more
+    /// heavily loaded, or nothing if too few responses are known.
+    [[nodiscard]] std::optional<std::chrono::microseconds> usualLimit() const;
+
 private:
+    /// @returns the kept latencies in ascending order; empty if there are too few.
+    [[nodiscard]] std::vector<std::chrono::microseconds> sortedLatencies() const;
+
     /// A response is slow if its latency exceeds both multiples plus the margin: well above the range of the baseline
     /// even if the replicas of the new version are more heavily loaded.
     static constexpr double kSlowQuantileFactor = 1.5;
     static constexpr double kSlowMedianFactor = 2.5;
     static constexpr double kSlowQuantile = 0.9;
     static constexpr std::chrono::milliseconds kSlowMargin{20};
+    /// A response is slower than usual if its latency exceeds the upper quartile and this multiple of the median.
+    static constexpr double kUsualQuantile = 0.75;
+    static constexpr double kUsualMedianFactor = 1.5;
+    static constexpr std::chrono::milliseconds kUsualMargin{5};
     /// Widens the limit where the quantiles come from few latencies: they may be well below the true ones.
     static constexpr double kUncertaintyPerSample = 3;
     static constexpr std::size_t kWindow = 64; ///< latencies kept
@@ -62,15 +74,23 @@
     static constexpr std::array kNames{"undecided", "accepted", "rejected"};
 };
 
+/// What one response says on a version.
+struct response_rating {
+    bool isBad = false; ///< a failure, or slow beyond anything that the version in use does
+    double goodRate = 0; ///< failure rate expected of a good version
+    std::optional<bool> isSlower; ///< than usual for the version in use; unset: not known
+};
+
 /// Sequential probability ratio tests of one version: CUSUMs that reject, over this host's responses per stratum and
-/// over the responses of all hosts, and a test that accepts, over the responses of all hosts. Missing evidence leaves
-/// the verdict undecided, so a host that doesn't receive the others' reports never accepts by their silence.
+/// over the responses of all hosts, and tests that accept, over the responses of all hosts. One pair of tests finds
+/// responses that are bad by themselves; the other one finds a version whose responses are slower than usual, though
+/// single ones of the version in use are as slow. Missing evidence leaves the verdict undecided, so a host that doesn't
+/// receive the others' reports never accepts by their silence.
 class rollout_evidence
 {
 public:
-    /// @param goodRate failure rate expected of a good version.
     /// @param isRelayed a relay adds the response to its own evidence, which this host then receives as that of a peer.
-    void recordResponse(const version_response &response, bool isBad, double goodRate, bool isRelayed);
+    void recordResponse(const version_response &response, const response_rating &rating, bool isRelayed);
 
     /// @returns the relayed responses since the last call.
     [[nodiscard]] rollout_report takeRelayed() { return std::exchange(m_relayed, {}); }
@@ -97,9 +117,19 @@
     /// Minimum failure rate assumed for a good version, and for a bad one.
     static constexpr double kGoodRate = 0.03;
     static constexpr double kBadRate = 0.3;
+    /// Fraction of responses slower than usual that is still assumed of a good version, whose replicas may be loaded
+    /// differently, and that of a slow one.
+    static constexpr double kGoodSlowerRate = 0.5;
+    static constexpr double kBadSlowerRate = 0.8;
+    /// Number of responses, over all hosts, below which the pace can't be judged, as the version in use had few
+    /// requests.
+    static constexpr std::uint32_t kMinPacedResponses = 6;
 
 private:
-    void addToCusum(const std::string &stratum, double ratio);
+    using cusum_map = std::map<std::string, double, std::less<>>;
+
+    static void addTo(cusum_map &cusums, const std::string &stratum, double ratio);
+    void addReplicas(const rollout_report &report);
     /// Rejects the version if a CUSUM has reached the threshold and not only a single one of several replicas is bad.
     void updateRejection();
 
@@ -109,9 +139,12 @@
     std::uint32_t m_badResponses = 0;
     std::map<std::string, rollout_report> m_peers; ///< by host
     double m_ratio = 0; ///< sum of the log-likelihood ratios of all hosts' responses
-    std::map<std::string, double, std::less<>> m_cusums; ///< by stratum, and of all hosts under the empty name; >= 0
+    double m_paceRatio = 0; ///< see rollout_report
+    cusum_map m_cusums; ///< by stratum, and of all hosts under the empty name; >= 0
+    cusum_map m_paceCusums; ///< the same of the test on pace
     std::set<std::string> m_replicas; ///< all that responded, to any host
     std::set<std::string> m_badReplicas;
+    std::set<std::string> m_slowerReplicas;
     bool m_isRejected = false;
 };
 
--- a/src/rollout_policy.cpp
+++ b/src/rollout_policy.cpp
@@ -173,7 +173,10 @@
     auto &target = m_rollouts.find(response.service)->second;
     const auto limit = slowLimit(target, response.stratum);
     const bool isSlow = limit && response.latency && *response.latency > *limit;
-    target.evidence.recordResponse(response, response.isFailure || isSlow, known->second.failureRate(), m_isRelayed);
+    response_rating rating{.isBad = response.isFailure || isSlow, .goodRate = known->second.failureRate()};
+    if (const auto usual = known->second.usualLimit(); usual && response.latency)
+        rating.isSlower = *response.latency > *usual;
+    target.evidence.recordResponse(response, rating, m_isRelayed);
 }
 
 void rollout_policy::setRelayed(bool isRelayed)
--- a/tests/test_rollouts.cpp
+++ b/tests/test_rollouts.cpp
@@ -236,7 +236,7 @@
 {
     rollout_policy policy;
     policy.setOrders({makeOrder(rollout_state::in_progress, 1)}, 1s);
-    rollout_report report{"s", "v2", 3, -2, 6, 0, {"n1"}, {}};
+    rollout_report report{"s", "v2", 3, -2, -2, 6, 0, 6, {"n1"}, {}, {}};
     policy.setPeerReports("h1", {report});
     CHECK_FALSE(policy.nextState(20s));
     auto other = report;
@@ -244,7 +244,7 @@
     policy.setPeerReports("h2", {other});
     CHECK_FALSE(policy.nextState(20s));
     report.responses = 4; // fewer than before: the host has restarted
-    report.ratio = -1.3;
+    report.ratio = report.paceRatio = -1.3;
     policy.setPeerReports("h1", {report});
     CHECK(policy.nextState(20s));
 }
@@ -326,6 +326,43 @@
     CHECK(halts * 100 > 99 * kRollouts);
 }
 
+TEST_CASE("roll-out: a version whose pace is twice the usual one is rejected, though the old one varies as much")
+{
+    constexpr int kRollouts = 300;
+    constexpr int kResponses = 60;
+    enum class version_kind : std::uint8_t { good, slow };
+    // The old version's pace under load: the slowest tenth takes twice the median. That of the slow version varies
+    // little.
+    const auto verdictOn = [](std::uint64_t seed, version_kind kind) {
+        std::mt19937_64 random(seed);
+        std::lognormal_distribution<double> loaded(std::log(100.0), 0.55);
+        std::uniform_real_distribution<double> slow(190, 230);
+        const auto latency = [](double ms) {
+            return std::chrono::microseconds(static_cast<std::int64_t>(1000 * ms));
+        };
+        rollout_policy policy;
+        for (int i = 0; i < 100; ++i)
+            policy.recordResponse(makeResponse("v1", "r1", false, latency(loaded(random))));
+        policy.setOrders({makeOrder()}, 0s);
+        for (int i = 0; i < kResponses; ++i) {
+            policy.recordResponse(makeResponse("v1", "r1", false, latency(loaded(random))));
+            const double pace = kind == version_kind::slow ? slow(random) : loaded(random);
+            policy.recordResponse(makeResponse("v2", i % 2 ? "n1" : "n2", false, latency(pace)));
+        }
+        return policy.find("s")->evidence.verdict();
+    };
+    int rejected = 0;
+    int accepted = 0;
+    for (std::uint64_t seed = 1; seed <= kRollouts; ++seed) {
+        rejected += verdictOn(seed, version_kind::slow) == evidence_verdict::rejected ? 1 : 0;
+        accepted += verdictOn(seed, version_kind::good) == evidence_verdict::accepted ? 1 : 0;
+    }
+    CAPTURE(rejected);
+    CAPTURE(accepted);
+    CHECK(rejected * 100 > 99 * kRollouts);
+    CHECK(accepted * 100 > 99 * kRollouts);
+}
+
 TEST_CASE("roll-out: a version that is bad on one route only is rejected despite good responses on others")
 {
     rollout_policy policy;
--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -231,7 +231,7 @@
     feed.start(recorder);
     const host_report first{{{0x2a, {1}, false}}, {}};
     const host_report second{{{0x2a, {1, 2}, false}, {0x2b, {}, true}, {0x2c, {3, 4}, false, true, {4}, {9}}},
-                             {{"s", "v2", 7, -1.25, 9, 1, {"n1", "n2"}, {"n2"}}},
+                             {{"s", "v2", 7, -1.25, 0.75, 9, 1, 8, {"n1", "n2"}, {"n2"}, {"n1"}}},
                              {{"n1", 1'700'000'000'000, 2.9, 350ms, 12}, {"n2", 0, 0, 0ms, 12, true}}};
     REQUIRE(loop.runUntil([&] { return recorder.isReachable; }));
     for (const auto &report : {first, second}) {
