Relays: a host that finds the store back waits for a relay before it reads everything

Change: a host that has read the configuration again queries the relays each 0.3 s for one second, and reads the other kinds only then. It serves others only from that moment on.

--- a/src/relay_choice_p.h
+++ b/src/relay_choice_p.h
@@ -88,6 +88,9 @@
     /// data from them within this time. Also used after the start, when replicas register one after another and each
     /// registration costs a call to the store.
     static constexpr std::chrono::milliseconds kUrgentPollInterval{300};
+    /// Time for which a host that could read the store again waits for a relay to be back, too. Covers the longest
+    /// delay between two attempts of a relay and one query.
+    static constexpr std::chrono::milliseconds kProbeGrace{1000};
     /// Time after the start during which the urgent interval is used.
     static constexpr std::chrono::seconds kStartupPhase{5};
 
--- a/tests/feed_recorder.h
+++ b/tests/feed_recorder.h
@@ -17,6 +17,7 @@
     std::vector<bool> reportWrites; ///< results of this host's writes of crash reports
     std::vector<std::string> events;
     std::map<store_call_cause, std::size_t> storeCalls;
+    std::map<std::pair<std::string, store_call_cause>, std::size_t> storeCallsByKind;
     bool isReachable = false;
     int rewinds = 0;
     int rolloutConflicts = 0;
@@ -53,7 +54,11 @@
     {
         absorbed.insert(absorbed.end(), reports.begin(), reports.end());
     }
-    void onStoreCall(std::string_view, store_call_cause cause) override { ++storeCalls[cause]; }
+    void onStoreCall(std::string_view kind, store_call_cause cause) override
+    {
+        ++storeCalls[cause];
+        ++storeCallsByKind[{std::string(kind), cause}];
+    }
     void onFeedEvent(std::string_view type, const std::string &subject, const std::string &) override
     {
         events.push_back(std::string(type) + ' ' + subject);
--- a/tests/test_relay_fleet.cpp
+++ b/tests/test_relay_fleet.cpp
@@ -164,6 +164,30 @@
     }
 }
 
+TEST_CASE("relay fleet: hosts that look for the store themselves leave the other kinds to the relays when it is back")
+{
+    fleet net(kHosts);
+    REQUIRE(net.waitUntilFollowing());
+    net.runFor(600ms);
+    net.store.setState(store_state::refusing);
+    const auto probesOf = [](const fleet::host &host, const char *kind) {
+        const auto &calls = host.recorder.storeCallsByKind;
+        const auto found = calls.find({kind, store_call_cause::relay_lost});
+        return found == calls.end() ? 0 : found->second;
+    };
+    // Relays that respond are taken for the first to notice the end of the outage; after some seconds, a host looks
+    // itself.
+    REQUIRE(net.runUntil([&] {
+        return std::ranges::count_if(net.hosts, [&](const auto &host) { return probesOf(*host, "config") > 0; })
+            > kHosts / 4;
+    }));
+    net.store.setState(store_state::serving);
+    net.store.put("servers", "later", replicaSpec());
+    REQUIRE(net.runUntil([&] { return net.allHaveReplica("later") && net.readers() == kRelays; }));
+    for (const auto &host : net.hosts)
+        CHECK(probesOf(*host, "servers") == 0);
+}
+
 TEST_CASE("relay fleet: a watch that is cut off, and a history that is gone, concern the relays only")
 {
     fleet net(kHosts);
