Relays: evidence that a relay may have taken isn't counted again

Cause: a host that left its relay with a query under way (to read the store for others, or as no response came) kept the batch of evidence that the query carried and passed it to the next relay, or shared it itself. The first relay had often taken it already. Responses that count twice make the sequential tests decide on too little. Ruled out: confirming by id at the next relay, which doesn't know what the first one took.

--- a/tests/spec.sh
+++ b/tests/spec.sh
@@ -95,8 +95,15 @@
     done
 }
 
+check_relay_evidence() {
+    check SOUND relay_evidence
+    for variant in KEPT_ON_SILENCE KEPT_ON_LEAVING REFUSAL_SAYS_NOTHING; do
+        check BROKEN relay_evidence -D$variant
+    done
+}
+
 # Checks the models in parallel; each search is single-threaded.
-models=(ledger freshness fencing key_lease rollout store_era)
+models=(ledger freshness fencing key_lease rollout store_era relay_evidence)
 declare -A jobs
 for model in "${models[@]}"; do
     (
--- a/tests/test_relay_fleet.cpp
+++ b/tests/test_relay_fleet.cpp
@@ -282,6 +282,30 @@
     CHECK(net.runUntil([&] { return takenResponses(net) == before + added; }));
 }
 
+TEST_CASE("relay fleet: evidence that a relay may have taken isn't passed on again by a host that leaves the relay")
+{
+    fleet net(kHosts);
+    REQUIRE(net.waitUntilFollowing());
+    net.runFor(600ms); // the relays have no changes left to hand out, so that their responses take some time
+    constexpr std::size_t kLeaving = 10;
+    net.hosts[kLeaving]->recorder.evidence = oneResponse();
+    REQUIRE(net.runUntil([&] { return takenResponses(net) == 1; }));
+    // Queried by another host, it reads the store and shares its evidence itself from now on.
+    http_client client(net.loop);
+    http_request query;
+    query.endpoint = net.addresses[kLeaving];
+    query.method = http_method::post;
+    query.path = std::string(platform::kFeedPath) + "?host=other";
+    query.timeout = 400ms;
+    http_handlers handlers;
+    handlers.onDone = [](const http_response &) {
+    };
+    client.start(std::move(query), std::move(handlers));
+    REQUIRE(net.runUntil([&] { return net.hosts[kLeaving]->feed.readsStore(); }));
+    net.runFor(300ms);
+    CHECK(takenResponses(net) == 1);
+}
+
 TEST_CASE("relay fleet: all hosts know the load of all others, and return to the relay that they prefer")
 {
     fleet net(kHosts);
