--- a/tests/test_relay_fleet.cpp
+++ b/tests/test_relay_fleet.cpp
@@ -179,7 +179,7 @@
     // itself.
     REQUIRE(net.runUntil([&] {
         return std::ranges::count_if(net.hosts, [&](const auto &host) { return probesOf(*host, "config") > 0; })
-            > kHosts / 4;
+            > static_cast<std::ptrdiff_t>(kHosts / 4);
     }));
     net.store.setState(store_state::serving);
     net.store.put("servers", "later", replicaSpec());
