Replicas: a response without id on a connection used before isn't taken for the request's own

Cause: a response whose head carries no request id was passed on as the response to the request that waits on the connection. A second copy of an earlier response that a replica sends late, without the id, reached the next caller with a valid stamp. Change: on a connection that other requests have used, such a response ends the attempt as malformed (502 where it may have run, repeated where the route allows it) and the connection is closed. On a new connection it can belong to no other request. Copies with an id were skipped before as well.

--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -95,6 +95,7 @@
                                                }};
     m_socket = pool.acquire(m_request.replica, m_request.address);
     if (m_socket) {
+        m_isReused = true;
         m_socket->setHandlers(handlers);
         send();
         return;
@@ -131,6 +132,9 @@
         m_skippedBytes += kSkippedHeadBytes;
         return;
     }
+    m_isUnattributed = echoed.empty() && m_isReused;
+    if (m_isUnattributed)
+        return;
     m_hasHead = true;
     m_listener.onUpstreamHead(head);
 }
@@ -169,7 +173,7 @@
             if (!*alive)
                 return;
         }
-        if (m_skippedBytes > kMaxSkippedBytes)
+        if (m_skippedBytes > kMaxSkippedBytes || m_isUnattributed)
             return finish(upstream_end::malformed);
         if (state != parse_state::complete)
             continue;
--- a/src/upstream_exchange_p.h
+++ b/src/upstream_exchange_p.h
@@ -16,7 +16,9 @@
     complete, ///< the response was received completely
     not_connected, ///< no connection was established: nothing was sent
     broken, ///< the connection was lost after the request was written to it
-    malformed, ///< the response was not HTTP, its length was ambiguous, or it exceeded a limit
+    /// The response was not HTTP, its length was ambiguous, it exceeded a limit, or it couldn't be attributed to the
+    /// request.
+    malformed,
     count
 };
 
@@ -73,9 +75,11 @@
     http_parser m_parser{message_type::response};
     loop_timer m_connectTimer;
     bool m_isConnected = false;
+    bool m_isReused = false; ///< other requests have been sent on the connection before
     bool m_hasHead = false; ///< the head of this request's response has been passed to the listener
     bool m_isForeignResponse = false; ///< the response being read belongs to another request
     bool m_isOverLimit = false; ///< the listener or kMaxSkippedBytes rejected body bytes
+    bool m_isUnattributed = false; ///< the response states no id and may be that to an earlier request
     std::size_t m_skippedBytes = 0; ///< of foreign and interim responses
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 
--- a/tests/gateway_harness.cpp
+++ b/tests/gateway_harness.cpp
@@ -52,6 +52,7 @@
         : replica(owner)
         , timer(loop, [this] { respond(); })
         , resetTimer(loop, [this] { reset(); })
+        , laterTimer(loop, [this] { stream.write(std::exchange(laterBytes, {})); })
         , stream(loop, socket,
                  stream_socket::handlers{.onConnected = {},
                                          .onReadable = [this] { onReadable(); },
@@ -99,6 +100,10 @@
         if (!hasOpenRequest)
             return;
         stream.write(script.bytes);
+        if (!script.laterBytes.empty()) {
+            laterBytes = script.laterBytes;
+            laterTimer.start(script.laterDelay);
+        }
         hasOpenRequest = !script.closes && !script.resets && script.bytes.empty();
         if (script.bytes.empty())
             onDrained();
@@ -127,6 +132,8 @@
     bool hasOpenRequest = false; ///< a request was received and its response is not yet written
     loop_timer timer;
     loop_timer resetTimer;
+    std::string laterBytes;
+    loop_timer laterTimer; ///< sends laterBytes
     stream_socket stream;
 };
 
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -37,6 +37,8 @@
     bool resets = false; ///< resets the connection after the bytes
     bool crashes = false; ///< sends nothing and ends the replica; see scripted_replica::crash()
     std::chrono::milliseconds delay{0}; ///< before the bytes or the crash
+    std::string laterBytes; ///< sent on the same connection after laterDelay, whatever has been received meanwhile
+    std::chrono::milliseconds laterDelay{0}; ///< after the bytes
 };
 
 /// A replica that responds to each request as scripted.
