Replicas: a request that is sent again to the same replica gets a connection of its own

Cause: the id tells responses of different requests apart, not two responses to the same one. After a rejection (503 with the statement that the request has not run) it is sent again with the same id, often to the same replica and over the same connection. A second copy of the rejection was taken for the response to the second try: the caller got 503 as not run for a request that ran. Change: a request whose earlier response from a replica was received completely is sent to it over a new connection. Ruled out: the ids last sent kept with each pooled connection, which needs a list, as other requests use the connection in between. Test: fails without the change (503 instead of 200).

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -240,7 +240,7 @@
     if (m_hasStreamStarted)
         fields.lastEventId = m_lastEventId;
     return {replica.address, replica.id, forwardedHead(m_request, fields, m_state.headerNames) + m_request.body,
-            m_metadata.id};
+            m_metadata.id, m_respondedReplicas.contains(replica.id)};
 }
 
 void gateway_exchange::send(const replica_entry &replica)
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -183,6 +183,7 @@
     event_splitter m_events;
 
     std::set<std::string> m_triedReplicas;
+    std::set<std::string> m_respondedReplicas; ///< whose response to an earlier attempt has been received completely
     std::uint32_t m_sends = 0; ///< number of replicas to which the request was sent
     std::uint32_t m_connectFailures = 0;
     send_exclusion m_exclusion = send_exclusion::none; ///< at the last selection, if no replica was left
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -240,6 +240,8 @@
 
 void gateway_exchange::onUpstreamEnd(upstream_end end)
 {
+    if (end == upstream_end::complete)
+        m_respondedReplicas.insert(m_replica);
     const auto result = classify(end);
     m_mayHaveRun = m_mayHaveRun || !hasCertainlyNotRun(result);
     recordAttempt(result);
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -93,7 +93,8 @@
                                                [this](socket_end end) {
                                                    onSocketEnd(end);
                                                }};
-    m_socket = pool.acquire(m_request.replica, m_request.address);
+    if (!m_request.isRepeated)
+        m_socket = pool.acquire(m_request.replica, m_request.address);
     if (m_socket) {
         m_isReused = true;
         m_socket->setHandlers(handlers);
--- a/src/upstream_exchange_p.h
+++ b/src/upstream_exchange_p.h
@@ -43,6 +43,9 @@
     std::string replica; ///< id; connections are pooled per replica and address
     std::string bytes; ///< head and body
     std::string requestId; ///< a response that echoes another id is skipped
+    /// The replica has responded to the same id before. A second copy of that response can't be told from the new
+    /// response, so the request gets a connection of its own.
+    bool isRepeated = false;
 };
 
 class connection_pool;
--- a/tests/test_second_copies.cpp
+++ b/tests/test_second_copies.cpp
@@ -81,6 +81,26 @@
                 }
 }
 
+TEST_CASE("second copy: a rejection that is repeated late isn't taken for the response to the retry")
+{
+    gateway_harness net;
+    // The only replica rejects the request, is asked again, and runs it. The copy of the rejection arrives meanwhile.
+    scripted_replica replica(net.loop, "r1", [count = 0](const received_request &request) mutable {
+        if (++count > 1)
+            return replica_script{.bytes = responseText(200, idOf(request), "ran"), .delay = 80ms};
+        const std::string rejection = responseText(503, idOf(request), "", "Foxtaildyke-Not-Executed: 1\r\n");
+        return replica_script{.bytes = rejection, .laterBytes = rejection, .laterDelay = 40ms};
+    });
+    net.publish(gateway_harness::makeConfig());
+    net.publishReplicas({replica.entry("s")});
+    scripted_caller caller(net.loop, net.task.callerPort());
+    caller.send(requestText("POST", "/once/x", "id-1"));
+    REQUIRE(net.runUntil([&] { return caller.responses.size() == 1 && caller.responses[0].isComplete; }));
+    REQUIRE(replica.requests.size() == 2);
+    CHECK(caller.responses[0].head.status == 200);
+    CHECK(caller.responses[0].body == "ran");
+}
+
 TEST_CASE("second copy: events of a stream's copy don't reach the next stream on the connection")
 {
     for (const bool hasId : {true, false}) {
