Replicas: a connection that carried no request yet isn't one that was used before

Cause: connections of the crash detector are kept for requests. The first request on one got 502 for a rejection without id, since the connection counted as used. Change: what counts is whether anything has been written to the connection. Test: "an at-most-once request is retried only if it has certainly not run" failed on (found by running all tests on it), passes now.

--- a/src/stream_socket.cpp
+++ b/src/stream_socket.cpp
@@ -60,6 +60,7 @@
 
 void stream_socket::write(std::string_view bytes)
 {
+    m_hasWritten = true;
     bufferevent_write(m_stream, bytes.data(), bytes.size());
 }
 
--- a/src/stream_socket_p.h
+++ b/src/stream_socket_p.h
@@ -45,6 +45,9 @@
 
     void write(std::string_view bytes);
 
+    /// @returns whether anything has been written, by any owner.
+    [[nodiscard]] bool hasWritten() const { return m_hasWritten; }
+
     /// @returns the bytes received and not yet consumed. The view is valid until the next call.
     [[nodiscard]] std::string_view received();
     void consume(std::size_t bytes);
@@ -67,6 +70,7 @@
     event_loop &m_loop;
     handlers m_handlers;
     bufferevent *m_stream = nullptr;
+    bool m_hasWritten = false;
 };
 
 } // namespace foxtaildyke
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -96,7 +96,7 @@
     if (!m_request.isRepeated)
         m_socket = pool.acquire(m_request.replica, m_request.address);
     if (m_socket) {
-        m_isReused = true;
+        m_isReused = m_socket->hasWritten();
         m_socket->setHandlers(handlers);
         send();
         return;
