Start of a host: a request that was rejected is never sent afterwards

Cause: a request that waits for the start of its host and is rejected in time (503, not run) stayed in the queue until its connection was gone, up to a second for one that is being closed. If the host learned the fleet meanwhile, the request was sent to a replica. Change: a request that has been answered leaves the queue. Test: a request with Connection: close ran after its 503; not any more.

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -333,6 +333,7 @@
     m_isFinished = true;
     m_timer.stop();
     m_evidenceTimer.stop();
+    leaveQueue(); // this object lives until its connection is closed
     releaseCrashReport();
     const auto now = suspendAwareNow();
     const auto duration = now - m_request.readAt;
--- a/src/start_queue_p.h
+++ b/src/start_queue_p.h
@@ -18,6 +18,13 @@
     /// Called once the host can process requests.
     virtual void onHostStarted() = 0;
 
+    /// Leaves the queue, if it is in it.
+    void leaveQueue()
+    {
+        if (is_linked())
+            unlink();
+    }
+
 protected:
     starting_request() = default;
     ~starting_request() = default;
--- a/tests/test_gateway_start.cpp
+++ b/tests/test_gateway_start.cpp
@@ -96,6 +96,17 @@
     CHECK(net.replica.requests[0].head.target == "/safe/a");
 }
 
+TEST_CASE("start: a request that was rejected isn't sent afterwards, while its connection is being closed")
+{
+    starting_host net;
+    net.caller.send(requestText("GET", "/safe/a", "id-1", "Connection: close\r\n"));
+    REQUIRE(net.waitForResponses(1));
+    CHECK(net.caller.responses[0].head.status == 503);
+    net.publishAll();
+    net.runFor(100ms);
+    CHECK(net.replica.requests.empty());
+}
+
 TEST_CASE("start: a planned stop answers the requests that wait")
 {
     starting_host net;
