Planned stop: requests that have just been accepted, or cross the close, are answered

Cause, each shown with the real process: when the listener closes (2.6 s after SIGTERM), all connections without a request were closed at the next tick: one accepted a moment before (0 of 40 requests answered), and a kept one whose request the kernel already holds (0 of 40). Connections that still wait to be accepted are reset with the listener. What runs at the end of the grace period lost its connection without a response.

Change: connections that wait are accepted before the listener closes; a connection is closed only when nothing has arrived on it and it has been idle for a second. 0.5 s before the process exits, requests whose response hasn't begun get 502 (503 where they certainly haven't run); streams go on.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -68,15 +68,19 @@
 
 caller_connection::~caller_connection() = default;
 
-bool caller_connection::isIdle() const
+void caller_connection::closeIfIdle(std::chrono::milliseconds minIdleTime)
 {
-    return m_phase == phase::reading && !m_parser.hasBegun();
+    const bool isReading = m_phase == phase::reading && !m_parser.hasBegun();
+    if (isReading && !m_socket->hasUnread() && suspendAwareNow() - m_timeoutStartedAt >= minIdleTime)
+        end();
 }
 
-void caller_connection::closeIfIdle()
+void caller_connection::answerBeforeStop()
 {
-    if (isIdle() && m_socket->received().empty())
-        end();
+    if (m_phase == phase::serving && m_work)
+        m_work->onStopping();
+    else if (m_phase == phase::reading && m_parser.hasBegun())
+        reject(http_status::kServiceUnavailable, "stopping");
 }
 
 void caller_connection::onReadable()
--- a/src/caller_connection_p.h
+++ b/src/caller_connection_p.h
@@ -50,6 +50,9 @@
 
     /// The caller closed its connection; the work is destroyed next.
     virtual void onCallerGone() = 0;
+
+    /// The process is about to exit: the request is to be answered now, unless its response has begun.
+    virtual void onStopping() = 0;
 };
 
 class caller_connection;
@@ -78,11 +81,12 @@
     caller_connection(event_loop &loop, int socket, connection_owner &owner);
     ~caller_connection() override;
 
-    /// @returns whether no request is being read or served.
-    [[nodiscard]] bool isIdle() const;
+    /// Closes the connection if no request is being read or served, none has arrived, and this has been so for the
+    /// given time.
+    void closeIfIdle(std::chrono::milliseconds minIdleTime);
 
-    /// Closes the connection if it is idle.
-    void closeIfIdle();
+    /// Answers the request that is being read or served, before the process exits. Responses that have begun go on.
+    void answerBeforeStop();
 
 private:
     enum class phase : std::uint8_t { reading, serving, closing, ended, count };
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -328,6 +328,16 @@
     finish(kClientClosed, "caller_gone");
 }
 
+void gateway_exchange::onStopping()
+{
+    if (m_isFinished || m_hasStreamStarted)
+        return;
+    m_mayHaveRun = m_mayHaveRun || m_upstream != nullptr;
+    if (m_upstream)
+        closeAttempt(std::nullopt);
+    refuse(m_mayHaveRun ? refusal::failed : refusal::stopping);
+}
+
 void gateway_exchange::finish(int status, std::string_view reason)
 {
     m_isFinished = true;
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -64,6 +64,7 @@
 
     void onCallerDrained() override;
     void onCallerGone() override;
+    void onStopping() override;
 
 private:
     /// Reason for which the gateway itself responds with an error.
@@ -80,6 +81,7 @@
         not_run,
         failed,
         deadline,
+        stopping,
         count
     };
     struct refusal_row;
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -57,6 +57,7 @@
         refusal_row{503, "rate_limited", true},   refusal_row{503, "paused", true},
         refusal_row{503, "quarantined", true},    refusal_row{503, "not_run", true},
         refusal_row{502, "failed", false},        refusal_row{504, "deadline", false},
+        refusal_row{503, "stopping", true},
     };
     static_assert(kRows.size() == static_cast<std::size_t>(refusal::count));
     return kRows[static_cast<std::size_t>(reason)];
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <event2/listener.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 
 namespace foxtaildyke
 {
@@ -15,6 +16,13 @@
 {
 
 constexpr int kListenBacklog = 1024; ///< connections waiting to be accepted
+
+/// @returns a connection that waits to be accepted, or -1.
+int acceptNext(int listeningSocket)
+{
+    return ::accept4(listeningSocket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+}
+
 } // namespace
 
 gateway_task::gateway_task(event_loop &loop, gateway_settings settings, header_names headerNames,
@@ -221,29 +229,40 @@
 
 void gateway_task::closeListener()
 {
-    if (m_listener)
-        evconnlistener_free(std::exchange(m_listener, nullptr));
+    if (!m_listener)
+        return;
+    // Connections that wait in the kernel would be reset.
+    const auto before = m_connections.size();
+    const auto listening = evconnlistener_get_fd(m_listener);
+    for (int socket = acceptNext(listening); socket >= 0; socket = acceptNext(listening))
+        onAccept(socket);
+    evconnlistener_free(std::exchange(m_listener, nullptr));
+    m_log.write("stop_listening", {{"accepted", m_connections.size() - before}, {"connections", m_connections.size()}});
 }
 
-bool gateway_task::hasActiveRequests() const
+std::vector<caller_connection *> gateway_task::openConnections() const
 {
-    return std::ranges::any_of(m_connections, [](const auto &entry) { return !entry.first->isIdle(); });
+    std::vector<caller_connection *> connections;
+    std::ranges::transform(m_connections, std::back_inserter(connections),
+                           [](const auto &entry) { return entry.first; });
+    return connections;
 }
 
-/// Continues a graceful stop: closes the listener after kListenAfterStop, and ends the loop when no request is in
-/// flight or the grace period is nearly over.
+/// Continues a graceful stop: closes the listener after kListenAfterStop, then the connections that are idle. Ends the
+/// loop when none is left or the grace period is nearly over; what is still running then has been answered before.
 void gateway_task::advanceStop()
 {
     const auto elapsed = suspendAwareNow() - m_stopStartedAt;
     if (elapsed < kListenAfterStop)
         return;
     closeListener();
-    std::vector<caller_connection *> connections;
-    std::ranges::transform(m_connections, std::back_inserter(connections),
-                           [](const auto &entry) { return entry.first; });
-    for (auto *connection : connections)
-        connection->closeIfIdle();
-    if (hasActiveRequests() && elapsed < m_settings.grace - kStopMargin)
+    const auto left = m_settings.grace - kStopMargin - elapsed;
+    for (auto *connection : openConnections()) {
+        connection->closeIfIdle(kMinIdleAtStop);
+        if (left <= kAnswerMargin)
+            connection->answerBeforeStop();
+    }
+    if (!m_connections.empty() && left > instant{0})
         return;
     logStoreCalls();
     m_log.write("stop", {{"open_connections", m_connections.size()}});
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -92,13 +92,19 @@
     void logQuarantines(instant now);
     void closeListener();
     void advanceStop();
-    [[nodiscard]] bool hasActiveRequests() const;
+    [[nodiscard]] std::vector<caller_connection *> openConnections() const;
 
     /// Time after SIGTERM during which new connections are accepted: two failed readiness checks at one per second,
     /// plus time for connections that are already being established.
     static constexpr std::chrono::milliseconds kListenAfterStop{2600};
     /// Time before the end of the grace period at which the process exits even if requests are still in flight.
     static constexpr std::chrono::milliseconds kStopMargin{250};
+    /// Time before kStopMargin at which requests that are still running are answered: two ticks, so that the responses
+    /// are sent before the process exits.
+    static constexpr std::chrono::milliseconds kAnswerMargin{500};
+    /// Time for which a connection must have been idle to be closed at a stop: callers send a request at once after
+    /// they have connected.
+    static constexpr std::chrono::milliseconds kMinIdleAtStop{1000};
     static constexpr std::chrono::milliseconds kTickInterval{250};
     static constexpr std::chrono::seconds kStoreCallLogInterval{5};
 
--- a/src/stream_socket.cpp
+++ b/src/stream_socket.cpp
@@ -78,6 +78,12 @@
     evbuffer_drain(bufferevent_get_input(m_stream), bytes);
 }
 
+bool stream_socket::hasUnread()
+{
+    std::array<char, 1> next{};
+    return !received().empty() || ::recv(bufferevent_getfd(m_stream), next.data(), next.size(), MSG_PEEK) > 0;
+}
+
 std::size_t stream_socket::pendingBytes() const
 {
     return evbuffer_get_length(bufferevent_get_output(m_stream));
--- a/src/stream_socket_p.h
+++ b/src/stream_socket_p.h
@@ -52,6 +52,9 @@
     [[nodiscard]] std::string_view received();
     void consume(std::size_t bytes);
 
+    /// @returns whether bytes have arrived that aren't consumed, or not even read from the kernel.
+    [[nodiscard]] bool hasUnread();
+
     /// @returns the number of bytes not yet handed to the kernel.
     [[nodiscard]] std::size_t pendingBytes() const;
 
