Slow callers: the rest of a finished response is sent, however the connection ends

Cause: once a response was handed over, its connection was closed a second later (Connection: close, planned stop) or after the idle timeout (kept), also while megabytes of it waited for a caller that reads slowly. The caller got 2.9 of 12.6 MB. Change: these times begin when everything has been sent; sending may take 30 s. A caller that reads nothing at all is disconnected by kCallerTcpUserTimeout (8 s), as before.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -70,8 +70,8 @@
 
 void caller_connection::closeIfIdle(std::chrono::milliseconds minIdleTime)
 {
-    const bool isReading = m_phase == phase::reading && !m_parser.hasBegun();
-    if (isReading && !m_socket->hasUnread() && suspendAwareNow() - m_timeoutStartedAt >= minIdleTime)
+    const bool isIdle = m_phase == phase::reading && !m_parser.hasBegun() && m_socket->pendingBytes() == 0;
+    if (isIdle && !m_socket->hasUnread() && suspendAwareNow() - m_timeoutStartedAt >= minIdleTime)
         end();
 }
 
@@ -233,18 +233,30 @@
 void caller_connection::beginClose()
 {
     m_phase = phase::closing;
-    m_timer.start(kLingerTimeout);
+    m_timer.start(kMaxSendTime);
     if (m_socket->pendingBytes() == 0)
-        m_socket->shutdownWrite();
+        linger();
+}
+
+void caller_connection::linger()
+{
+    m_socket->shutdownWrite();
+    m_timer.start(kLingerTimeout);
 }
 
 void caller_connection::onDrained()
 {
+    if (m_work)
+        return m_work->onCallerDrained();
     // The callback may have been queued before the last write.
-    if (m_phase == phase::closing && m_socket->pendingBytes() == 0)
-        m_socket->shutdownWrite();
-    else if (m_work)
-        m_work->onCallerDrained();
+    if (m_socket->pendingBytes() > 0)
+        return;
+    if (m_phase == phase::closing)
+        return linger();
+    if (m_phase != phase::reading || m_parser.hasBegun())
+        return;
+    m_timeoutStartedAt = suspendAwareNow();
+    restartTimer();
 }
 
 void caller_connection::onSocketEnd()
@@ -254,7 +266,8 @@
     end();
 }
 
-/// While reading, expires at the head timeout or the idle timeout, whichever applies; while closing, at kLingerTimeout.
+/// While reading, expires at the head timeout or the idle timeout, whichever applies, but not before the last response
+/// has been sent within kMaxSendTime; while closing, at kMaxSendTime or kLingerTimeout.
 void caller_connection::onTimer()
 {
     if (m_phase == phase::closing)
@@ -273,6 +286,8 @@
 /// @returns the timeout of the present reading state.
 std::chrono::milliseconds caller_connection::readTimeout() const
 {
+    if (!m_parser.hasBegun() && m_socket->pendingBytes() > 0)
+        return kMaxSendTime;
     const bool isInHead = m_parser.hasBegun() && m_parser.state() == parse_state::head;
     return isInHead ? m_owner.limits().headTimeout : m_owner.limits().idleTimeout;
 }
--- a/src/caller_connection_p.h
+++ b/src/caller_connection_p.h
@@ -111,6 +111,8 @@
     [[nodiscard]] std::chrono::milliseconds readTimeout() const;
     void restartTimer();
     void beginClose();
+    /// Closes the write side and waits for the caller to close the connection.
+    void linger();
     void end();
 
     event_loop &m_loop;
@@ -121,14 +123,18 @@
     phase m_phase = phase::reading;
     bool m_keepAlive = true; ///< of the request being served
     bool m_isHeadRequest = false;
-    instant m_timeoutStartedAt{}; ///< when the connection became idle, or the present request's first byte arrived
+    /// When the connection became idle, its last response was sent, or the present request's first byte arrived.
+    instant m_timeoutStartedAt{};
     std::unique_ptr<request_work> m_work;
     std::unique_ptr<request_work> m_finishedWork; ///< kept until its call that finished the response has returned
     loop_timer m_timer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< checked by callbacks that may outlive this object
 
-    /// Time for a caller to receive the rest of a response and close the connection, once no more requests are read.
+    /// Time for a caller to close the connection once it has been sent everything.
     static constexpr std::chrono::milliseconds kLingerTimeout{1000};
+    /// Time for a caller that reads slowly to receive the rest of a finished response. One that reads nothing at all is
+    /// disconnected by kCallerTcpUserTimeout.
+    static constexpr std::chrono::milliseconds kMaxSendTime{30'000};
 };
 
 /// @returns the standard reason phrase of a status.
