--- a/tests/failure_planned_stop.cpp
+++ b/tests/failure_planned_stop.cpp
@@ -24,20 +24,16 @@
 {
     if (!request.head.target.starts_with("/stream/"))
         return {.bytes = responseText(200, idOf(request), "whole body"), .delay = delay};
-    return {.bytes = streamText(idOf(request), 1, 1, false), .laterBytes = streamText({}, 2, 2), .laterDelay = delay};
+    return {.bytes = streamText(idOf(request), 1, 1, false),
+            .later = {chunkText(eventsText(2, 2)) + "0\r\n\r\n"},
+            .laterDelay = delay};
 }
 
 struct stopping_host : gateway_process {
     /// @param delay of each response; of a stream, between its first and its last event.
     explicit stopping_host(const std::string &settings = {}, std::chrono::milliseconds delay = 400ms)
         : gateway_process(settings)
-        , replica(loop, "r1", [delay](const received_request &request) {
-            auto script = respond(request, delay);
-            // The rest of a stream has no head of its own.
-            if (!script.laterBytes.empty())
-                script.laterBytes.erase(0, script.laterBytes.find("\r\n\r\n") + 4);
-            return script;
-        })
+        , replica(loop, "r1", [delay](const received_request &request) { return respond(request, delay); })
     {
         publish(1);
         registerReplica(replica);
--- a/tests/gateway_harness.cpp
+++ b/tests/gateway_harness.cpp
@@ -38,13 +38,6 @@
     return route;
 }
 
-std::string chunkText(const std::string &bytes)
-{
-    std::array<char, 16> digits{};
-    std::snprintf(digits.data(), digits.size(), "%zx", bytes.size());
-    return std::string(digits.data()) + "\r\n" + bytes + "\r\n";
-}
-
 } // namespace
 
 struct scripted_replica::connection {
@@ -52,7 +45,7 @@
         : replica(owner)
         , timer(loop, [this] { respond(); })
         , resetTimer(loop, [this] { reset(); })
-        , laterTimer(loop, [this] { stream.write(std::exchange(laterBytes, {})); })
+        , laterTimer(loop, [this] { sendLater(); })
         , stream(loop, socket,
                  stream_socket::handlers{.onConnected = {},
                                          .onReadable = [this] { onReadable(); },
@@ -62,6 +55,7 @@
                                                  if (hasOpenRequest)
                                                      ++replica.connectionsLost;
                                                  hasOpenRequest = false;
+                                                 isOpen = false;
                                              }})
     {
     }
@@ -100,15 +94,24 @@
         if (!hasOpenRequest)
             return;
         stream.write(script.bytes);
-        if (!script.laterBytes.empty()) {
-            laterBytes = script.laterBytes;
-            laterTimer.start(script.laterDelay);
+        if (!script.later.empty()) {
+            later.assign(script.later.begin(), script.later.end());
+            laterDelay = script.laterDelay;
+            laterTimer.start(laterDelay);
         }
         hasOpenRequest = !script.closes && !script.resets && script.bytes.empty();
         if (script.bytes.empty())
             onDrained();
     }
 
+    void sendLater()
+    {
+        stream.write(later.front());
+        later.pop_front();
+        if (!later.empty())
+            laterTimer.start(laterDelay);
+    }
+
     void onDrained()
     {
         // A new connection reports once that its buffer is drained, before anything was written.
@@ -130,10 +133,12 @@
     std::string body;
     replica_script script;
     bool hasOpenRequest = false; ///< a request was received and its response is not yet written
+    bool isOpen = true; ///< the gateway has not closed it
     loop_timer timer;
     loop_timer resetTimer;
-    std::string laterBytes;
-    loop_timer laterTimer; ///< sends laterBytes
+    std::deque<std::string> later; ///< of the last script that had any
+    std::chrono::milliseconds laterDelay{0};
+    loop_timer laterTimer; ///< sends the next of them
     stream_socket stream;
 };
 
@@ -204,6 +209,12 @@
     return std::ranges::any_of(m_connections, [](const auto &open) { return open->hasOpenRequest; });
 }
 
+std::size_t scripted_replica::openConnections() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_connections, [](const auto &open) { return open->isOpen; }));
+}
+
 void scripted_replica::accept(int socket)
 {
     // With a linger time of zero, closing resets the connection.
@@ -345,6 +356,13 @@
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nFoxtaildyke-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+std::string chunkText(const std::string &bytes)
+{
+    std::array<char, 16> digits{};
+    std::snprintf(digits.data(), digits.size(), "%zx", bytes.size());
+    return std::string(digits.data()) + "\r\n" + bytes + "\r\n";
+}
+
 std::string eventsText(int first, int last)
 {
     std::string text;
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -37,8 +37,9 @@
     bool resets = false; ///< resets the connection after the bytes
     bool crashes = false; ///< sends nothing and ends the replica; see scripted_replica::crash()
     std::chrono::milliseconds delay{0}; ///< before the bytes or the crash
-    std::string laterBytes; ///< sent on the same connection after laterDelay, whatever has been received meanwhile
-    std::chrono::milliseconds laterDelay{0}; ///< after the bytes
+    /// Sent on the same connection one after the other, whatever has been received meanwhile.
+    std::vector<std::string> later;
+    std::chrono::milliseconds laterDelay{0}; ///< before each of them
 };
 
 /// A replica that responds to each request as scripted.
@@ -60,6 +61,8 @@
     [[nodiscard]] bool isRunning() const { return m_listener != nullptr; }
     /// @returns whether a request has been received whose response is not yet written.
     [[nodiscard]] bool hasOpenRequest() const;
+    /// @returns the number of connections that the gateway has not closed.
+    [[nodiscard]] std::size_t openConnections() const;
 
     std::vector<received_request> requests; ///< all requests received
     std::size_t crashCount = 0;
@@ -159,6 +162,9 @@
 [[nodiscard]] std::string streamText(const std::string &id, int first, int last, bool isComplete = true,
                                      const std::string &moreHeaders = {});
 
+/// @returns a chunk of a body in chunked encoding.
+[[nodiscard]] std::string chunkText(const std::string &bytes);
+
 /// @returns the text of the events first to last.
 [[nodiscard]] std::string eventsText(int first, int last);
 
--- a/tests/test_second_copies.cpp
+++ b/tests/test_second_copies.cpp
@@ -37,7 +37,7 @@
             if (++count > 1)
                 return replica_script{.bytes = responseText(200, id, "own"), .delay = responseDelay};
             return replica_script{.bytes = responseText(200, id, "first"),
-                                  .laterBytes = copyText(framing, hasId ? id : std::string(), "first"),
+                                  .later = {copyText(framing, hasId ? id : std::string(), "first")},
                                   .laterDelay = copyDelay};
         })
     {
@@ -89,7 +89,7 @@
         if (++count > 1)
             return replica_script{.bytes = responseText(200, idOf(request), "ran"), .delay = 80ms};
         const std::string rejection = responseText(503, idOf(request), "", "Foxtaildyke-Not-Executed: 1\r\n");
-        return replica_script{.bytes = rejection, .laterBytes = rejection, .laterDelay = 40ms};
+        return replica_script{.bytes = rejection, .later = {rejection}, .laterDelay = 40ms};
     });
     net.publish(gateway_harness::makeConfig());
     net.publishReplicas({replica.entry("s")});
@@ -111,7 +111,7 @@
             if (++count > 1)
                 return replica_script{.bytes = streamText(id, 11, 13), .delay = 80ms};
             return replica_script{.bytes = streamText(id, 1, 3),
-                                  .laterBytes = streamText(hasId ? id : std::string(), 1, 3),
+                                  .later = {streamText(hasId ? id : std::string(), 1, 3)},
                                   .laterDelay = 40ms};
         });
         net.publish(gateway_harness::makeConfig());
