Relays: a host that starts reads the content once, and waits for it while it arrives

The list of 3,004 replicas is 100 KB compressed; a host that starts queried up to three relays for it at the same time, and gave each call up after 0.4 s. On a link of 20 Mbit/s a hundred such responses take 4 s, so that all timed out and were sent again.

A call ends if its response makes no progress for 0.4 s, or takes 8 s in all (stallTimeout in http_client). Tests: a relay that sends its content within 1.5 s, one that stalls, and calls that stall or never end; the first fails with the old limit.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -76,6 +76,7 @@
         : client(owner)
         , id(number)
         , timeout(owner.m_loop, [this] { client.onTimeout(*this); })
+        , stallTimeout(owner.m_loop, [this] { client.onTimeout(*this); })
     {
     }
 
@@ -88,6 +89,19 @@
     int lastStatus = 0; ///< 0 until the status line has arrived
     bool isEnded = false; ///< its handlers are no longer called
     loop_timer timeout;
+    loop_timer stallTimeout; ///< restarted by each part of the response
+
+    void restartStallTimeout()
+    {
+        if (request.stallTimeout.count() > 0)
+            stallTimeout.start(request.stallTimeout);
+    }
+
+    void stopTimeouts()
+    {
+        timeout.stop();
+        stallTimeout.stop();
+    }
 };
 
 http_client::http_client(event_loop &loop, std::chrono::microseconds idleLimit)
@@ -179,6 +193,7 @@
     auto &reference = *open;
     m_calls.emplace(id, std::move(open));
     reference.timeout.start(reference.request.timeout);
+    reference.restartStallTimeout();
     // evhttp reports a refused connection from inside evhttp_make_request(); sending from the mailbox guarantees that
     // no handler runs before start() returns.
     m_loop.post([this, id, alive = m_alive] {
@@ -224,6 +239,7 @@
 {
     if (open.isEnded)
         return;
+    open.restartStallTimeout();
     open.lastStatus = evhttp_request_get_response_code(evhttpResponse);
     auto data = drainBuffer(evhttp_request_get_input_buffer(evhttpResponse));
     if (open.handlers.onData)
@@ -271,7 +287,7 @@
     const auto found = m_calls.find(open.id);
     auto owned = std::move(found->second);
     m_calls.erase(found);
-    owned->timeout.stop();
+    owned->stopTimeouts();
     const auto onDone = std::move(owned->handlers.onDone);
     if (response.end == http_end::complete)
         releaseConnection(owned->request.endpoint, owned->connection);
@@ -293,7 +309,7 @@
         return;
     auto owned = std::move(found->second);
     m_calls.erase(found);
-    owned->timeout.stop();
+    owned->stopTimeouts();
     auto *connection = owned->connection;
     discard(connection, std::move(owned));
 }
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -34,6 +34,7 @@
     http_headers headers;
     std::string body;
     std::chrono::milliseconds timeout{5000}; ///< for the whole call
+    std::chrono::milliseconds stallTimeout{0}; ///< without any part of the response; 0: as long as the call may last
     std::size_t maxBodyBytes = 16U << 20U; ///< of the response
 };
 
@@ -42,7 +43,7 @@
     complete, ///< status and headers are set; a chunked or sized body was received completely
     not_connected, ///< no connection was established: nothing was sent
     broken, ///< the connection was lost after the request was handed to it, or the response exceeded a limit
-    timed_out, ///< the overall timeout expired; the request may have been sent
+    timed_out, ///< one of the timeouts expired; the request may have been sent
     count
 };
 
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -22,7 +22,7 @@
 
 std::string encodedUpdates(const platform::kind_mirror &mirror, std::uint64_t revision)
 {
-    return platform::encodeState({.queriers = 1}, "{}") + '\n'
+    return platform::encodeState({.queriers = 1}, platform::encodeLoadReport({})) + '\n'
         + platform::encodePages({{"servers", mirror.updatesFor(revision)}});
 }
 
@@ -80,6 +80,59 @@
     std::vector<std::unique_ptr<host>> hosts;
 };
 
+/// A relay that is slow to send its content, as its link is shared by many hosts that start.
+struct slow_relay : test_loop {
+    slow_relay()
+    {
+        const http_endpoint address = server.entry("").address;
+        feed.emplace(loop, store.endpoint, platform::feed_timing{300ms, 300ms},
+                     platform::relay_addresses{"host-1", {address}, {"127.0.0.1", 1}});
+    }
+
+    replica_script respond(const received_request &request)
+    {
+        const bool asksForContent = request.head.target.find("&config=") != std::string::npos;
+        contentQueries += asksForContent ? 1 : 0;
+        const std::string body = asksForContent ? state + content : state + "{}";
+        const auto head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        if (!asksForContent || contentQueries > 1)
+            return {.bytes = head + body, .delay = 50ms};
+        replica_script script{.bytes = head + body.substr(0, 1), .later = {}, .laterDelay = pause};
+        for (std::size_t begin = 1; begin < body.size(); begin += 1 + body.size() / parts)
+            script.later.push_back(body.substr(begin, 1 + body.size() / parts));
+        return script;
+    }
+
+    [[nodiscard]] static std::string makeContent()
+    {
+        std::vector<std::pair<std::string, std::string>> pages;
+        for (const char *kind : {"config", "servers", "rollouts", "crash-reports"}) {
+            platform::kind_mirror mirror;
+            platform::kind_page page;
+            page.revision = 5;
+            if (kind == std::string_view("servers"))
+                page.items.push_back({false, {"r1", 5, 1, replicaSpec(), {}}});
+            if (kind == std::string_view("config"))
+                page.items.push_back({false, {"main", 5, 1, {{"version", 1}}, {}}});
+            mirror.applyList(page);
+            pages.emplace_back(kind, mirror.updatesFor(0));
+        }
+        return platform::encodePages(pages);
+    }
+
+    std::chrono::milliseconds pause{250};
+    std::size_t parts = 6;
+    std::size_t contentQueries = 0;
+    std::string content = makeContent();
+    std::string state = platform::encodeState({.queriers = 20, .groupSize = 21}, platform::encodeLoadReport({})) + '\n';
+    standin_store store{loop};
+    scripted_replica server{loop, "relay", [this](const received_request &request) {
+                                return respond(request);
+                            }};
+    feed_recorder recorder;
+    std::optional<platform::store_feed> feed;
+};
+
 } // namespace
 
 TEST_CASE("relay choice: a relay reads the store itself, others query the relays in a per-host order")
@@ -257,6 +310,27 @@
     CHECK(net.runUntil([&] { return net.allHaveReplica("later"); }));
 }
 
+TEST_CASE("feed relay: a host that starts reads the content once, and waits for it as long as it arrives")
+{
+    slow_relay net; // 1.5 s in all, while a response without progress ends after 0.6 s
+    net.feed->start(net.recorder);
+    REQUIRE(net.runUntil([&] { return !net.recorder.replicas.empty(); }));
+    CHECK(net.contentQueries == 1);
+    CHECK(net.recorder.storeCalls.empty());
+    CHECK_FALSE(net.recorder.hasEvent("relay_lost 127.0.0.1"));
+}
+
+TEST_CASE("feed relay: a host leaves a relay whose response makes no progress")
+{
+    slow_relay net;
+    net.pause = 30s;
+    net.store.put("config", "main", {{"version", 1}});
+    net.feed->start(net.recorder);
+    CHECK(net.runUntil([&] { return net.recorder.hasEvent("relay_lost 127.0.0.1"); }));
+    CHECK(net.contentQueries == 1);
+    CHECK(net.runUntil([&] { return !net.recorder.replicas.empty(); })); // it responds again
+}
+
 TEST_CASE("feed relay: a host whose build doesn't know a kind waits for updates of the others")
 {
     relayed_hosts net(1);
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -1,4 +1,5 @@
 // HTTP client: idle connections to replaced hosts must not accumulate, and endpoints must be IP addresses.
+#include "gateway_harness.h"
 #include "loopback_p.h"
 
 using namespace foxtaildyke;
@@ -57,6 +58,44 @@
     CHECK(net.client.openCalls() == 0);
 }
 
+TEST_CASE("a call ends when its response makes no progress, or when the whole call takes too long")
+{
+    using namespace std::chrono_literals;
+    struct timed_call {
+        std::size_t parts = 0;
+        std::chrono::milliseconds interval;
+        http_end end;
+    };
+    // A response that goes on, one that stalls, and one that would never end.
+    for (const auto &[parts, interval, end] :
+         {timed_call{6, 100ms, http_end::complete}, timed_call{6, 800ms, http_end::timed_out},
+          timed_call{1000, 20ms, http_end::timed_out}}) {
+        CAPTURE(parts);
+        test_loop net;
+        scripted_replica server(net.loop, "server", [parts = parts, interval = interval](const received_request &) {
+            return replica_script{.bytes = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(parts) + "\r\n\r\n",
+                                  .later = std::vector<std::string>(parts, "x"),
+                                  .laterDelay = interval};
+        });
+        http_client client(net.loop);
+        http_request request;
+        request.endpoint = server.entry("").address;
+        request.path = "/";
+        request.timeout = 2s;
+        request.stallTimeout = 400ms;
+        std::optional<http_response> response;
+        http_handlers handlers;
+        handlers.onDone = [&](const http_response &received) {
+            response = received;
+        };
+        client.start(request, handlers);
+        REQUIRE(net.runUntil([&] { return response.has_value(); }));
+        CHECK(response->end == end);
+        if (end == http_end::complete)
+            CHECK(response->body == std::string(parts, 'x'));
+    }
+}
+
 TEST_CASE("an endpoint is an IP address and a port")
 {
     CHECK(parseEndpoint("127.0.0.1:80") == http_endpoint{"127.0.0.1", 80});
