--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -67,15 +67,15 @@
         http_end end;
     };
     // A response that goes on, one that stalls, and one that would never end.
-    for (const auto &[parts, interval, end] :
-         {timed_call{6, 100ms, http_end::complete}, timed_call{6, 800ms, http_end::timed_out},
-          timed_call{1000, 20ms, http_end::timed_out}}) {
-        CAPTURE(parts);
+    for (const auto &played : {timed_call{6, 100ms, http_end::complete}, timed_call{6, 800ms, http_end::timed_out},
+                               timed_call{1000, 20ms, http_end::timed_out}}) {
+        CAPTURE(played.parts);
         test_loop net;
-        scripted_replica server(net.loop, "server", [parts = parts, interval = interval](const received_request &) {
-            return replica_script{.bytes = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(parts) + "\r\n\r\n",
-                                  .later = std::vector<std::string>(parts, "x"),
-                                  .laterDelay = interval};
+        scripted_replica server(net.loop, "server", [&played](const received_request &) {
+            return replica_script{.bytes =
+                                      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(played.parts) + "\r\n\r\n",
+                                  .later = std::vector<std::string>(played.parts, "x"),
+                                  .laterDelay = played.interval};
         });
         http_client client(net.loop);
         http_request request;
@@ -90,9 +90,9 @@
         };
         client.start(request, handlers);
         REQUIRE(net.runUntil([&] { return response.has_value(); }));
-        CHECK(response->end == end);
-        if (end == http_end::complete)
-            CHECK(response->body == std::string(parts, 'x'));
+        CHECK(response->end == played.end);
+        if (played.end == http_end::complete)
+            CHECK(response->body == std::string(played.parts, 'x'));
     }
 }
 
--- a/tests/test_second_copies.cpp
+++ b/tests/test_second_copies.cpp
@@ -19,7 +19,7 @@
 {
     const std::string idLine = id.empty() ? std::string() : "Foxtaildyke-Request-Id: " + id + "\r\n";
     const std::string head = "HTTP/1.1 200 OK\r\n" + idLine + "Foxtaildyke-Server-Stamp: stamp\r\n";
-    const std::string sized = head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string sized = head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     if (framing == copy_framing::interim)
         return "HTTP/1.1 103 Early Hints\r\n" + idLine + "\r\n" + sized;
     if (framing == copy_framing::length)
--- a/tests/test_slow_streams.cpp
+++ b/tests/test_slow_streams.cpp
@@ -13,7 +13,7 @@
 
 /// One stream from a replica that sends its first event at once and the given pieces after it.
 struct slow_stream : gateway_harness {
-    slow_stream(std::vector<std::string> pieces, std::chrono::milliseconds interval)
+    slow_stream(const std::vector<std::string> &pieces, std::chrono::milliseconds interval)
         : replica(loop, "r1", [=](const received_request &request) {
             const auto id = std::string(request.head.header("Foxtaildyke-Request-Id"));
             return replica_script{.bytes = streamText(id, 1, 1, false), .later = pieces, .laterDelay = interval};
