Relays: replicas of a host's subset without requests aren't named in its load report

Change: a member of the subset that isn't named has no load; other replicas that aren't named stay unknown.

--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -125,7 +125,9 @@
 /// Loads of the replicas. In large fleets a host gets those that it needs only.
 struct load_report {
     std::vector<replica_load> loads;
-    bool isComplete = true; ///< replicas that aren't named have no load; otherwise theirs is unknown
+    /// All replicas that aren't named have no load; otherwise only those of the host's subset, and that of others is
+    /// unknown.
+    bool isComplete = true;
 };
 
 /// What one host reports about a trait of requests during which replicas ended; see crash_evidence_p.h.
--- a/src/load_aggregator.cpp
+++ b/src/load_aggregator.cpp
@@ -83,12 +83,9 @@
         for (const auto &load : known->second.loads)
             ids.insert(load.replica);
     load_report selected{.loads = {}, .isComplete = false};
-    for (const auto id : ids) {
-        replica_load load{std::string(id), 0};
-        if (const auto sum = m_sums.find(load.replica); sum != m_sums.end())
-            load.running = sum->second;
-        selected.loads.push_back(std::move(load));
-    }
+    for (const auto id : ids)
+        if (const auto sum = m_sums.find(std::string(id)); sum != m_sums.end())
+            selected.loads.push_back({sum->first, sum->second});
     return selected;
 }
 
--- a/src/load_aggregator_p.h
+++ b/src/load_aggregator_p.h
@@ -25,7 +25,7 @@
     [[nodiscard]] load_report totals(instant now);
 
     /// @returns the sums over the hosts of all relays at the given replicas, at those that the host has reported on,
-    /// and at the ones that have far more requests than others.
+    /// and at the ones that have far more requests than others. Replicas without requests aren't named.
     [[nodiscard]] load_report totalsFor(const std::string &host, const std::vector<std::string> &replicas, instant now);
 
     /// Time after which a host's report expires. A host that follows a relay sends its report with each call and calls
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -239,9 +239,11 @@
 
 void replica_table::setOthersLoad(const load_report &report, instant now)
 {
-    const auto unnamed = report.isComplete ? std::optional<double>(0) : std::nullopt;
-    for (auto &[id, known] : m_replicas)
-        known.othersRunning = unnamed;
+    for (auto &[service, pool] : m_pools) {
+        const auto known = report.isComplete ? pool.byRank.size() : replica_subset::size(pool.byRank.size(), m_hosts);
+        for (std::size_t rank = 0; rank < pool.byRank.size(); ++rank)
+            pool.byRank[rank]->othersRunning = rank < known ? std::optional<double>(0) : std::nullopt;
+    }
     for (const auto &load : report.loads)
         if (const auto found = m_replicas.find(load.replica); found != m_replicas.end())
             found->second.othersRunning = load.running;
--- a/tests/test_replica_subsets.cpp
+++ b/tests/test_replica_subsets.cpp
@@ -168,6 +168,28 @@
     CHECK(std::ranges::find(report.loads, preferred, &replica_load::replica)->running == 5);
 }
 
+TEST_CASE("replica subset: members without requests aren't named in a report, and count as idle")
+{
+    replica_table table("d0", 1, "host-1");
+    table.setHosts(200);
+    table.setReplicas(entriesOf(1000));
+    const auto ids = table.subsetOf("host-1");
+    load_aggregator relay;
+    std::vector<replica_load> loads;
+    for (const auto &id : ids)
+        if (id != ids[5])
+            loads.push_back({id, 3});
+    relay.recordReport("host-2", loads, 1s);
+    const auto report = relay.totalsFor("host-1", ids, 1s);
+    CHECK(report.loads.size() == ids.size() - 1);
+    table.setOthersLoad(report, 1s);
+    std::map<std::string, int> picked;
+    for (int request = 0; request < 5000; ++request)
+        ++picked[table.pick(promptQuery(0), 1s)->id];
+    CHECK(std::ranges::all_of(
+        picked, [&](const auto &entry) { return 2 * entry.second < picked[ids[5]] || entry.first == ids[5]; }));
+}
+
 TEST_CASE("replica table: replicas that change one by one are the same as a list of them")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
