Keys: nothing is sent for a request once its key lease has run out or its key is withdrawn

Cause: the lease was checked when a request arrived. A process that was suspended, or waited for a response, sent the next attempt under a permission that had run out meanwhile; also when a newer configuration had withdrawn the key. Change: the lease and the key are checked before each attempt, be it a retry, a resumed stream or an escalation. What has been received is delivered; a request that may have run gets 502, one that hasn't 503. A response of low confidence is kept.

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -184,8 +184,19 @@
     return other;
 }
 
+bool gateway_exchange::mayUseKey() const
+{
+    return !m_account || (m_state.hasKeyLease(suspendAwareNow()) && m_state.config->findAccount(m_metadata.key));
+}
+
 void gateway_exchange::attempt()
 {
+    // The process may have been suspended, or have waited for a response, since the key was checked.
+    if (!mayUseKey()) {
+        if (m_hasStreamStarted)
+            return abortResponse(refusal::no_key_lease);
+        return refuse(m_mayHaveRun ? refusal::failed : refusal::no_key_lease);
+    }
     m_block = findBlock();
     if (m_block && m_sends == 0 && m_state.crashes.tryConsumeTrial(m_block->trait, suspendAwareNow())) {
         m_state.log.write("quarantine_trial", {{"request_id", m_metadata.id}, {"prompt_part", hexText(m_block->trait)}},
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -99,6 +99,8 @@
     [[nodiscard]] std::optional<refusal> validate();
     void chooseService();
     void attempt();
+    /// @returns whether the request's key is still known to be valid, or it needs none.
+    [[nodiscard]] bool mayUseKey() const;
     [[nodiscard]] const replica_entry *pickReplica();
     [[nodiscard]] refusal noReplicaReason() const;
     [[nodiscard]] replica_query queryFor(const version_choice &choice) const;
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -117,7 +117,7 @@
 
 std::optional<std::size_t> gateway_exchange::escalation()
 {
-    if (m_route->models.empty() || m_hasStreamStarted)
+    if (m_route->models.empty() || m_hasStreamStarted || !mayUseKey())
         return std::nullopt;
     cascade_step step;
     step.models = m_route->models.size();
--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -246,6 +246,38 @@
     CHECK(fixture.replica.requests.size() == 1);
 }
 
+TEST_CASE("gateway process: suspended across its key lease, a retry and a connection to a replica at once")
+{
+    single_replica_fixture fixture("key_lease_ms = 1000\n", [](const received_request &request) {
+        if (idOf(request) == "first")
+            return replica_script{.bytes = responseText(200, "first", "whole body", "Keep-Alive: timeout=2\r\n")};
+        return replica_script{.bytes = "", .resets = true, .delay = 500ms};
+    });
+    // Leaves a connection that the replica keeps open for two seconds.
+    CHECK(fixture.sendRequest(safeRequest("first")).head.status == 200);
+    scripted_caller caller(fixture.loop, fixture.callerPort);
+    caller.send(safeRequest("in-flight"));
+    REQUIRE(fixture.runUntil([&] { return fixture.replica.requests.size() == 2; }));
+    fixture.signal(SIGSTOP);
+    // Meanwhile the request fails, its key is withdrawn, and another request arrives.
+    fixture.publish(2, {"key-2"});
+    fixture.store.setState(store_state::silent);
+    scripted_caller later(fixture.loop, fixture.callerPort);
+    later.send(safeRequest("later"));
+    fixture.runFor(2500ms);
+    fixture.signal(SIGCONT);
+    REQUIRE(fixture.runUntil([&] {
+        return caller.responses.size() == 1 && caller.responses[0].isComplete && later.responses.size() == 1
+            && later.responses[0].isComplete;
+    }));
+    CHECK(caller.responses[0].head.status == 502);
+    CHECK(later.responses[0].head.status == 503);
+    fixture.store.setState(store_state::serving);
+    REQUIRE(fixture.runUntil([&] { return fixture.readiness() == 200; }));
+    CHECK(fixture.sendRequest(safeRequest("last")).head.status == 401);
+    CHECK(fixture.replica.requests.size() == 2);
+}
+
 TEST_CASE("gateway process: requests are served during each kind of store outage")
 {
     for (const auto state :
