Configuration: a host that starts while the store shows an older copy takes up none that was replaced

A host that starts, a relay too, asks the other relays for their state first and takes up no older configuration (config_outdated in the log); until the operator has written it again, it isn't ready. Ruled out: the version in this host's own stored report, which the copy rewinds as well. Tests: hosts of a small and of a large fleet, and a restarted relay.

--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -375,6 +375,32 @@
     CHECK(net.runUntil([&] { return net.allHaveReplica("later"); }));
 }
 
+TEST_CASE("relay: a host that starts while the store shows an older copy takes up no configuration that was replaced")
+{
+    for (const int followers : {2, 7}) { // they read the store themselves, or follow the relay
+        CAPTURE(followers);
+        relayed_hosts net(followers);
+        net.store.takeCopy();
+        net.store.put("config", "main", {{"version", 2}});
+        const auto hasVersion = [](const relayed_hosts::host &host, generation_number version) {
+            return !host.recorder.configs.empty() && host.recorder.configs.back()->version == version;
+        };
+        REQUIRE(net.runUntil([&] {
+            return hasVersion(*net.relay, 2)
+                && std::ranges::all_of(net.hosts, [&](const auto &host) { return hasVersion(*host, 2); });
+        }));
+        net.store.rewind(); // version 1 again, until the operator has written once more
+        REQUIRE(net.runUntil([&] { return net.relay->recorder.rewinds == 1; }));
+        net.runFor(300ms);
+        relayed_hosts::host started(net.loop, net.store.endpoint, net.addressesOf("started", {"127.0.0.1", 1}));
+        started.feed.start(started.recorder);
+        REQUIRE(net.runUntil([&] { return started.recorder.hasEvent("config_outdated main"); }));
+        CHECK(started.recorder.configs.empty());
+        net.store.put("config", "main", {{"version", 2}});
+        CHECK(net.runUntil([&] { return hasVersion(started, 2); }));
+    }
+}
+
 TEST_CASE("relay: hosts that follow it get the content of the new era when the store came back from an older copy")
 {
     relayed_hosts net(7);
--- a/tests/test_relay_fleet.cpp
+++ b/tests/test_relay_fleet.cpp
@@ -334,3 +334,27 @@
     for (std::size_t index = kRelays; index < kHosts; ++index)
         CHECK(net.hosts[index]->recorder.storeCalls.empty());
 }
+
+TEST_CASE("relay fleet: a relay that is restarted while the store shows an older copy asks the other relays first")
+{
+    fleet net(3);
+    net.store.takeCopy();
+    net.store.put("config", "main", {{"version", 2}});
+    const auto version = [](const fleet::host &host) {
+        return host.recorder.configs.empty() ? 0 : host.recorder.configs.back()->version;
+    };
+    REQUIRE(net.runUntil([&] { return net.all([&](const auto &host) { return version(host) == 2; }); }));
+    net.store.rewind();
+    REQUIRE(net.runUntil([&] { return net.all([](const auto &host) { return host.recorder.rewinds == 1; }); }));
+    net.hosts[0].reset();
+    net.start(0);
+    REQUIRE(net.runUntil([&] { return net.hosts[0]->recorder.hasEvent("config_outdated main"); }));
+    CHECK(net.hosts[0]->recorder.configs.empty());
+    net.store.put("config", "main", {{"version", 2}});
+    CHECK(net.runUntil([&] { return version(*net.hosts[0]) == 2; }));
+    // Without any other relay the store is all that there is.
+    net.hosts.clear();
+    net.hosts.resize(3);
+    net.start(0);
+    CHECK(net.runUntil([&] { return version(*net.hosts[0]) == 2; }));
+}
