Router: a planned stop answers requests on connections that it has accepted

Cause: the process ended 200 ms after SIGTERM once no request was open. Change: it ends when no connection was accepted and no request has begun to arrive for a second; it stops to listen after two seconds, so that it ends under load too. Test: 40 connections that have sent half of a request when the stop begins; fails without the change.

--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -100,6 +100,19 @@
         exchange.owner.onDisconnect(exchange);
     }
 
+    static evhtp_res requestBegin(evhtp_request_t *, void *self)
+    {
+        static_cast<caller_api *>(self)->m_activeAt = event_loop::now();
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res accepted(evhtp_connection_t *connection, void *self)
+    {
+        static_cast<caller_api *>(self)->m_activeAt = event_loop::now();
+        evhtp_connection_set_hook(connection, evhtp_hook_on_headers_start, asHook(requestBegin), self);
+        return EVHTP_RES_OK;
+    }
+
     static evhtp_res requestEnd(evhtp_request_t *, void *open)
     {
         auto &exchange = *static_cast<caller_api::exchange *>(open);
@@ -123,6 +136,7 @@
     auto *answers = evhtp_set_cb(m_server, "/v1/answers", caller_api_hooks::answers, this);
     evhtp_callback_set_hook(answers, evhtp_hook_on_read, asHook(caller_api_hooks::bodyPart), nullptr);
     evhtp_set_cb(m_server, "/healthz", caller_api_hooks::health, this);
+    evhtp_set_post_accept_cb(m_server, caller_api_hooks::accepted, this);
 }
 
 caller_api::~caller_api()
@@ -130,9 +144,14 @@
     *m_alive = false;
     for (const auto &[token, open] : m_exchanges)
         evhtp_request_unset_hook(open->request, evhtp_hook_on_request_fini);
+    stopListening();
+    evhtp_free(m_server);
+}
+
+void caller_api::stopListening()
+{
     if (m_server->server)
         evhtp_unbind_socket(m_server);
-    evhtp_free(m_server);
 }
 
 result<std::uint16_t> caller_api::listen(const http_endpoint &endpoint)
--- a/src/caller_api_p.h
+++ b/src/caller_api_p.h
@@ -32,9 +32,18 @@
     /// From now on /healthz returns 503 and connections are closed after their response.
     void drain();
 
+    /// Accepts no more connections; those that are open are served.
+    void stopListening();
+
     /// @returns whether all responses have been written to their sockets.
     [[nodiscard]] bool isIdle() const { return m_exchanges.empty(); }
 
+    /// @returns whether isIdle() and no connection was accepted, and no request has begun to arrive, within
+    /// kQuietTime: a caller that has connected sends its request within this time.
+    [[nodiscard]] bool isQuiet(instant now) const { return isIdle() && now - m_activeAt >= kQuietTime; }
+
+    static constexpr std::chrono::milliseconds kQuietTime{1000};
+
     /// @returns the arrival time of an unfinished request, or nothing.
     [[nodiscard]] std::optional<instant> arrivalOf(request_token request) const;
 
@@ -57,6 +66,7 @@
     core_sink m_deliver;
     evhtp *m_server = nullptr;
     bool m_isDraining = false;
+    instant m_activeAt = instant::min() / 2; ///< last accepted connection or first byte of a request
     std::uint64_t m_nextToken = 1;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges; ///< by request token, until evhtp frees the request
     std::shared_ptr<bool> m_alive =
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds kDrainCheckPeriod{20};
 /// Minimum duration of a drain, so that requests that were in flight when it began still receive their refusal.
 constexpr std::chrono::milliseconds kMinDrainTime{200};
+/// Time after which a drain accepts no more connections, so that it ends although callers go on connecting.
+constexpr std::chrono::milliseconds kMaxListenTime{2000};
 
 std::uint64_t randomSeed()
 {
@@ -284,8 +286,11 @@
 
 void router_task::stopWhenDrained()
 {
-    const bool isEarly = event_loop::now() < m_drainStart + kMinDrainTime;
-    if (isEarly || m_core.openRequests() > 0 || !m_callers.isIdle() || !m_ports.ledger->isIdle()) {
+    const auto now = event_loop::now();
+    if (now >= m_drainStart + kMaxListenTime)
+        m_callers.stopListening();
+    const bool isEarly = now < m_drainStart + kMinDrainTime;
+    if (isEarly || m_core.openRequests() > 0 || !m_callers.isQuiet(now) || !m_ports.ledger->isIdle()) {
         m_drainTimer.start(kDrainCheckPeriod);
         return;
     }
--- a/tests/failure_requests.cpp
+++ b/tests/failure_requests.cpp
@@ -111,6 +111,27 @@
     CHECK(fleet.routers[0]->process->waitExit() == std::optional(0));
 }
 
+// Guards against requests that are cut off although their connection was accepted before the process ended.
+TEST_CASE("stop: requests on connections that were accepted during the stop are refused as not run, not cut off")
+{
+    standard_deployment fleet;
+    // A host without open requests, whose callers connect and send their request in two parts.
+    std::vector<std::unique_ptr<partial_call>> calls;
+    fleet.routers[0]->process->signal(SIGTERM);
+    for (int index = 0; index < 40; ++index) {
+        const caller_call request{.requestId = makeRequestId("late-" + std::to_string(index))};
+        calls.push_back(std::make_unique<partial_call>(fleet.makeCall(0, request)));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300)); // beyond the shortest drain
+    std::size_t refused = 0;
+    for (auto &call : calls) {
+        const auto response = call->finish();
+        refused += response.isComplete && bodyOf(response).value("outcome", "") == "not_run" ? 1 : 0;
+    }
+    CHECK(refused == calls.size());
+    CHECK(fleet.routers[0]->process->waitExit() == std::optional(0));
+}
+
 // Guards against a response delivered as complete although the upstream's stream was truncated.
 TEST_CASE("upstream: a truncated response is never reported as complete")
 {
--- a/tests/failure_support.cpp
+++ b/tests/failure_support.cpp
@@ -224,6 +224,29 @@
     return bytes ? parseResponse(*bytes) : call_response{};
 }
 
+partial_call::partial_call(http_call call)
+    : m_call(std::move(call))
+    , m_rest(formatRequest(m_call))
+    , m_socket(connectTo(m_call.port))
+{
+    const auto half = m_rest.size() / 2;
+    if (m_socket >= 0 && sendAll(m_socket, m_rest.substr(0, half)))
+        m_rest.erase(0, half);
+}
+
+partial_call::~partial_call()
+{
+    ::close(m_socket);
+}
+
+call_response partial_call::finish()
+{
+    std::optional<std::string> bytes;
+    if (sendAll(m_socket, m_rest))
+        bytes = readToEnd(m_socket, m_call.timeout);
+    return bytes ? parseResponse(*bytes) : call_response{};
+}
+
 http_task::http_task(http_call call)
     : m_thread([this, call = std::move(call)] { m_response = send(call); })
 {
--- a/tests/failure_support.h
+++ b/tests/failure_support.h
@@ -82,6 +82,24 @@
     std::thread m_thread;
 };
 
+/// A request whose first half is sent at once, and its rest on demand.
+class partial_call
+{
+public:
+    explicit partial_call(http_call call);
+    ~partial_call();
+    partial_call(const partial_call &) = delete;
+    partial_call &operator=(const partial_call &) = delete;
+
+    /// Sends the rest and blocks until the response.
+    call_response finish();
+
+private:
+    http_call m_call;
+    std::string m_rest;
+    int m_socket = -1;
+};
+
 /// TCP proxy from an ephemeral port to a target port; cutting it emulates a network partition.
 class tcp_link
 {
