--- a/tests/test_expired_permissions.cpp
+++ b/tests/test_expired_permissions.cpp
@@ -50,10 +50,10 @@
 
 TEST_CASE("expired permission: a failed request isn't sent again once the key lease has run out")
 {
-    for (const auto &[method, target] : {std::pair{"GET", "/safe/x"}, {"POST", "/stream/x"}}) {
-        CAPTURE(target);
+    for (const auto &request : {std::pair{"GET", "/safe/x"}, {"POST", "/stream/x"}}) {
+        CAPTURE(request.second);
         expiring_lease net({.bytes = "", .resets = true, .delay = kResponseDelay});
-        const auto response = net.request(method, target);
+        const auto response = net.request(request.first, request.second);
         CHECK(response.head.status == 502); // it may have run
         CHECK(net.replica.requests.size() == 1);
     }
