Loads shared between hosts: a name of their own, shared_load

Cause: since the work on large services two structs load_report stood in one namespace, the router's (a report of one upstream) and the gateway's (loads of all replicas). Both are linked into foxtaildyke-tests, which breaks the one-definition rule: of their implicit inline functions the linker keeps one. Found when a test included both headers. Change: a rename. A search for types defined in more than one header found no other pair that is linked into one program.

--- a/src/fleet_feed_p.h
+++ b/src/fleet_feed_p.h
@@ -77,7 +77,7 @@
     [[nodiscard]] virtual std::vector<replica_load> ownLoad() const = 0;
 
     /// Estimated outstanding requests of all other hosts at the replicas; repeated as long as it is known.
-    virtual void onOthersLoad(const load_report &report) = 0;
+    virtual void onOthersLoad(const shared_load &report) = 0;
 
     /// @returns the replicas whose loads another host needs to know; empty: all.
     [[nodiscard]] virtual std::vector<std::string> subsetOf(std::string_view host) const = 0;
--- a/src/gateway_model_p.h
+++ b/src/gateway_model_p.h
@@ -123,7 +123,7 @@
 };
 
 /// Loads of the replicas. In large fleets a host gets those that it needs only.
-struct load_report {
+struct shared_load {
     std::vector<replica_load> loads;
     /// All replicas that aren't named have no load; otherwise only those of the host's subset, and that of others is
     /// unknown.
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -61,7 +61,7 @@
         m_state.gate.limits().setHosts(hosts);
     }
     std::vector<replica_load> ownLoad() const override { return m_state.replicas.ownLoad(); }
-    void onOthersLoad(const load_report &report) override { m_state.replicas.setOthersLoad(report, suspendAwareNow()); }
+    void onOthersLoad(const shared_load &report) override { m_state.replicas.setOthersLoad(report, suspendAwareNow()); }
     std::vector<std::string> subsetOf(std::string_view host) const override { return m_state.replicas.subsetOf(host); }
     void onFollowing(bool isFollowing) override { m_state.rollouts.setRelayed(isFollowing); }
     std::vector<rollout_report> takeRelayedEvidence() override { return m_state.rollouts.takeRelayed(); }
--- a/src/load_aggregator.cpp
+++ b/src/load_aggregator.cpp
@@ -65,14 +65,14 @@
     return listOf(m_groupSums);
 }
 
-load_report load_aggregator::totals(instant now)
+shared_load load_aggregator::totals(instant now)
 {
     evictExpired(m_reports, now);
     evictExpired(m_groups, now);
     return {listOf(m_sums)};
 }
 
-load_report load_aggregator::totalsFor(const std::string &host, const std::vector<std::string> &replicas, instant now)
+shared_load load_aggregator::totalsFor(const std::string &host, const std::vector<std::string> &replicas, instant now)
 {
     evictExpired(m_reports, now);
     evictExpired(m_groups, now);
@@ -82,7 +82,7 @@
     if (const auto known = m_reports.find(host); known != m_reports.end())
         for (const auto &load : known->second.loads)
             ids.insert(load.replica);
-    load_report selected{.loads = {}, .isComplete = false};
+    shared_load selected{.loads = {}, .isComplete = false};
     for (const auto id : ids)
         if (const auto sum = m_sums.find(std::string(id)); sum != m_sums.end())
             selected.loads.push_back({sum->first, sum->second});
@@ -109,7 +109,7 @@
     return m_hotReplicas;
 }
 
-load_report othersOf(load_report totals, const std::vector<replica_load> &own)
+shared_load othersOf(shared_load totals, const std::vector<replica_load> &own)
 {
     std::unordered_map<std::string_view, double> ownByReplica;
     for (const auto &load : own)
--- a/src/load_aggregator_p.h
+++ b/src/load_aggregator_p.h
@@ -22,11 +22,11 @@
     [[nodiscard]] std::vector<replica_load> groupTotals(instant now);
 
     /// @returns the same over the hosts of all relays.
-    [[nodiscard]] load_report totals(instant now);
+    [[nodiscard]] shared_load totals(instant now);
 
     /// @returns the sums over the hosts of all relays at the given replicas, at those that the host has reported on,
     /// and at the ones that have far more requests than others. Replicas without requests aren't named.
-    [[nodiscard]] load_report totalsFor(const std::string &host, const std::vector<std::string> &replicas, instant now);
+    [[nodiscard]] shared_load totalsFor(const std::string &host, const std::vector<std::string> &replicas, instant now);
 
     /// Time after which a host's report expires. A host that follows a relay sends its report with each call and calls
     /// again at least every 0.5 s, so this outlasts one lost call. A host that has sent no report for longer is
@@ -67,6 +67,6 @@
 /// @param totals sums over all hosts.
 /// @param own the last report of this host, which they include.
 /// @returns the outstanding requests of all other hosts at the replicas.
-[[nodiscard]] load_report othersOf(load_report totals, const std::vector<replica_load> &own);
+[[nodiscard]] shared_load othersOf(shared_load totals, const std::vector<replica_load> &own);
 
 } // namespace foxtaildyke
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -237,7 +237,7 @@
     return loads;
 }
 
-void replica_table::setOthersLoad(const load_report &report, instant now)
+void replica_table::setOthersLoad(const shared_load &report, instant now)
 {
     for (auto &[service, pool] : m_pools) {
         const auto known = report.isComplete ? pool.byRank.size() : replica_subset::size(pool.byRank.size(), m_hosts);
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -94,7 +94,7 @@
     [[nodiscard]] std::vector<replica_load> ownLoad() const;
 
     /// Sets the outstanding requests of the other hosts, used until they are older than kMaxLoadAge.
-    void setOthersLoad(const load_report &report, instant now);
+    void setOthersLoad(const shared_load &report, instant now);
 
     /// @returns the replicas whose loads a host needs to know, ordered by service: its subset of each service that is
     /// too large for all of its replicas to be used by each host. Empty if there is no such service.
--- a/tests/feed_recorder.h
+++ b/tests/feed_recorder.h
@@ -48,7 +48,7 @@
     void onFeedReachable(bool isReachableNow) override { isReachable = isReachableNow; }
     void onFleetSize(std::size_t hosts) override { fleetSize = hosts; }
     std::vector<replica_load> ownLoad() const override { return ownLoads; }
-    void onOthersLoad(const load_report &report) override { othersLoads = report.loads; }
+    void onOthersLoad(const shared_load &report) override { othersLoads = report.loads; }
     std::vector<std::string> subsetOf(std::string_view) const override { return subset; }
     void onFollowing(bool) override { }
     std::vector<rollout_report> takeRelayedEvidence() override { return std::exchange(evidence, {}); }
