Router: a repeated rejection isn't taken for the response to the next attempt on the connection

Cause: rejections of an upstream (429, 503, 404) carry no attempt id, and the HTTP client took whatever arrived on a connection in use again for the response to the call that waits there. A late second copy of a rejection thus said 'not run' of an attempt that ran: an at-most-once request was sent to another upstream and ran twice. Bytes that had been read with the end of a response stayed in the connection's buffer and were parsed as the next response. Change: upstreams repeat X-Attempt-Id in rejections (design.md, 4.2). One with another id, or without and on a connection that other attempts have used, ends the attempt as one that may have run, and the connection is closed. Connections with unread bytes aren't kept.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -44,6 +44,12 @@
     return headers;
 }
 
+/// @returns whether bytes have arrived that belong to no call. evhttp would parse them as the next response.
+bool hasUnreadBytes(evhttp_connection *connection)
+{
+    return evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(connection))) > 0;
+}
+
 std::string headerOf(evhttp_request *evhttpResponse, const char *name)
 {
     const char *value = evhttp_find_header(evhttp_request_get_input_headers(evhttpResponse), name);
@@ -86,6 +92,7 @@
     http_handlers handlers;
     evhttp_connection *connection = nullptr;
     std::string body;
+    bool isReused = false; ///< other calls have used the connection before
     int lastStatus = 0; ///< 0 until the status line has arrived
     bool isEnded = false; ///< its handlers are no longer called
     loop_timer timeout;
@@ -124,16 +131,21 @@
     freeDiscarded();
 }
 
-evhttp_connection *http_client::acquireConnection(const http_endpoint &endpoint)
+evhttp_connection *http_client::takeIdleConnection(const http_endpoint &endpoint)
 {
     auto &idle = m_idle[endpoint];
     while (!idle.empty()) {
         const auto last = idle.back();
         idle.pop_back();
-        if (event_loop::now() - last.since < m_idleLimit)
+        if (event_loop::now() - last.since < m_idleLimit && !hasUnreadBytes(last.connection))
             return last.connection;
         discard(last.connection, nullptr);
     }
+    return nullptr;
+}
+
+evhttp_connection *http_client::newConnection(const http_endpoint &endpoint)
+{
     auto *stream = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     return evhttp_connection_base_bufferevent_new(m_loop.base(), nullptr, stream, endpoint.address.c_str(),
                                                   endpoint.port);
@@ -142,7 +154,7 @@
 void http_client::releaseConnection(const http_endpoint &endpoint, evhttp_connection *connection)
 {
     auto &idle = m_idle[endpoint];
-    if (idle.size() >= kMaxIdlePerEndpoint) {
+    if (idle.size() >= kMaxIdlePerEndpoint || hasUnreadBytes(connection)) {
         discard(connection, nullptr);
         return;
     }
@@ -167,7 +179,7 @@
         evhttp_connection_free(connection);
 }
 
-/// Closes expired idle connections. acquireConnection() does so only for endpoints in use; the idle connections of a
+/// Closes expired idle connections. takeIdleConnection() does so only for endpoints in use; the idle connections of a
 /// replaced host, whose endpoint is never used again, would accumulate.
 void http_client::pruneIdle()
 {
@@ -189,7 +201,10 @@
     auto open = std::make_unique<call>(*this, id);
     open->request = std::move(request);
     open->handlers = std::move(handlers);
-    open->connection = acquireConnection(open->request.endpoint);
+    open->connection = takeIdleConnection(open->request.endpoint);
+    open->isReused = open->connection != nullptr;
+    if (!open->connection)
+        open->connection = newConnection(open->request.endpoint);
     auto &reference = *open;
     m_calls.emplace(id, std::move(open));
     reference.timeout.start(reference.request.timeout);
@@ -271,6 +286,9 @@
     response.etag = headerOf(evhttpResponse, "ETag");
     response.retryAfter = headerOf(evhttpResponse, "Retry-After");
     response.headers = headersOf(evhttpResponse);
+    const auto &isOwn = open.handlers.isOwnResponse;
+    if (isOwn && !isOwn({response.status, response.headers, open.isReused}))
+        response.end = http_end::broken;
     finish(open, std::move(response));
 }
 
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -59,9 +59,19 @@
 
 enum class http_call_id : std::uint64_t {};
 
+/// Head of a response, before it is known to belong to a call.
+struct http_response_head {
+    int status = 0;
+    const http_headers &headers;
+    bool isReusedConnection = false; ///< other calls have used the connection before
+};
+
 struct http_handlers {
     std::function<void(http_response)> onDone; ///< called exactly once, unless the call is cancelled
     std::function<void(int status, std::string_view data)> onData; ///< optional; receives the body as it arrives
+    /// Optional. @returns whether a complete response belongs to the call. Otherwise the call ends as broken and the
+    /// connection is closed, as all its later responses would belong to other calls as well.
+    std::function<bool(const http_response_head &)> isOwnResponse;
 };
 
 class http_client
@@ -94,7 +104,9 @@
         instant since{};
     };
 
-    evhttp_connection *acquireConnection(const http_endpoint &endpoint);
+    /// @returns an idle connection, or null.
+    evhttp_connection *takeIdleConnection(const http_endpoint &endpoint);
+    evhttp_connection *newConnection(const http_endpoint &endpoint);
     void releaseConnection(const http_endpoint &endpoint, evhttp_connection *connection);
     void discard(evhttp_connection *connection, std::unique_ptr<call> endedCall);
     void freeDiscarded();
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -4,6 +4,7 @@
 #include "http_status_p.h"
 
 #include <event2/buffer.h>
+#include <event2/util.h>
 #include <nlohmann/json.hpp>
 
 namespace foxtaildyke
@@ -14,6 +15,7 @@
 
 constexpr std::string_view kDataPrefix = "data: ";
 constexpr std::string_view kEndMarker = "[DONE]";
+constexpr const char *kAttemptHeader = "X-Attempt-Id";
 
 using nlohmann::json;
 
@@ -48,6 +50,19 @@
     return attempt_failure::rejected;
 }
 
+/// @returns whether a response belongs to an attempt. The events of a stream state it themselves. A rejection does so
+/// in its head; without, it may be a late copy of one that another attempt on the connection has received.
+bool isResponseTo(const std::string &attempt, const http_response_head &head)
+{
+    const auto isEcho = [](const auto &header) {
+        return evutil_ascii_strcasecmp(header.first.c_str(), kAttemptHeader) == 0;
+    };
+    const auto echo = std::ranges::find_if(head.headers, isEcho);
+    if (echo != head.headers.end())
+        return echo->second == attempt;
+    return head.status == http_status::kOk || !head.isReusedConnection;
+}
+
 /// @returns a token count, or nothing if the field is missing or not a valid count.
 std::optional<std::uint32_t> tokensIn(const json &event, const char *field)
 {
@@ -92,7 +107,7 @@
     request.endpoint = {attempt.address, attempt.port};
     request.method = http_method::post;
     request.path = "/v1/completions";
-    request.headers = {{"X-Attempt-Id", state->id}, {"Content-Type", "application/json"}};
+    request.headers = {{kAttemptHeader, state->id}, {"Content-Type", "application/json"}};
     request.body = encodeRequest(attempt);
     request.timeout = attempt.timeout;
     http_handlers handlers;
@@ -102,6 +117,9 @@
     handlers.onDone = [this, state](const http_response &response) {
         onEnd(*state, response);
     };
+    handlers.isOwnResponse = [id = state->id](const http_response_head &head) {
+        return isResponseTo(id, head);
+    };
     state->call = m_client.start(std::move(request), std::move(handlers));
     m_running.emplace(number, std::move(state));
 }
--- a/tools/standin_upstream_service.cpp
+++ b/tools/standin_upstream_service.cpp
@@ -12,6 +12,7 @@
 
 using nlohmann::json;
 
+constexpr const char *kAttemptHeader = "X-Attempt-Id";
 constexpr std::string_view kCrashMarker = "poison";
 constexpr std::size_t kBytesPerToken = 4; ///< approximate size of a prompt token
 const std::map<std::string, int> kPriorities{{"interactive", 0}, {"standard", 1}, {"batch", 2}};
@@ -75,7 +76,7 @@
         _exit(1); // emulates a request that crashes the engine: no response and no cleanup
     auto parsed = std::make_shared<run>();
     parsed->exchange = exchange;
-    parsed->attempt = exchange->header("X-Attempt-Id");
+    parsed->attempt = exchange->header(kAttemptHeader);
     parsed->request = body.value("request_id", "");
     parsed->version = body.at("version").get<std::string>();
     parsed->promptTokens = prompt.size() / kBytesPerToken + 1;
@@ -89,15 +90,19 @@
 
 void standin_upstream::serveCompletion(const http_exchange_ptr &exchange)
 {
+    const auto reject = [&exchange](int status, http_headers headers = {}) {
+        headers.emplace_back(kAttemptHeader, exchange->header(kAttemptHeader));
+        exchange->respond(status, {}, headers);
+    };
     if (m_faults.overload) {
         ++m_counts["overloaded"];
-        return exchange->respond(429, {}, {{"Retry-After", "1"}});
+        return reject(429, {{"Retry-After", "1"}});
     }
     const auto next = parseRun(exchange);
     if (!next)
-        return exchange->respond(400, {});
+        return reject(400);
     if (!m_options.versions.contains(next->version))
-        return exchange->respond(404, {});
+        return reject(404);
     // A weak pointer avoids a reference cycle: the run owns the exchange.
     exchange->onClosed = [this, weak = std::weak_ptr(next)] {
         if (const auto closed = weak.lock())
@@ -110,7 +115,7 @@
                                         [](std::size_t sum, const auto &item) { return sum + item.second.size(); });
     if (queued >= m_options.queueLimit) {
         ++m_counts["overloaded"];
-        return exchange->respond(503, {}, {{"Retry-After", "1"}});
+        return reject(503, {{"Retry-After", "1"}});
     }
     m_queue[next->priority].push_back(next);
 }
