--- a/tests/test_router_second_copies.cpp
+++ b/tests/test_router_second_copies.cpp
@@ -32,7 +32,8 @@
 
 /// An upstream that responds to the first attempt, repeats that response later, and runs all further attempts.
 struct copying_upstream : test_loop {
-    copying_upstream(std::function<std::string(const std::string &attempt)> first, std::chrono::milliseconds copyDelay)
+    copying_upstream(const std::function<std::string(const std::string &attempt)> &first,
+                     std::chrono::milliseconds copyDelay)
         : upstream(loop, "u1", [=, count = 0](const received_request &request) mutable {
             const auto attempt = attemptOf(request);
             if (++count > 1)
