Model choice: a request starts at the largest model while the retry budget allows no escalation

Change: before a request is sent, and again before a retry of which nothing was delivered, the budget is asked. If it leaves no escalation, or no send is left for one, the request goes to the largest model, which draws on no budget. Escalations may use half of the slack. The test of the process on denied escalations now fills the budget by concurrent requests: without budget there is no escalation to deny any more. Its checks are kept, and one on the largest model is added.

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -80,12 +80,7 @@
     m_traits.push_back(m_fingerprint);
     chooseService();
     m_state.budget.recordRequest(m_service, m_request.readAt);
-    if (!m_route->models.empty()) {
-        cascade_step step;
-        step.models = m_route->models.size();
-        step.maxSends = m_route->maxAttempts;
-        m_model = firstModel(m_state.cascade, step);
-    }
+    chooseFirstModel();
     attempt();
 }
 
@@ -121,6 +116,18 @@
     }
 }
 
+void gateway_exchange::chooseFirstModel()
+{
+    if (m_route->models.empty())
+        return;
+    cascade_step step;
+    step.models = m_route->models.size();
+    step.sends = m_sends;
+    step.maxSends = m_route->maxAttempts;
+    step.isEscalationAllowed = m_state.budget.allowsRetry(m_service, retry_reason::escalation, suspendAwareNow());
+    m_model = firstModel(m_state.cascade, step);
+}
+
 std::chrono::milliseconds gateway_exchange::remainingTime() const
 {
     const auto remaining = m_deadline - suspendAwareNow();
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -98,6 +98,7 @@
     void process();
     [[nodiscard]] std::optional<refusal> validate();
     void chooseService();
+    void chooseFirstModel();
     void attempt();
     /// @returns whether the request's key is still known to be valid, or it needs none.
     [[nodiscard]] bool mayUseKey() const;
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -329,6 +329,8 @@
     case next_step::pass_on:
         return forwardResponse();
     case next_step::retry:
+        if (m_model == 0 && !m_hasStreamStarted)
+            chooseFirstModel(); // the retry may have used up what an escalation would need
         return attempt();
     case next_step::refuse:
         return refuse(refusal::not_run);
--- a/src/model_cascade.cpp
+++ b/src/model_cascade.cpp
@@ -6,8 +6,8 @@
 
 std::size_t firstModel(const cascade_settings &settings, const cascade_step &step)
 {
-    // With a single send escalation is impossible, so the request goes to the largest model at once.
-    const bool canEscalate = step.maxSends > 1;
+    // Where escalation is impossible, the request goes to the largest model at once.
+    const bool canEscalate = step.sends + 1 < step.maxSends && step.isEscalationAllowed;
     return settings.startsSmall && canEscalate ? 0 : step.models - 1;
 }
 
--- a/src/model_cascade_p.h
+++ b/src/model_cascade_p.h
@@ -28,9 +28,12 @@
     std::optional<std::uint64_t> confidence; ///< of the response that has begun, in percent; empty: not stated
     std::chrono::milliseconds elapsed{}; ///< since the request was read
     std::chrono::milliseconds objective{}; ///< latency objective of the route
+    /// Whether the retry budget allows an escalation now. If it is used up by failures, a request that starts with the
+    /// smallest model would have to keep its response, however low the confidence.
+    bool isEscalationAllowed = true;
 };
 
-/// @returns index of the model to start with.
+/// @returns index of the model to start with, also for a retry before anything was delivered to the caller.
 [[nodiscard]] std::size_t firstModel(const cascade_settings &settings, const cascade_step &step);
 
 /// @returns index of the model to escalate to, or nothing if the response that has begun is to be kept.
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -22,18 +22,23 @@
     entry.requests.push_back(now);
 }
 
-bool retry_budget::tryConsumeRetry(const std::string &service, retry_reason reason, instant now)
+bool retry_budget::allowsRetry(const std::string &service, retry_reason reason, instant now)
 {
     auto &entry = m_counts[service];
     evictExpired(entry.requests, now);
     evictExpired(entry.retries, now);
-    const double share = reason == retry_reason::escalation ? kEscalationShare : 1.0;
-    const double slack = reason == retry_reason::escalation ? 0.0 : m_limits.slack / static_cast<double>(m_hosts);
-    const double allowed =
-        m_limits.ratio * kSpendableShare * share * static_cast<double>(entry.requests.size()) + slack;
-    if (static_cast<double>(entry.retries.size()) + 1 > allowed)
+    const bool isEscalation = reason == retry_reason::escalation;
+    const double share = kSpendableShare * (isEscalation ? kEscalationShare : 1.0);
+    const double slack = m_limits.slack * (isEscalation ? kEscalationSlackShare : 1.0) / static_cast<double>(m_hosts);
+    const double allowed = m_limits.ratio * share * static_cast<double>(entry.requests.size()) + slack;
+    return static_cast<double>(entry.retries.size()) + 1 <= allowed;
+}
+
+bool retry_budget::tryConsumeRetry(const std::string &service, retry_reason reason, instant now)
+{
+    if (!allowsRetry(service, reason, now))
         return false;
-    entry.retries.push_back(now);
+    m_counts[service].retries.push_back(now);
     return true;
 }
 
--- a/src/retry_budget_p.h
+++ b/src/retry_budget_p.h
@@ -38,6 +38,9 @@
     /// Counts a request to a service on its arrival.
     void recordRequest(const std::string &service, instant now);
 
+    /// @returns whether the budget allows a retry now.
+    [[nodiscard]] bool allowsRetry(const std::string &service, retry_reason reason, instant now);
+
     /// Counts a retry if the budget allows it.
     /// @returns whether the retry may be sent.
     [[nodiscard]] bool tryConsumeRetry(const std::string &service, retry_reason reason, instant now);
@@ -47,6 +50,8 @@
     static constexpr double kSpendableShare = 0.88;
     /// Fraction of the spendable share that escalations may use.
     static constexpr double kEscalationShare = 0.85;
+    /// The same of the slack. A host that gets few requests could otherwise never escalate the first of them.
+    static constexpr double kEscalationSlackShare = 0.5;
     /// Number of hosts assumed while the actual number is unknown or lower; larger than the number of hosts that read
     /// the store themselves.
     static constexpr std::size_t kAssumedHosts = 16;
--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -403,17 +403,35 @@
 
 TEST_CASE("gateway process: the chosen replica and model, escalations and their denial are logged")
 {
+    // Escalations may use half of this host's share of the slack: a sixteenth of 160.
+    constexpr std::size_t kAllowed = 5;
     single_replica_fixture fixture("retry_ratio = 0\n", [](const received_request &request) {
-        return replica_script{.bytes = streamText(idOf(request), 1, 2, true, "Foxtaildyke-Confidence: 20\r\n")};
+        return replica_script{.bytes = streamText(idOf(request), 1, 2, true, "Foxtaildyke-Confidence: 20\r\n"),
+                              .delay = 300ms};
     });
-    // Without a retry budget, the low confidence of the smallest model leads to no escalation.
-    CHECK(fixture.sendRequest(requestText("POST", "/sized/x", "id-denied", "Foxtaildyke-Model: *\r\n")).isComplete);
-    CHECK(fixture.waitForLog("\"event\":\"attempt\",\"request_id\":\"id-denied\"",
+    // All start while the budget allows an escalation; when they get their responses, it is used up before the last.
+    std::vector<std::unique_ptr<scripted_caller>> callers;
+    for (std::size_t i = 0; i <= kAllowed; ++i) {
+        callers.push_back(std::make_unique<scripted_caller>(fixture.loop, fixture.callerPort));
+        callers.back()->send(requestText("POST", "/sized/x", "id-" + std::to_string(i), "Foxtaildyke-Model: *\r\n"));
+    }
+    REQUIRE(fixture.runUntil([&] {
+        return std::ranges::all_of(callers, [](const auto &caller) {
+            return caller->responses.size() == 1 && caller->responses[0].isComplete;
+        });
+    }));
+    CHECK(fixture.replica.requests.size() == 2 * kAllowed + 1);
+    CHECK(fixture.waitForLog("\"event\":\"attempt\",\"request_id\":\"id-0\"",
                              "\"upstream\":\"r1\",\"version\":\"v1\",\"sends\":1"));
-    CHECK(fixture.waitForLog("\"event\":\"escalation\",\"request_id\":\"id-denied\"",
+    CHECK(fixture.waitForLog("\"event\":\"escalation\",\"request_id\":\"id-",
                              "\"outcome\":\"denied by the retry budget\""));
-    CHECK(fixture.waitForLog("\"event\":\"request_end\",\"request_id\":\"id-denied\"",
-                             "\"model\":\"small\",\"confidence\":20"));
+    CHECK(
+        fixture.waitForLog("\"event\":\"request_end\",\"request_id\":\"id-", "\"model\":\"small\",\"confidence\":20"));
+    // A request that starts now could not be escalated, so it goes to the largest model at once.
+    CHECK(fixture.sendRequest(requestText("POST", "/sized/x", "id-late", "Foxtaildyke-Model: *\r\n")).isComplete);
+    CHECK(fixture.replica.requests.size() == 2 * kAllowed + 2);
+    CHECK(fixture.waitForLog("\"event\":\"request_end\",\"request_id\":\"id-late\"",
+                             "\"model\":\"large\",\"confidence\":20"));
 }
 
 TEST_CASE("gateway process: retries after failures stay within the retry budget")
--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -335,6 +335,51 @@
     CHECK(replica.requests[4].head.header("Foxtaildyke-Model") == "large");
 }
 
+TEST_CASE("gateway: a request starts with the largest model if the retry budget leaves no escalation")
+{
+    auto settings = gateway_harness::makeSettings();
+    settings.retrySlack = 0;
+    gateway_harness harness(settings);
+    scripted_replica replica(harness.loop, "r1", [](const received_request &request) {
+        const bool isLarge = request.head.header("Foxtaildyke-Model") == "large";
+        return replica_script{
+            .bytes = streamText("id1", 1, 2, true,
+                                std::string("Foxtaildyke-Confidence: ") + (isLarge ? "90" : "20") + "\r\n")};
+    });
+    harness.publish(gateway_harness::makeConfig());
+    harness.publishReplicas({replica.entry("s")});
+    scripted_caller caller(harness.loop, harness.task.callerPort());
+    caller.send(requestText("POST", "/sized/x", "id1")); // 0.67 of a retry
+    REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, 1); }));
+    caller.send(requestText("POST", "/sized/x", "id1"));
+    REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, 2); }));
+    REQUIRE(replica.requests.size() == 3);
+    CHECK(replica.requests[0].head.header("Foxtaildyke-Model") == "large");
+    CHECK(replica.requests[1].head.header("Foxtaildyke-Model") == "small"); // escalated
+    CHECK(replica.requests[2].head.header("Foxtaildyke-Model") == "large");
+}
+
+TEST_CASE("gateway: after failures that use up the retry budget, a request goes on with the largest model")
+{
+    auto settings = gateway_harness::makeSettings();
+    settings.retrySlack = 32; // two retries after failures, or one escalation
+    settings.retryRatio = 0;
+    gateway_harness harness(settings);
+    scripted_replica replica(harness.loop, "r1", [count = 0](const received_request &) mutable {
+        if (++count == 1)
+            return replica_script{.resets = true};
+        return replica_script{.bytes = streamText("id1", 1, 2, true, "Foxtaildyke-Confidence: 20\r\n")};
+    });
+    harness.publish(gateway_harness::makeConfig());
+    harness.publishReplicas({replica.entry("s")});
+    scripted_caller caller(harness.loop, harness.task.callerPort());
+    caller.send(requestText("POST", "/sized/x", "id1"));
+    REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, 1); }));
+    REQUIRE(replica.requests.size() == 2);
+    CHECK(replica.requests[0].head.header("Foxtaildyke-Model") == "small");
+    CHECK(replica.requests[1].head.header("Foxtaildyke-Model") == "large");
+}
+
 TEST_CASE("gateway: the upstream request is cancelled at once when the caller disconnects")
 {
     silent_replica_fixture fixture;
