--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -46,14 +46,15 @@
 {
 }
 
-std::string gateway_process::writeSettings(const std::string &host, const host_ports &ports) const
+std::string gateway_process::writeSettings(const std::string &host, const host_ports &ports,
+                                           const standin_store &hostStore, const std::string &moreSettings) const
 {
     auto path = m_directory + "/" + host + ".ini";
     std::ofstream file(path);
     file << "[gateway]\n"
-         << m_moreSettings << "host = " << host << "\nfailure_domain = d1\nlisten = " << kLoopback << ports.callers
+         << moreSettings << "host = " << host << "\nfailure_domain = d1\nlisten = " << kLoopback << ports.callers
          << "\nreadiness = " << kLoopback << ports.readiness << "\nmetrics = " << kLoopback << ports.metrics
-         << "\nplatform = " << kLoopback << store.endpoint.port
+         << "\nplatform = " << kLoopback << hostStore.endpoint.port
          << "\nretry_slack = 160\nconfig_watch_ms = 300\nreplica_watch_ms = 300\n";
     return path;
 }
@@ -68,13 +69,20 @@
 void gateway_process::start()
 {
     m_process.reset();
-    m_process = startProgram(writeSettings("host-1", {callerPort, m_readinessPort, m_metricsPort}));
+    m_process =
+        startProgram(writeSettings("host-1", {callerPort, m_readinessPort, m_metricsPort}, store, m_moreSettings));
 }
 
 std::uint16_t gateway_process::addHost(const std::string &host)
+{
+    return addHost(host, store, m_moreSettings);
+}
+
+std::uint16_t gateway_process::addHost(const std::string &host, const standin_store &other,
+                                       const std::string &moreSettings)
 {
     const host_ports ports{testing::reservePort(), testing::reservePort(), testing::reservePort()};
-    m_moreHosts.push_back(startProgram(writeSettings(host, ports)));
+    m_moreHosts.push_back(startProgram(writeSettings(host, ports, other, moreSettings)));
     REQUIRE(runUntil([&] { return get(ports.readiness, "/v1/readyz").status == 200; }));
     return ports.callers;
 }
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -38,6 +38,9 @@
     /// Starts the program for a further host, with the same store, and waits until it is ready.
     /// @returns its port for callers.
     std::uint16_t addHost(const std::string &host);
+    /// @param other store that the host reads instead of `store`.
+    /// @param moreSettings as in the constructor, instead of those.
+    std::uint16_t addHost(const std::string &host, const standin_store &other, const std::string &moreSettings);
 
     /// Sends a request on a new connection. @returns its response, which is incomplete if the connection ended early.
     received_response sendRequest(const std::string &request) { return sendRequest(request, callerPort); }
@@ -61,7 +64,8 @@
         std::uint16_t metrics = 0;
     };
     /// @returns the path of the settings file.
-    [[nodiscard]] std::string writeSettings(const std::string &host, const host_ports &ports) const;
+    [[nodiscard]] std::string writeSettings(const std::string &host, const host_ports &ports,
+                                            const standin_store &hostStore, const std::string &moreSettings) const;
     [[nodiscard]] std::unique_ptr<testing::child_process> startProgram(const std::string &settingsPath) const;
 
     std::string m_directory;
