Hosts that reach no replica send their requests through another host

Cause: a host infers the health of replicas from its own connections, and takes the loss of its own network for the failure of each replica in turn. Nothing sums up that it reaches none, and a request has no way but the host's own.

Change: - reachability (pure): a failure without a response is attributed to a replica only once the host has reached another one of the service. Connections to further replicas (replica_prober) decide within a round trip, or 0.35 s; if they fail at all, or at five, the host is cut off from the service. - detour_hosts (pure): hosts tell each other, over one small exchange in 2 s, which services they reach. That another host reaches the service since is what tells a cut from replicas that have failed; it also discards the open failures and withdraws crashes that were counted meanwhile. - a request goes through such a host, which applies all rules to it as to one of its own, and which never sends it on to a third one. Without such a host it is rejected at once, as not run; the host gives up readiness.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -14,15 +14,19 @@
     src/crash_evidence.cpp
     src/crash_registry.cpp
     src/decision_log.cpp
+    src/detour_hosts.cpp
+    src/detour_wire.cpp
     src/event_splitter.cpp
     src/forwarding.cpp
     src/gateway_exchange.cpp
+    src/gateway_exchange_detour.cpp
     src/gateway_exchange_evidence.cpp
     src/gateway_exchange_responses.cpp
     src/gateway_metrics.cpp
     src/gateway_model.cpp
     src/gateway_settings.cpp
     src/gateway_task.cpp
+    src/gateway_task_detours.cpp
     src/gateway_task_feed.cpp
     src/header_text.cpp
     src/http_parser.cpp
@@ -30,10 +34,12 @@
     src/load_aggregator.cpp
     src/load_forecast.cpp
     src/model_cascade.cpp
+    src/reachability.cpp
     src/relay_choice.cpp
     src/replica_gate.cpp
     src/replica_limits.cpp
     src/replica_notices.cpp
+    src/replica_prober.cpp
     src/replica_registry.cpp
     src/replica_table.cpp
     src/retry_budget.cpp
--- a/src/caller_connection_p.h
+++ b/src/caller_connection_p.h
@@ -31,6 +31,9 @@
     virtual void streamBytes(std::string_view bytes) = 0;
     virtual void endStream() = 0;
 
+    /// Closes the connection after the response, whose head has not been written yet.
+    virtual void closeAfterResponse() = 0;
+
     /// Closes the connection after the bytes written so far, so that the caller detects a response already started as
     /// incomplete.
     virtual void abort() = 0;
@@ -65,6 +68,9 @@
     [[nodiscard]] virtual const caller_limits &limits() const = 0;
     [[nodiscard]] virtual bool isDraining() const = 0;
 
+    /// Takes over a connection that was accepted.
+    virtual void accept(int socket) = 0;
+
     /// Starts work on a request. `response` is valid until the work is destroyed; it may be used before this returns.
     [[nodiscard]] virtual std::unique_ptr<request_work> serve(inbound_request request, caller_response &response) = 0;
 
@@ -95,6 +101,7 @@
     void startStream(int status, const http_headers &headers) override;
     void streamBytes(std::string_view bytes) override;
     void endStream() override;
+    void closeAfterResponse() override { m_keepAlive = false; }
     void abort() override;
     [[nodiscard]] std::size_t pendingBytes() const override;
 
--- a/src/crash_detector_p.h
+++ b/src/crash_detector_p.h
@@ -9,6 +9,7 @@
 
 /// Replica and request of an attempt whose response was broken off.
 struct broken_attempt {
+    std::string service;
     std::string replica; ///< id
     http_endpoint address;
     std::uint64_t crashId = 0; ///< see crash_registry::crashId()
--- a/src/crash_registry.cpp
+++ b/src/crash_registry.cpp
@@ -133,6 +133,27 @@
     }
 }
 
+void crash_registry::withdrawCrashes(const std::set<std::uint64_t> &crashes, instant now)
+{
+    const auto isWithdrawn = [&crashes](std::uint64_t crash) {
+        return crashes.contains(crash);
+    };
+    std::vector<std::uint64_t> changed;
+    for (auto &[trait, known] : own())
+        if (std::erase_if(known.report.crashes, isWithdrawn) > 0) {
+            std::erase_if(known.report.responding, isWithdrawn);
+            changed.push_back(trait);
+        }
+    std::erase_if(own(), [](const auto &entry) {
+        const auto &report = entry.second.report;
+        return report.crashes.empty() && report.ruledOut.empty() && !report.wasAnswered;
+    });
+    for (const auto trait : changed)
+        combine(trait, now);
+    if (!changed.empty())
+        schedulePublish(kPublishDelay, now);
+}
+
 void crash_registry::releaseReport(std::uint64_t fingerprint, instant now)
 {
     const auto held = m_heldReports.find(fingerprint);
--- a/src/crash_registry_p.h
+++ b/src/crash_registry_p.h
@@ -37,6 +37,9 @@
     /// which rules them out as the cause of the crashes so far. A part may still begin to crash replicas later.
     void recordBegun(std::span<const std::uint64_t> parts, instant now);
 
+    /// Withdraws crashes that this host has recorded: the replicas have not ended.
+    void withdrawCrashes(const std::set<std::uint64_t> &crashes, instant now);
+
     /// Delays storing a report on a request while it is retried on this host, which may show that it isn't the cause.
     /// Each call must be followed by one of releaseReport().
     void holdReport(std::uint64_t fingerprint) { ++m_heldReports[fingerprint]; }
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -1,6 +1,7 @@
 // Construction of the heads of forwarded messages; see forwarding_p.h.
 #include "forwarding_p.h"
 
+#include "http_status_p.h"
 #include "text_hash_p.h"
 
 #include <numeric>
@@ -100,16 +101,22 @@
         text.append(name).append(": ").append(value).append("\r\n");
     };
     // Authorization is removed without a replacement: it contains the caller's API key.
+    const bool removesKey = !fields.keepsKey;
     const auto isReplaced = [&](std::string_view name) {
-        return (!fields.model.empty() && isSameHeader(name, headerNames.model))
+        const auto isSame = [name](const auto &added) {
+            return isSameHeader(name, added.first);
+        };
+        return std::ranges::any_of(fields.more, isSame)
+            || (!fields.model.empty() && isSameHeader(name, headerNames.model))
             || (fields.lastEventId && isSameHeader(name, headerNames.lastEventId))
-            || isSameHeader(name, headerNames.deadline) || isSameHeader(name, "Authorization");
+            || isSameHeader(name, headerNames.deadline) || (removesKey && isSameHeader(name, "Authorization"));
     };
     // These are forwarded even if the caller lists them in its Connection header.
     const auto isRequired = [&](std::string_view name) {
         return isSameHeader(name, "Host") || isSameHeader(name, headerNames.requestId)
             || isSameHeader(name, headerNames.model) || isSameHeader(name, headerNames.tokenCounts)
-            || isSameHeader(name, headerNames.promptParts) || isSameHeader(name, headerNames.lastEventId);
+            || isSameHeader(name, headerNames.promptParts) || isSameHeader(name, headerNames.lastEventId)
+            || (!removesKey && isSameHeader(name, "Authorization"));
     };
     for (const auto &[name, value] : head.headers) {
         const bool isConnectionOption = isOneOf(name, connectionOptions) && !isRequired(name);
@@ -117,7 +124,8 @@
             add(name, value);
     }
     add(headerNames.deadline, std::to_string(fields.timeout.count()));
-    add(headerNames.expectReplica, fields.replica);
+    if (!fields.replica.empty())
+        add(headerNames.expectReplica, fields.replica);
     if (!fields.account.empty())
         add(headerNames.account, fields.account);
     if (!fields.model.empty())
@@ -126,12 +134,26 @@
         add(headerNames.priority, std::to_string(std::min(*fields.priority, kLowestPriority)));
     if (fields.lastEventId)
         add(headerNames.lastEventId, std::to_string(*fields.lastEventId));
+    for (const auto &[name, value] : fields.more)
+        add(name, value);
     const bool hasBody = head.length || head.isChunked;
     if (hasBody)
         add("Content-Length", std::to_string(request.body.size()));
     return text + "\r\n";
 }
 
+bool isEventStream(const message_head &head)
+{
+    const auto type = head.header("Content-Type");
+    return type.empty() || isSameHeader(trimmed(type.substr(0, type.find(';'))), "text/event-stream");
+}
+
+bool impliesNotRun(int status)
+{
+    return status == http_status::kRequestTimeout || status == http_status::kMisdirectedRequest
+        || status == http_status::kTooManyRequests || status == http_status::kServiceUnavailable;
+}
+
 http_headers forwardedResponseHeaders(const message_head &response)
 {
     const auto connectionOptions = splitList(response.header("Connection"));
--- a/src/forwarding_p.h
+++ b/src/forwarding_p.h
@@ -34,18 +34,26 @@
 
 /// Headers that the gateway sets on a forwarded request.
 struct forward_fields {
-    std::string replica;
+    std::string replica; ///< empty: none, the request goes to another host
     std::string account; ///< empty: none
     std::string model; ///< replaces the caller's value unless empty
     std::chrono::milliseconds timeout{};
     std::optional<std::uint32_t> priority; ///< scheduling priority in an engine
     std::optional<std::uint64_t> lastEventId; ///< replaces the caller's value
+    bool keepsKey = false; ///< the API key is forwarded, which another host checks again
+    http_headers more; ///< further headers, each of which replaces the caller's value
 };
 
 /// @returns the head of the forwarded request, including the blank line that ends it.
 [[nodiscard]] std::string forwardedHead(const inbound_request &request, const forward_fields &fields,
                                         const header_names &headerNames);
 
+/// @returns whether a response's body is an event stream, which is assumed if the head doesn't state its type.
+[[nodiscard]] bool isEventStream(const message_head &head);
+
+/// @returns whether a status implies that the request has not run.
+[[nodiscard]] bool impliesNotRun(int status);
+
 /// @returns the headers of a response that are forwarded to the caller.
 [[nodiscard]] http_headers forwardedResponseHeaders(const message_head &response);
 
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -29,15 +29,18 @@
     return configConfirmedAt && std::chrono::duration<double>(now - *configConfirmedAt) < lease;
 }
 
-gateway_exchange::gateway_exchange(gateway_state &state, inbound_request request, caller_response &response)
+gateway_exchange::gateway_exchange(gateway_state &state, inbound_request request, caller_response &response,
+                                   std::optional<detour_request> detour)
     : m_state(state)
     , m_request(std::move(request))
     , m_callerResponse(response)
     , m_metadata(parseRequestHeaders(m_request.head, state.headerNames))
     , m_config(state.config)
+    , m_servedDetour(std::move(detour))
     , m_lastEventId(m_metadata.lastEventId)
     , m_timer(state.loop, [this] { onDeadline(); })
     , m_evidenceTimer(state.loop, [this] { recordSlowAttempt(); })
+    , m_silenceTimer(state.loop, [this] { onSilence(); })
 {
 }
 
@@ -45,6 +48,8 @@
 {
     if (m_upstream)
         closeAttempt(std::nullopt);
+    if (m_countsAsDetour)
+        --m_state.detoursServed;
     releaseCrashReport();
     clearBody();
 }
@@ -53,6 +58,8 @@
 {
     if (m_state.hasStarted())
         return process();
+    if (m_servedDetour)
+        return refuseDetour();
     const auto now = suspendAwareNow();
     const auto wait = m_state.starting.waitTime(now, m_metadata.timeout.value_or(start_queue::kMaxWait));
     if (wait <= std::chrono::milliseconds{0})
@@ -70,6 +77,8 @@
 
 void gateway_exchange::process()
 {
+    if (m_servedDetour && !canServeDetour())
+        return refuseDetour();
     if (const auto reason = validate())
         return refuse(*reason);
     const auto wait = std::min(m_route->timeout, m_metadata.timeout.value_or(m_route->timeout));
@@ -79,7 +88,13 @@
     m_traits = m_metadata.sharedParts;
     m_traits.push_back(m_fingerprint);
     chooseService();
-    m_state.budget.recordRequest(m_service, m_request.readAt);
+    if (m_servedDetour) {
+        m_sends = m_servedDetour->sends; // the other host has counted the request, and its retry
+        m_countsAsDetour = true;
+        ++m_state.detoursServed;
+    } else {
+        m_state.budget.recordRequest(m_service, m_request.readAt);
+    }
     chooseFirstModel();
     attempt();
 }
@@ -104,6 +119,13 @@
 
 void gateway_exchange::chooseService()
 {
+    const auto isChosen = [this](const route_target &target) {
+        return m_servedDetour && target.service == m_servedDetour->service;
+    };
+    if (std::ranges::any_of(m_route->targets, isChosen)) {
+        m_service = m_servedDetour->service;
+        return;
+    }
     std::uint32_t total = 0;
     for (const auto &target : m_route->targets)
         total += target.weight;
@@ -120,6 +142,10 @@
 {
     if (m_route->models.empty())
         return;
+    if (m_servedDetour && m_servedDetour->model) {
+        m_model = std::min(*m_servedDetour->model, m_route->models.size() - 1);
+        return;
+    }
     cascade_step step;
     step.models = m_route->models.size();
     step.sends = m_sends;
@@ -215,6 +241,13 @@
             return abortResponse("quarantined");
         return refuse(m_mayHaveRun ? refusal::failed : refusal::quarantined);
     }
+    if (const auto host = chooseDetour())
+        return sendDetour(*host);
+    if (m_state.reach.isCutOff(m_service) && !m_state.reach.hasLiveConnections(m_service, suspendAwareNow())) {
+        if (m_hasStreamStarted)
+            return abortResponse(refusal::unreachable);
+        return refuse(m_mayHaveRun ? refusal::failed : refusal::unreachable);
+    }
     const auto *replica = pickReplica();
     if (!replica && !m_triedReplicas.empty() && m_sends < m_route->maxAttempts) {
         m_triedReplicas.clear(); // all replicas have been tried; one of them may have recovered
@@ -269,6 +302,20 @@
     m_replicaAddress = replica.address;
     m_crashId = crash_registry::crashId(replica);
     m_triedReplicas.insert(replica.id);
+    resetAttempt();
+    m_state.rollouts.recordRequest(m_service, m_replicaVersion);
+    m_state.gate.recordSend(m_replica, m_sentAt);
+    logAttempt();
+    if (m_route->retryRule != retry_rule::stream)
+        startEvidenceTimer();
+    m_silenceTimer.start(reachability::kSilence);
+    m_promptMs = m_state.replicas.recordStart(m_replica, promptKey(), promptWork(), m_sentAt);
+    m_upstream = std::make_unique<upstream_exchange>(m_state.pool, upstreamRequest(replica),
+                                                     static_cast<upstream_listener &>(*this));
+}
+
+void gateway_exchange::resetAttempt()
+{
     ++m_sends;
     m_sentAt = suspendAwareNow();
     m_statement = {};
@@ -281,14 +328,15 @@
     m_events.reset();
     m_hasVersionEvidence = false;
     m_evidenceTimer.stop();
-    m_state.rollouts.recordRequest(m_service, m_replicaVersion);
-    m_state.gate.recordSend(m_replica, m_sentAt);
-    logAttempt();
-    if (m_route->retryRule != retry_rule::stream)
-        startEvidenceTimer();
-    m_promptMs = m_state.replicas.recordStart(m_replica, promptKey(), promptWork(), m_sentAt);
-    m_upstream = std::make_unique<upstream_exchange>(m_state.pool, upstreamRequest(replica),
-                                                     static_cast<upstream_listener &>(*this));
+    m_silenceTimer.stop();
+}
+
+void gateway_exchange::onSilence()
+{
+    if (!m_upstream || m_firstByteAt || m_detour)
+        return;
+    m_state.reach.recordSilence(m_service, m_sentAt);
+    m_state.requestProbe();
 }
 
 /// Logs the chosen replica and model with the state of the replica that the choice was based on.
@@ -323,10 +371,12 @@
         return refuse(refusal::no_config); // the host has not started in time
     const bool hasNoResponse = m_upstream && !m_firstByteAt;
     m_mayHaveRun = m_mayHaveRun || m_upstream != nullptr;
-    if (hasNoResponse)
-        recordEvidence(true, std::nullopt);
+    if (hasNoResponse && !m_detour) {
+        attributeEvidence(std::nullopt);
+        attributeFailure(contact_kind::any, suspendAwareNow());
+    }
     if (m_upstream)
-        closeAttempt(hasNoResponse ? std::optional(false) : std::nullopt);
+        closeAttempt(std::nullopt);
     if (m_hasStreamStarted)
         return abortResponse("deadline");
     refuse(m_mayHaveRun ? refusal::deadline : refusal::not_run);
@@ -361,6 +411,9 @@
     m_isFinished = true;
     m_timer.stop();
     m_evidenceTimer.stop();
+    m_silenceTimer.stop();
+    if (std::exchange(m_countsAsDetour, false))
+        --m_state.detoursServed;
     leaveQueue(); // this object lives until its connection is closed
     releaseCrashReport();
     const auto now = suspendAwareNow();
@@ -394,6 +447,8 @@
     if (m_statement.confidence)
         fields["confidence"] = *m_statement.confidence;
     addStreamFields(fields);
+    if (m_servedDetour)
+        fields["received_by"] = m_servedDetour->host;
     if (m_config)
         fields["generation"] = m_config->version;
     if (m_state.configConfirmedAt)
--- a/src/gateway_exchange_evidence.cpp
+++ b/src/gateway_exchange_evidence.cpp
@@ -13,6 +13,8 @@
 
 void gateway_exchange::startEvidenceTimer()
 {
+    if (m_detour)
+        return;
     const auto limit = m_state.rollouts.slowLimit(m_service, m_replicaVersion, stratum());
     if (!limit || m_hasVersionEvidence)
         return;
@@ -23,6 +25,8 @@
 void gateway_exchange::recordSlowAttempt()
 {
     const auto now = suspendAwareNow();
+    if (!m_firstByteAt)
+        return attributeEvidence(now - m_sentAt);
     // Of a stream, the event after those received is still to come.
     recordEvidence(false, m_isStream ? (now - *m_firstEventAt) / m_eventCount : now - m_sentAt);
 }
@@ -47,7 +51,7 @@
 void gateway_exchange::recordEvidence(bool isFailure, std::optional<std::chrono::microseconds> latency)
 {
     m_evidenceTimer.stop();
-    if (std::exchange(m_hasVersionEvidence, true))
+    if (m_detour || std::exchange(m_hasVersionEvidence, true))
         return;
     const auto name = stratum();
     version_response response;
@@ -60,6 +64,40 @@
     m_state.rollouts.recordResponse(response);
 }
 
+void gateway_exchange::attributeEvidence(std::optional<std::chrono::microseconds> latency)
+{
+    m_evidenceTimer.stop();
+    if (m_detour || std::exchange(m_hasVersionEvidence, true))
+        return;
+    const auto now = suspendAwareNow();
+    const auto record = [&state = m_state, service = m_service, version = m_replicaVersion, name = stratum(),
+                         replica = m_replica, latency] {
+        version_response response;
+        response.service = service;
+        response.version = version;
+        response.stratum = name;
+        response.replica = replica;
+        response.isFailure = !latency;
+        response.latency = latency;
+        state.rollouts.recordResponse(response);
+    };
+    m_state.reach.attribute(m_service, contact_kind::any, now, now, record);
+    m_state.requestProbe();
+}
+
+void gateway_exchange::attributeFailure(contact_kind needed, instant since)
+{
+    const bool isUnreachable = needed == contact_kind::connection;
+    const auto record = [&state = m_state, replica = m_replica, isUnreachable] {
+        const auto now = suspendAwareNow();
+        state.replicas.recordFailure(replica, now);
+        if (isUnreachable)
+            state.replicas.recordUnreachable(replica, now);
+    };
+    m_state.reach.attribute(m_service, needed, since, suspendAwareNow(), record);
+    m_state.requestProbe();
+}
+
 /// A replica that has ended may have been crashed by this request; one that has responded hasn't. An error response
 /// rules nothing out, because a replica may also fail without running the request.
 void gateway_exchange::recordCrashEvidence(attempt_result result)
@@ -73,6 +111,7 @@
     if (!std::exchange(m_holdsCrashReport, true))
         m_state.crashes.holdReport(m_fingerprint);
     broken_attempt attempt;
+    attempt.service = m_service;
     attempt.replica = m_replica;
     attempt.address = m_replicaAddress;
     attempt.crashId = m_crashId;
@@ -87,6 +126,8 @@
 
 void gateway_exchange::recordBegun()
 {
+    if (m_detour)
+        return;
     m_state.crashes.recordBegun(m_metadata.sharedParts, suspendAwareNow());
 }
 
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -7,12 +7,14 @@
 #include "crash_detector_p.h"
 #include "crash_registry_p.h"
 #include "decision_log_p.h"
+#include "detour_wire_p.h"
 #include "event_splitter_p.h"
 #include "forwarding_p.h"
 #include "gateway_metrics_p.h"
 #include "gateway_settings_p.h"
 #include "model_cascade_p.h"
 #include "replica_gate_p.h"
+#include "replica_prober_p.h"
 #include "replica_table_p.h"
 #include "retry_budget_p.h"
 #include "rollout_policy_p.h"
@@ -42,6 +44,11 @@
     connection_pool pool;
     crash_registry crashes;
     crash_detector crashDetector;
+    reachability reach; ///< which services this host reaches
+    replica_prober prober;
+    detour_hosts detours; ///< hosts that serve requests for services that it doesn't
+    std::uint32_t detoursServed = 0; ///< requests of other hosts in progress
+    std::function<void()> requestProbe; ///< to be called when `reach` may have a probe due
     std::mt19937_64 random;
     std::size_t bufferedBodyBytes = 0; ///< sum of the non-streamed responses held by all requests
 
@@ -56,7 +63,9 @@
 class gateway_exchange : public request_work, private upstream_listener, private starting_request
 {
 public:
-    gateway_exchange(gateway_state &state, inbound_request request, caller_response &response);
+    /// @param detour set if another host has received the request.
+    gateway_exchange(gateway_state &state, inbound_request request, caller_response &response,
+                     std::optional<detour_request> detour = std::nullopt);
     ~gateway_exchange() override;
 
     /// Starts processing; the request may already be finished when this returns.
@@ -75,6 +84,7 @@
         unknown_key,
         missing_id,
         no_replica,
+        unreachable,
         rate_limited,
         paused,
         quarantined,
@@ -87,11 +97,26 @@
     struct refusal_row;
     static const refusal_row &rowOf(refusal reason);
 
+    /// Passes the response of another host to its request.
+    struct detour_handler final : upstream_listener {
+        explicit detour_handler(gateway_exchange &owner)
+            : exchange(owner)
+        {
+        }
+        void onUpstreamHead(const message_head &head) override { exchange.onDetourHead(head); }
+        [[nodiscard]] bool onUpstreamBody(std::string_view bytes) override { return exchange.readBody(bytes); }
+        void onUpstreamEnd(upstream_end end) override { exchange.onDetourEnd(end); }
+
+        gateway_exchange &exchange;
+    };
+
     void onHostStarted() override;
+    void onUpstreamConnected() override;
     void onUpstreamHead(const message_head &head) override;
     [[nodiscard]] bool onUpstreamBody(std::string_view bytes) override;
     void onUpstreamEnd(upstream_end end) override;
 
+    [[nodiscard]] bool readBody(std::string_view bytes);
     /// Appends to the body of a non-streamed response. @returns false if a limit would be exceeded.
     [[nodiscard]] bool bufferBody(std::string_view bytes);
     void clearBody();
@@ -106,6 +131,25 @@
     [[nodiscard]] refusal noReplicaReason() const;
     [[nodiscard]] replica_query queryFor(const version_choice &choice) const;
     void send(const replica_entry &replica);
+    /// Begins another attempt, to a replica or another host.
+    void resetAttempt();
+    /// Records that the attempt has no response yet.
+    void onSilence();
+
+    // Detours through other hosts; see gateway_exchange_detour.cpp.
+    /// @returns the address of a host to send the request through, if this host is cut off from the service.
+    [[nodiscard]] std::optional<http_endpoint> chooseDetour();
+    void sendDetour(const http_endpoint &host);
+    void onDetourHead(const message_head &head);
+    void onDetourEnd(upstream_end end);
+    [[nodiscard]] attempt_result classifyDetour(upstream_end end);
+    void forwardDetourResponse();
+    /// @returns whether this host may serve a request that another host has received.
+    [[nodiscard]] bool canServeDetour() const;
+    /// Tells the other host that the request hasn't been tried.
+    void refuseDetour();
+    [[nodiscard]] http_headers responseHeaders() const;
+
     void logAttempt() const;
     [[nodiscard]] upstream_request upstreamRequest(const replica_entry &replica) const;
     [[nodiscard]] std::optional<std::size_t> escalation();
@@ -128,6 +172,12 @@
     void recordSlowAttempt();
     /// Records the attempt as evidence on its version, once.
     void recordEvidence(bool isFailure, std::optional<std::chrono::microseconds> latency);
+    /// Records as evidence that the attempt had no response in time, or none so far, once this host has reached another
+    /// replica.
+    /// @param latency that it has reached; unset: it has failed.
+    void attributeEvidence(std::optional<std::chrono::microseconds> latency);
+    /// Records the failure of the attempt at the replica once this host has reached another one since.
+    void attributeFailure(contact_kind needed, instant since);
     /// @returns the time to the response, or the mean time between events; unset if too few events have arrived.
     [[nodiscard]] std::optional<std::chrono::microseconds> versionLatency() const;
     /// @returns the group within which responses are comparable: route and model.
@@ -144,6 +194,8 @@
     [[nodiscard]] bool tryConsumeRetry(retry_reason reason);
     void retryOrFinish(attempt_result result, attempt_outcome outcome);
     void forwardResponse();
+    /// Sends the caller the response, or the rest of it.
+    void passOn(std::string_view reason);
     void refuse(refusal reason);
     void abortResponse(refusal reason);
     void abortResponse(std::string_view reason);
@@ -187,6 +239,13 @@
     bool m_isStream = false; ///< the current response is forwarded event by event
     event_splitter m_events;
 
+    detour_handler m_detourHandler{*this};
+    std::optional<detour_request> m_servedDetour; ///< another host has received the request
+    bool m_countsAsDetour = false; ///< in gateway_state::detoursServed
+    std::optional<http_endpoint> m_detour; ///< host to which the current attempt is sent; unset: to a replica
+    bool m_isDetourRefused = false; ///< by that host
+    std::set<http_endpoint> m_triedHosts;
+
     std::set<std::string> m_triedReplicas;
     std::set<std::string> m_respondedReplicas; ///< whose response to an earlier attempt has been received completely
     std::uint32_t m_sends = 0; ///< number of replicas to which the request was sent
@@ -200,6 +259,7 @@
     bool m_isFinished = false;
     loop_timer m_timer;
     loop_timer m_evidenceTimer; ///< see startEvidenceTimer()
+    loop_timer m_silenceTimer; ///< see onSilence()
 
     /// Events of a stream that a replica has sent when it has survived the beginning of the response.
     static constexpr std::uint32_t kEventsForBegin = 2;
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -26,20 +26,6 @@
 constexpr double kMinRetryAfterS = 0.3;
 constexpr double kMaxRetryAfterS = 1.0;
 
-/// @returns whether the body is an event stream, which is assumed if the head doesn't state its type.
-bool isEventStream(const message_head &head)
-{
-    const auto type = head.header("Content-Type");
-    return type.empty() || isSameHeader(trimmed(type.substr(0, type.find(';'))), "text/event-stream");
-}
-
-/// @returns whether a status implies that the request has not run.
-bool impliesNotRun(int status)
-{
-    return status == http_status::kRequestTimeout || status == http_status::kMisdirectedRequest
-        || status == http_status::kTooManyRequests || status == http_status::kServiceUnavailable;
-}
-
 } // namespace
 
 struct gateway_exchange::refusal_row {
@@ -54,18 +40,24 @@
         refusal_row{503, "no_config", true},      refusal_row{503, "no_key_lease", true},
         refusal_row{404, "unknown_route", false}, refusal_row{401, "unknown_key", false},
         refusal_row{400, "missing_id", false},    refusal_row{503, "no_replica", true},
-        refusal_row{503, "rate_limited", true},   refusal_row{503, "paused", true},
-        refusal_row{503, "quarantined", true},    refusal_row{503, "not_run", true},
-        refusal_row{502, "failed", false},        refusal_row{504, "deadline", false},
-        refusal_row{503, "stopping", true},
+        refusal_row{503, "unreachable", true},    refusal_row{503, "rate_limited", true},
+        refusal_row{503, "paused", true},         refusal_row{503, "quarantined", true},
+        refusal_row{503, "not_run", true},        refusal_row{502, "failed", false},
+        refusal_row{504, "deadline", false},      refusal_row{503, "stopping", true},
     };
     static_assert(kRows.size() == static_cast<std::size_t>(refusal::count));
     return kRows[static_cast<std::size_t>(reason)];
 }
 
+void gateway_exchange::onUpstreamConnected()
+{
+    m_state.reach.recordConnected(m_service, m_sentAt, suspendAwareNow());
+}
+
 void gateway_exchange::onUpstreamHead(const message_head &head)
 {
     m_firstByteAt = suspendAwareNow();
+    m_state.reach.recordReceived(m_service, *m_firstByteAt);
     m_response = head;
     m_statement = m_state.headerNames.decodeStatement(head);
     m_state.replicas.recordFirstByte(m_replica, std::exchange(m_promptMs, 0));
@@ -117,7 +109,8 @@
 
 std::optional<std::size_t> gateway_exchange::escalation()
 {
-    if (m_route->models.empty() || m_hasStreamStarted || !mayUseKey())
+    const bool hasFixedModel = m_servedDetour && m_servedDetour->model;
+    if (m_route->models.empty() || hasFixedModel || m_hasStreamStarted || !mayUseKey())
         return std::nullopt;
     cascade_step step;
     step.models = m_route->models.size();
@@ -171,6 +164,12 @@
 }
 
 bool gateway_exchange::onUpstreamBody(std::string_view bytes)
+{
+    m_state.reach.recordReceived(m_service, suspendAwareNow());
+    return readBody(bytes);
+}
+
+bool gateway_exchange::readBody(std::string_view bytes)
 {
     if (!m_isStream)
         return bufferBody(bytes);
@@ -204,7 +203,7 @@
 {
     m_hasStreamStarted = true;
     m_state.metrics.recordFirstEvent(m_route->name, suspendAwareNow() - m_request.readAt);
-    m_callerResponse.startStream(m_response.status, forwardedResponseHeaders(m_response));
+    m_callerResponse.startStream(m_response.status, responseHeaders());
 }
 
 bool gateway_exchange::isWholeStream()
@@ -249,11 +248,20 @@
     recordCrashEvidence(result);
     if (result != attempt_result::answered && result != attempt_result::server_error)
         clearBody();
-    if (result == attempt_result::wrong_replica || result == attempt_result::not_connected)
-        m_state.replicas.recordUnreachable(m_replica, suspendAwareNow());
+    const auto now = suspendAwareNow();
+    if (result == attempt_result::wrong_replica)
+        m_state.replicas.recordUnreachable(m_replica, now);
+    // These may be failures of this host's network instead of the replica.
+    const bool isAmbiguous = result == attempt_result::not_connected || result == attempt_result::broken;
+    if (result == attempt_result::not_connected) {
+        m_state.reach.recordConnectFailure(m_service, m_replica, m_sentAt, now);
+        attributeFailure(contact_kind::connection, m_sentAt);
+    } else if (result == attempt_result::broken) {
+        attributeFailure(contact_kind::any, now);
+    }
     // A replica that states how long it wants no requests doesn't fail; it gets none until then.
     const bool isPaused = m_statement.retryAfterSeconds.has_value();
-    closeAttempt(isPaused ? std::nullopt : std::optional(result == attempt_result::answered));
+    closeAttempt(isPaused || isAmbiguous ? std::nullopt : std::optional(result == attempt_result::answered));
     handleAttemptResult(result);
 }
 
@@ -291,6 +299,13 @@
 
 void gateway_exchange::closeAttempt(std::optional<bool> isGood)
 {
+    m_silenceTimer.stop();
+    if (m_detour) {
+        m_state.detours.recordEnd(*m_detour);
+        m_detour.reset();
+        m_upstream.reset();
+        return;
+    }
     m_state.replicas.recordEnd(m_replica, std::exchange(m_promptMs, 0), isGood, m_sentAt, suspendAwareNow());
     m_upstream.reset();
 }
@@ -346,9 +361,14 @@
     // A status that implies "not run" must not reach the caller unless the replica stated that the request has not run.
     if (impliesNotRun(m_response.status))
         return refuse(refusal::failed);
-    finish(m_response.status, "answered");
+    passOn("answered");
+}
+
+void gateway_exchange::passOn(std::string_view reason)
+{
+    finish(m_response.status, reason);
     if (!m_isStream)
-        return m_callerResponse.sendResponse(m_response.status, forwardedResponseHeaders(m_response), m_body);
+        return m_callerResponse.sendResponse(m_response.status, responseHeaders(), m_body);
     if (!m_hasStreamStarted)
         beginStream();
     m_callerResponse.streamBytes(m_events.rest());
@@ -364,6 +384,8 @@
         headers.emplace_back(m_state.headerNames.requestId, m_metadata.id);
     if (row.hasRetryAfter)
         headers.emplace_back("Retry-After", retryAfter(reason));
+    if (reason == refusal::unreachable)
+        m_callerResponse.closeAfterResponse(); // a new connection may reach another host
     m_callerResponse.sendResponse(row.status, headers, {});
 }
 
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -60,6 +60,11 @@
     Family<Counter> &crashes =
         counter(registry, "foxtaildyke_gateway_crashed_attempts_total",
                 "Attempts during which the replica ended, by whether they count towards a quarantine of the request");
+    Family<Counter> &detours =
+        counter(registry, "foxtaildyke_gateway_detours_total", "Requests sent through another host, by result");
+    Family<Counter> &discardedFailures =
+        counter(registry, "foxtaildyke_gateway_discarded_failures_total",
+                "Failed attempts that aren't attributed to replicas, because the host was cut off from them");
     Family<Counter> &feed = counter(registry, "foxtaildyke_gateway_feed_events_total", "Events of the store by type");
     Family<Histogram> &duration =
         histogram(registry, "foxtaildyke_gateway_request_duration_seconds", "Time from arrival to the final answer");
@@ -76,6 +81,10 @@
         gauge(registry, "foxtaildyke_gateway_leaving_replicas", "Replicas that have stated that they leave");
     Gauge &pausedReplicas = gauge(registry, "foxtaildyke_gateway_paused_replicas",
                                   "Replicas that have stated that they want no requests for some time");
+    Gauge &cutOffServices =
+        gauge(registry, "foxtaildyke_gateway_cut_off_services", "Services of which this host reaches no replica");
+    Gauge &detoursServed = gauge(registry, "foxtaildyke_gateway_detours_served", "Requests of other hosts in progress");
+    Gauge &detourHosts = gauge(registry, "foxtaildyke_gateway_detour_hosts", "Other hosts that this host knows");
     Gauge &replicas = gauge(registry, "foxtaildyke_gateway_replicas", "Registered replicas");
 };
 
@@ -125,6 +134,16 @@
         .Increment();
 }
 
+void gateway_metrics::recordDetour(std::string_view result)
+{
+    m_impl->detours.Add({{"result", std::string(result)}}).Increment();
+}
+
+void gateway_metrics::recordDiscardedFailures(std::size_t count)
+{
+    m_impl->discardedFailures.Add({}).Increment(static_cast<double>(count));
+}
+
 void gateway_metrics::recordCrash(bool isNew)
 {
     m_impl->crashes.Add({{"counted", isNew ? "true" : "false"}}).Increment();
@@ -175,6 +194,21 @@
     m_impl->pausedReplicas.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::setCutOffServices(std::size_t count)
+{
+    m_impl->cutOffServices.Set(static_cast<double>(count));
+}
+
+void gateway_metrics::setDetoursServed(std::size_t count)
+{
+    m_impl->detoursServed.Set(static_cast<double>(count));
+}
+
+void gateway_metrics::setDetourHosts(std::size_t count)
+{
+    m_impl->detourHosts.Set(static_cast<double>(count));
+}
+
 std::string gateway_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -30,6 +30,12 @@
     /// Counts a retry that the budget allowed or denied.
     void recordRetry(std::string_view service, std::string_view reason, bool isAllowed);
 
+    /// Counts a request that was sent through another host.
+    void recordDetour(std::string_view result);
+
+    /// Counts failures that say nothing about replicas, because the host was cut off from them.
+    void recordDiscardedFailures(std::size_t count);
+
     /// Counts an attempt during which its replica ended. @param isNew whether it counts towards a quarantine.
     void recordCrash(bool isNew);
 
@@ -46,6 +52,9 @@
     void setLimitedReplicas(std::size_t count);
     void setLeavingReplicas(std::size_t count);
     void setPausedReplicas(std::size_t count);
+    void setCutOffServices(std::size_t count);
+    void setDetoursServed(std::size_t count);
+    void setDetourHosts(std::size_t count);
 
     /// @returns all metrics in the Prometheus text format.
     [[nodiscard]] std::string text() const;
--- a/src/gateway_settings_p.h
+++ b/src/gateway_settings_p.h
@@ -18,6 +18,9 @@
     http_endpoint platform; ///< address of the store
     http_endpoint relay; ///< on which this host relays the store to others; port 0: this host is no relay
     std::vector<http_endpoint> relays; ///< hosts that may act as relay
+    http_endpoint detour; ///< at which this host takes requests of hosts that reach no replica; port 0: it takes none
+    /// Hosts to ask first which others there are; empty: those of `relays`, at this host's port of `detour`.
+    std::vector<http_endpoint> detourHosts;
     std::string log = "-";
     std::uint32_t logLinesPerSecond = 400;
     std::chrono::milliseconds grace{8000}; ///< from SIGTERM to SIGKILL
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -23,6 +23,29 @@
     return ::accept4(listeningSocket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
 }
 
+/// @returns the hosts to ask first which others there are. All hosts take requests of others at the same port.
+std::vector<http_endpoint> firstDetourHosts(const gateway_settings &settings)
+{
+    if (!settings.detourHosts.empty())
+        return settings.detourHosts;
+    std::vector<http_endpoint> hosts;
+    for (const auto &relay : settings.relays)
+        if (relay.address != settings.detour.address)
+            hosts.push_back({relay.address, settings.detour.port});
+    return hosts;
+}
+
+/// Closes a listener after accepting the connections that wait in the kernel, which would be reset.
+void closeListener(evconnlistener *&listener, connection_owner &owner)
+{
+    if (!listener)
+        return;
+    const auto listening = evconnlistener_get_fd(listener);
+    for (int socket = acceptNext(listening); socket >= 0; socket = acceptNext(listening))
+        owner.accept(socket);
+    evconnlistener_free(std::exchange(listener, nullptr));
+}
+
 } // namespace
 
 gateway_task::gateway_task(event_loop &loop, gateway_settings settings, header_names headerNames,
@@ -53,10 +76,23 @@
                                 [this](const broken_attempt &attempt) {
                                     recordCrash(attempt);
                                 }},
+              .prober = {m_state.pool, m_state.reach,
+                         [this](const std::string &service) {
+                             onProbeRoundEnd(service);
+                         }},
+              .detours = detour_hosts(m_settings.host, firstDetourHosts(m_settings), std::random_device{}()),
+              .requestProbe =
+                  [this] {
+                      if (!std::exchange(m_isProbePending, true))
+                          m_probeTimer.start(reachability::kProbeDelay);
+                  },
               .random = std::mt19937_64{std::random_device{}()}}
     , m_registry(m_settings.lapseGrace)
     , m_readiness(loop, [this](const http_exchange_ptr &exchange) { serveReadiness(exchange); })
     , m_metricsServer(loop, [this](const http_exchange_ptr &exchange) { serveMetrics(exchange); })
+    , m_hostClient(loop)
+    , m_probeTimer(loop, [this] { probeReplicas(); })
+    , m_exchangeTimer(loop, [this] { exchangeStatements(); })
     , m_tick(loop, [this] { tick(); })
     , m_startTimer(loop, [this] { m_state.starting.resume(); })
     , m_rolloutTimer(loop, [this] { advanceRollouts(); })
@@ -65,7 +101,7 @@
 
 gateway_task::~gateway_task()
 {
-    closeListener();
+    closeListeners();
 }
 
 result<void> gateway_task::start(fleet_feed &feed)
@@ -83,23 +119,34 @@
     const auto callers = listenForCallers();
     if (callers.has_error())
         return callers.error();
+    const auto detours = listenForDetours();
+    if (detours.has_error())
+        return detours.error();
     m_log.write("start", {{"failure_domain", m_settings.failureDomain}, {"build", FOXTAILDYKE_VERSION}});
     feed.start(*this);
     m_tick.start(kTickInterval);
+    if (m_settings.detour.port != 0)
+        exchangeStatements();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-result<void> gateway_task::listenForCallers()
+evconnlistener *gateway_task::listenAt(const http_endpoint &at, connection_owner &owner)
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(m_settings.listen.port);
-    inet_pton(AF_INET, m_settings.listen.address.c_str(), &address.sin_addr);
-    const auto accept = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self) {
-        static_cast<gateway_task *>(self)->onAccept(socket);
+    address.sin_port = htons(at.port);
+    inet_pton(AF_INET, at.address.c_str(), &address.sin_addr);
+    const auto onAccept = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self) {
+        auto *connections = static_cast<connection_owner *>(self);
+        connections->accept(socket);
     };
-    m_listener = evconnlistener_new_bind(m_loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                         kListenBacklog, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    return evconnlistener_new_bind(m_loop.base(), onAccept, &owner, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                   kListenBacklog, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+}
+
+result<void> gateway_task::listenForCallers()
+{
+    m_listener = listenAt(m_settings.listen, *this);
     if (!m_listener)
         return error{error_code::io_failure, m_settings.listen.address};
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -115,9 +162,9 @@
     return ntohs(address.sin_port);
 }
 
-void gateway_task::onAccept(int socket)
+void gateway_task::accept(int socket, connection_owner &owner)
 {
-    auto connection = std::make_unique<caller_connection>(m_loop, socket, static_cast<connection_owner &>(*this));
+    auto connection = std::make_unique<caller_connection>(m_loop, socket, owner);
     auto *key = connection.get();
     m_connections.emplace(key, std::move(connection));
 }
@@ -154,7 +201,7 @@
 
 bool gateway_task::isReady() const
 {
-    return !m_isDraining && m_state.hasStarted() && m_state.hasKeyLease(suspendAwareNow());
+    return !m_isDraining && m_state.hasStarted() && m_state.hasKeyLease(suspendAwareNow()) && canServeSome();
 }
 
 void gateway_task::serveReadiness(const http_exchange_ptr &exchange)
@@ -183,6 +230,7 @@
     if (m_state.configConfirmedAt)
         m_metrics.setConfigAge(now - *m_state.configConfirmedAt);
     advanceLimits(now);
+    advanceDetours(now);
     logEjections();
     if (now >= m_nextStoreCallLog)
         logStoreCalls();
@@ -227,16 +275,13 @@
                 {{"detail", "the settings file has changed; the new settings take effect at the next start"}});
 }
 
-void gateway_task::closeListener()
+void gateway_task::closeListeners()
 {
     if (!m_listener)
         return;
-    // Connections that wait in the kernel would be reset.
     const auto before = m_connections.size();
-    const auto listening = evconnlistener_get_fd(m_listener);
-    for (int socket = acceptNext(listening); socket >= 0; socket = acceptNext(listening))
-        onAccept(socket);
-    evconnlistener_free(std::exchange(m_listener, nullptr));
+    closeListener(m_listener, *this);
+    closeListener(m_detourListener, m_detourOwner);
     m_log.write("stop_listening", {{"accepted", m_connections.size() - before}, {"connections", m_connections.size()}});
 }
 
@@ -255,7 +300,7 @@
     const auto elapsed = suspendAwareNow() - m_stopStartedAt;
     if (elapsed < kListenAfterStop)
         return;
-    closeListener();
+    closeListeners();
     const auto left = m_settings.grace - kStopMargin - elapsed;
     for (auto *connection : openConnections()) {
         connection->closeIfIdle(kMinIdleAtStop);
--- a/src/gateway_task_feed.cpp
+++ b/src/gateway_task_feed.cpp
@@ -71,9 +71,12 @@
                  {"draining", replica.isDraining},
                  {"address", replica.address.address + ':' + std::to_string(replica.address.port)}});
     const auto now = suspendAwareNow();
+    const auto service = replica.service;
     m_state.replicas.setReplica(replica);
     m_state.gate.setReplica(replica, now);
+    m_state.reach.recordReplicaStarted(service, replica.id);
     m_registry.upsert(std::move(replica), now);
+    judgeReachability(service);
     m_metrics.setReplicas(m_state.replicas.size());
 }
 
@@ -145,9 +148,14 @@
     m_sharedEvidence.clear(); // shared again at the next interval
 }
 
+/// Crashes count at once, since the request may be sent again within a millisecond. A host that is cut off is refused
+/// by replicas that run; confirmCutOffs() withdraws what it has counted.
 void gateway_task::recordCrash(const broken_attempt &attempt)
 {
     const auto now = suspendAwareNow();
+    m_state.reach.recordConnectFailure(attempt.service, attempt.replica, now, now);
+    m_state.requestProbe();
+    m_unconfirmedCrashes.push_back({attempt.service, attempt.crashId, now});
     const bool isNew = m_state.crashes.recordCrash(attempt.fingerprint, attempt.crashId, now);
     m_state.crashes.recordPartCrash(attempt.parts, attempt.crashId, attempt.isResponding, now);
     m_metrics.recordCrash(isNew);
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -42,6 +42,7 @@
 private:
     [[nodiscard]] const caller_limits &limits() const override;
     [[nodiscard]] bool isDraining() const override { return m_isDraining; }
+    void accept(int socket) override { accept(socket, *this); }
     [[nodiscard]] std::unique_ptr<request_work> serve(inbound_request request, caller_response &response) override;
     void recordRejected(int status, std::string_view reason) override;
     void onConnectionEnd(caller_connection &connection) override;
@@ -73,8 +74,28 @@
     void onStoreCall(std::string_view kind, store_call_cause cause) override;
     void onFeedEvent(std::string_view type, const std::string &subject, const std::string &detail) override;
 
+    /// Owner of the connections on which other hosts send requests that they can't serve themselves.
+    struct detour_owner final : connection_owner {
+        explicit detour_owner(gateway_task &owner)
+            : task(owner)
+        {
+        }
+        [[nodiscard]] const caller_limits &limits() const override;
+        [[nodiscard]] bool isDraining() const override { return task.m_isDraining; }
+        void accept(int socket) override { task.accept(socket, *this); }
+        [[nodiscard]] std::unique_ptr<request_work> serve(inbound_request request, caller_response &response) override;
+        void recordRejected(int status, std::string_view reason) override { task.recordRejected(status, reason); }
+        void onConnectionEnd(caller_connection &connection) override { task.onConnectionEnd(connection); }
+
+        gateway_task &task;
+        mutable caller_limits detourLimits; ///< those of callers, with room for the headers between hosts
+    };
+
+    /// @returns a listener, or null.
+    [[nodiscard]] evconnlistener *listenAt(const http_endpoint &address, connection_owner &owner);
     [[nodiscard]] result<void> listenForCallers();
-    void onAccept(int socket);
+    [[nodiscard]] result<void> listenForDetours();
+    void accept(int socket, connection_owner &owner);
     void serveReadiness(const http_exchange_ptr &exchange);
     void serveMetrics(const http_exchange_ptr &exchange);
     [[nodiscard]] bool isReady() const;
@@ -91,9 +112,31 @@
     /// Logs the calls to the store since the last time.
     void logStoreCalls();
     void recordCrash(const broken_attempt &attempt);
+
+    // Reaching replicas and other hosts; see gateway_task_detours.cpp.
+    /// Probes the services of which it is open whether this host reaches them.
+    void probeReplicas();
+    void onProbeRoundEnd(const std::string &service);
+    void judgeReachability(const std::string &service);
+    /// Logs the services from which this host is, or no longer is, cut off.
+    void logCutOffs(instant now);
+    void confirmCutOffs(instant now);
+    /// Withdraws the crashes of a service's replicas that this host has counted since `since`.
+    /// @returns their number.
+    std::size_t withdrawCrashes(const std::string &service, instant since, instant now);
+    void advanceDetours(instant now);
+    /// Exchanges statements with other hosts.
+    void exchangeStatements();
+    void recordStatements(const std::string &text);
+    /// Connects to replicas of services from which another host is cut off: it needs to know whether this one reaches
+    /// them, which may have had no request for some time.
+    void renewContacts(const std::vector<std::string> &services, instant now);
+    [[nodiscard]] host_statement ownStatement(instant now) const;
+    /// @returns whether requests for some service can be served, by this host or through another one.
+    [[nodiscard]] bool canServeSome() const;
     void shareHostReport(instant now);
     void logQuarantines(instant now);
-    void closeListener();
+    void closeListeners();
     void advanceStop();
     [[nodiscard]] std::vector<caller_connection *> openConnections() const;
 
@@ -120,6 +163,20 @@
     http_server m_readiness;
     http_server m_metricsServer;
     evconnlistener *m_listener = nullptr;
+    evconnlistener *m_detourListener = nullptr;
+    detour_owner m_detourOwner{*this};
+    http_client m_hostClient; ///< for statements
+    loop_timer m_probeTimer;
+    bool m_isProbePending = false; ///< m_probeTimer runs
+    loop_timer m_exchangeTimer;
+    std::set<std::string> m_loggedCutOffs; ///< services
+    /// A crash that was counted, and that the host's own loss of the network may have feigned.
+    struct unconfirmed_crash {
+        std::string service;
+        std::uint64_t crashId = 0;
+        instant at{};
+    };
+    std::vector<unconfirmed_crash> m_unconfirmedCrashes; ///< of the last reachability::kMaxDeferral
     std::unordered_map<caller_connection *, std::unique_ptr<caller_connection>> m_connections;
     loop_timer m_tick;
     std::uint16_t m_readinessPort = 0;
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -431,12 +431,23 @@
     target.running = target.running > 0 ? target.running - 1 : 0;
     if (!isGood)
         return;
-    target.failureRate += kFailureWeight * ((*isGood ? 0.0 : 1.0) - target.failureRate);
-    if (*isGood) {
-        target.consecutiveFailures = 0;
-        target.consecutiveEjections = target.failureRate < kFailureRateToEject ? 0 : target.consecutiveEjections;
-        return;
-    }
+    if (!*isGood)
+        return recordFailure(id, target, now);
+    target.failureRate -= kFailureWeight * target.failureRate;
+    target.consecutiveFailures = 0;
+    target.consecutiveEjections = target.failureRate < kFailureRateToEject ? 0 : target.consecutiveEjections;
+}
+
+void replica_table::recordFailure(const std::string &id, instant now)
+{
+    const auto found = m_replicas.find(id);
+    if (found != m_replicas.end())
+        recordFailure(id, found->second, now);
+}
+
+void replica_table::recordFailure(const std::string &id, replica &target, instant now)
+{
+    target.failureRate += kFailureWeight * (1.0 - target.failureRate);
     ++target.consecutiveFailures;
     if (target.consecutiveFailures >= kFailuresToEject || target.failureRate >= kFailureRateToEject)
         eject(id, target, now);
@@ -463,6 +474,27 @@
     target.failureRate = 0; // only responses after the ejection count
 }
 
+std::vector<const replica_entry *> replica_table::replicasOf(const std::string &service) const
+{
+    std::vector<const replica_entry *> entries;
+    const auto pool = m_pools.find(service);
+    if (pool == m_pools.end())
+        return entries;
+    for (const auto *candidate : pool->second.byId)
+        if (!candidate->entry.isDraining)
+            entries.push_back(&candidate->entry);
+    return entries;
+}
+
+std::vector<std::string> replica_table::services() const
+{
+    std::vector<std::string> names;
+    for (const auto &[service, pool] : m_pools)
+        if (!pool.byId.empty())
+            names.push_back(service);
+    return names;
+}
+
 std::uint32_t replica_table::running(const std::string &id) const
 {
     const auto found = m_replicas.find(id);
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -90,6 +90,15 @@
     /// @param sentAt when the attempt was sent.
     void recordEnd(const std::string &id, double promptMs, std::optional<bool> isGood, instant sentAt, instant now);
 
+    /// Records that a replica didn't respond as it should, apart from the end of the attempt.
+    void recordFailure(const std::string &id, instant now);
+
+    /// @returns the replicas of a service that aren't draining, ordered by id.
+    [[nodiscard]] std::vector<const replica_entry *> replicasOf(const std::string &service) const;
+
+    /// @returns the services that have replicas.
+    [[nodiscard]] std::vector<std::string> services() const;
+
     /// @returns the load of the replicas at which this host has outstanding requests.
     [[nodiscard]] std::vector<replica_load> ownLoad() const;
 
@@ -179,6 +188,7 @@
     [[nodiscard]] static replica *leastOf(const candidate_list &candidates, const score_function &score);
     /// @returns a number that is uniformly distributed in [0, most).
     [[nodiscard]] double noise(double most);
+    void recordFailure(const std::string &id, replica &target, instant now);
     void eject(const std::string &id, replica &target, instant now);
 
     std::string m_failureDomain;
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -86,7 +86,11 @@
     , m_listener(listener)
     , m_connectTimer(pool.loop(), [this] { finish(upstream_end::not_connected); })
 {
-    const stream_socket::handlers handlers{.onConnected = [this] { send(); },
+    const stream_socket::handlers handlers{.onConnected =
+                                               [this] {
+                                                   m_listener.onUpstreamConnected();
+                                                   send();
+                                               },
                                            .onReadable = [this] { onReadable(); },
                                            .onDrained = {},
                                            .onEnd =
--- a/src/upstream_exchange_p.h
+++ b/src/upstream_exchange_p.h
@@ -32,6 +32,7 @@
 {
 public:
     virtual ~upstream_listener() = default;
+    virtual void onUpstreamConnected() { } ///< a new connection was established; must not destroy the exchange
     virtual void onUpstreamHead(const message_head &head) = 0; ///< may destroy the exchange
     /// Must not destroy the exchange. @returns false to end it as malformed, because the response exceeds a limit.
     [[nodiscard]] virtual bool onUpstreamBody(std::string_view bytes) = 0;
