Brittle replicas: hosts keep to their part of the slots and of the rejections that a replica bears

Change: one more module behind replica_gate, asked before every request. While a replica is brittle, a host keeps its outstanding requests to slots / hosts, or, where the load of the others is known, to 0.8 of the slots with theirs; where there are more hosts than slots it spaces its requests. After a rejection it waits for hosts / N seconds. The number of hosts comes from the exchange of statements, or from the relays.

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -265,6 +265,8 @@
 {
     if (m_exclusion == send_exclusion::limited)
         return refusal::rate_limited;
+    if (m_exclusion == send_exclusion::full)
+        return refusal::full;
     return m_exclusion == send_exclusion::paused ? refusal::paused : refusal::no_replica;
 }
 
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -87,6 +87,7 @@
         unreachable,
         rate_limited,
         paused,
+        full,
         quarantined,
         not_run,
         failed,
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -41,9 +41,10 @@
         refusal_row{404, "unknown_route", false}, refusal_row{401, "unknown_key", false},
         refusal_row{400, "missing_id", false},    refusal_row{503, "no_replica", true},
         refusal_row{503, "unreachable", true},    refusal_row{503, "rate_limited", true},
-        refusal_row{503, "paused", true},         refusal_row{503, "quarantined", true},
-        refusal_row{503, "not_run", true},        refusal_row{502, "failed", false},
-        refusal_row{504, "deadline", false},      refusal_row{503, "stopping", true},
+        refusal_row{503, "paused", true},         refusal_row{503, "full", true},
+        refusal_row{503, "quarantined", true},    refusal_row{503, "not_run", true},
+        refusal_row{502, "failed", false},        refusal_row{504, "deadline", false},
+        refusal_row{503, "stopping", true},
     };
     static_assert(kRows.size() == static_cast<std::size_t>(refusal::count));
     return kRows[static_cast<std::size_t>(reason)];
@@ -97,6 +98,13 @@
                            {"stated_s", *m_statement.retryAfterSeconds},
                            {"bounded", effect.isPauseBounded}},
                           log_subject::request);
+    if (effect.hasBrittlenessChanged) {
+        nlohmann::ordered_json brittle{{"upstream", m_replica},
+                                       {"brittle", m_statement.bearableRejections.has_value()}};
+        if (m_statement.bearableRejections)
+            brittle["rejections_per_second"] = *m_statement.bearableRejections;
+        m_state.log.write("replica_brittle", brittle);
+    }
     if (!effect.hasLimitChanged)
         return;
     nlohmann::ordered_json fields{{"upstream", m_replica}};
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -81,6 +81,8 @@
         gauge(registry, "foxtaildyke_gateway_leaving_replicas", "Replicas that have stated that they leave");
     Gauge &pausedReplicas = gauge(registry, "foxtaildyke_gateway_paused_replicas",
                                   "Replicas that have stated that they want no requests for some time");
+    Gauge &brittleReplicas = gauge(registry, "foxtaildyke_gateway_brittle_replicas",
+                                   "Replicas that have stated that they fall over if they reject too many requests");
     Gauge &cutOffServices =
         gauge(registry, "foxtaildyke_gateway_cut_off_services", "Services of which this host reaches no replica");
     Gauge &detoursServed = gauge(registry, "foxtaildyke_gateway_detours_served", "Requests of other hosts in progress");
@@ -194,6 +196,11 @@
     m_impl->pausedReplicas.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::setBrittleReplicas(std::size_t count)
+{
+    m_impl->brittleReplicas.Set(static_cast<double>(count));
+}
+
 void gateway_metrics::setCutOffServices(std::size_t count)
 {
     m_impl->cutOffServices.Set(static_cast<double>(count));
--- a/src/gateway_metrics_p.h
+++ b/src/gateway_metrics_p.h
@@ -52,6 +52,7 @@
     void setLimitedReplicas(std::size_t count);
     void setLeavingReplicas(std::size_t count);
     void setPausedReplicas(std::size_t count);
+    void setBrittleReplicas(std::size_t count);
     void setCutOffServices(std::size_t count);
     void setDetoursServed(std::size_t count);
     void setDetourHosts(std::size_t count);
--- a/src/gateway_task_detours.cpp
+++ b/src/gateway_task_detours.cpp
@@ -141,6 +141,9 @@
                   [now](const auto &crash) { return now - crash.at >= reachability::kMaxDeferral; });
     m_metrics.setDetoursServed(m_state.detoursServed);
     m_metrics.setDetourHosts(m_state.detours.size());
+    if (m_state.detours.size() > 0)
+        m_state.gate.brittle().setHosts(std::max(m_fleetSize, m_state.detours.size() + 1));
+    m_metrics.setBrittleReplicas(m_state.gate.brittle().count());
     for (const auto &service : m_state.reach.cutOffServices())
         judgeReachability(service); // the replicas may have changed
     probeReplicas();
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -64,6 +64,7 @@
         m_state.replicas.setHosts(hosts);
         m_state.rollouts.setHosts(hosts);
         m_state.gate.limits().setHosts(hosts);
+        m_fleetSize = hosts;
     }
     std::vector<replica_load> ownLoad() const override { return m_state.replicas.ownLoad(); }
     void onOthersLoad(const shared_load &report) override { m_state.replicas.setOthersLoad(report, suspendAwareNow()); }
@@ -165,6 +166,7 @@
     evconnlistener *m_listener = nullptr;
     evconnlistener *m_detourListener = nullptr;
     detour_owner m_detourOwner{*this};
+    std::size_t m_fleetSize = 0; ///< estimate of the feed; 0: unknown, as in small fleets
     http_client m_hostClient; ///< for statements
     loop_timer m_probeTimer;
     bool m_isProbePending = false; ///< m_probeTimer runs
--- a/src/replica_gate.cpp
+++ b/src/replica_gate.cpp
@@ -7,6 +7,7 @@
 replica_gate::replica_gate(const std::string &host, std::uint64_t seed)
     : m_random(seed)
     , m_limits(host, m_random())
+    , m_brittle(m_random())
 {
 }
 
@@ -14,18 +15,22 @@
 {
     m_notices.setReplicas(replicas, now);
     m_limits.setReplicas(replicas, now);
+    for (const auto &entry : replicas)
+        m_brittle.setReplica(entry);
 }
 
 void replica_gate::setReplica(const replica_entry &entry, instant now)
 {
     m_notices.setReplica(entry);
     m_limits.setReplica(entry, now);
+    m_brittle.setReplica(entry);
 }
 
 void replica_gate::removeReplica(const std::string &id, instant now)
 {
     m_notices.removeReplica(id, now);
     m_limits.removeReplica(id, now);
+    m_brittle.removeReplica(id);
 }
 
 std::chrono::milliseconds replica_gate::drawPause(double seconds)
@@ -48,6 +53,13 @@
         effect.pause = drawPause(std::min(*statement.retryAfterSeconds, most));
         m_notices.recordPause(replica, now + *effect.pause, now);
     }
+    // Without the header, only a response that is certain to be the replica's ends its brittleness.
+    const bool isBrittlenessKnown = !statement.isUnusable(statement_field::bearable_rejections)
+        && (statement.bearableRejections || statement.isStamped);
+    if (isBrittlenessKnown)
+        effect.hasBrittlenessChanged = m_brittle.recordStatement(replica, statement.bearableRejections, now);
+    if (statement.hasNotRun)
+        m_brittle.recordRejection(replica.id, now);
     // Without a limit, only a response that is certain to be the replica's ends one.
     if (statement.isUnusable(statement_field::rate_limit) || (!statement.rateLimit && !statement.isStamped))
         return effect;
@@ -56,12 +68,14 @@
     return effect;
 }
 
-send_exclusion replica_gate::check(const std::string &replica, instant now)
+send_exclusion replica_gate::check(const std::string &replica, const slot_usage &usage, instant now)
 {
     if (m_notices.isLeaving(replica))
         return send_exclusion::leaving;
     if (m_notices.pausedUntil(replica, now))
         return send_exclusion::paused;
+    if (!m_brittle.hasRoom(replica, usage, now))
+        return send_exclusion::full;
     return m_limits.hasRoom(replica, now) ? send_exclusion::none : send_exclusion::limited;
 }
 
--- a/src/replica_statement_p.h
+++ b/src/replica_statement_p.h
@@ -12,11 +12,11 @@
 {
 
 /// Parts of a statement whose value can be unusable.
-enum class statement_field : std::uint8_t { leaving, retry_after, rate_limit, count };
+enum class statement_field : std::uint8_t { leaving, retry_after, rate_limit, bearable_rejections, count };
 
 template <>
 struct enum_names<statement_field> {
-    static constexpr std::array kNames{"leaving", "retry_after", "rate_limit"};
+    static constexpr std::array kNames{"leaving", "retry_after", "rate_limit", "bearable_rejections"};
 };
 
 /// A value that can't be used and has no effect.
@@ -33,6 +33,8 @@
     bool isLeaving = false; ///< it will exit and wants no further requests
     std::optional<double> retryAfterSeconds; ///< with a rejection: time for which it wants no requests from this host
     std::optional<double> rateLimit; ///< requests per second that it accepts from all hosts together; unset: no limit
+    /// Requests per second that it can reject for want of room without falling over; unset: it isn't brittle.
+    std::optional<double> bearableRejections;
     std::optional<std::uint64_t> confidence; ///< 0 to 100: the model's confidence in its output
     std::vector<unusable_statement> unusable;
 
--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -112,9 +112,11 @@
     return !isLeaving && hasRequestedVersion && !isExcluded;
 }
 
-send_exclusion replica_table::exclusionOf(const replica &candidate, const replica_query &query, instant now)
+send_exclusion replica_table::exclusionOf(const replica &candidate, const replica_query &query, instant now) const
 {
-    return query.gate ? query.gate->check(candidate.entry.id, now) : send_exclusion::none;
+    const auto mean = std::chrono::ceil<std::chrono::milliseconds>(durations(candidate.entry.service).mean());
+    const slot_usage usage{candidate.entry.slots, candidate.running, candidate.othersRunning, mean};
+    return query.gate ? query.gate->check(candidate.entry.id, usage, now) : send_exclusion::none;
 }
 
 send_exclusion replica_table::exclusion(const replica_query &query, instant now) const
@@ -144,7 +146,7 @@
     return eligible;
 }
 
-bool replica_table::mayGetRequest(const replica &candidate, const replica_query &query, instant now)
+bool replica_table::mayGetRequest(const replica &candidate, const replica_query &query, instant now) const
 {
     const bool isTried = query.tried && query.tried->contains(candidate.entry.id);
     return !isTried && exclusionOf(candidate, query, now) == send_exclusion::none;
@@ -152,7 +154,7 @@
 
 /// @returns this host's subset of the replicas that may get the request.
 replica_table::candidate_list replica_table::subset(const replica_pool &pool, const replica_query &query,
-                                                    std::size_t size, instant now)
+                                                    std::size_t size, instant now) const
 {
     candidate_list chosen;
     for (auto *candidate : pool.byRank) {
@@ -187,7 +189,7 @@
 }
 
 void replica_table::addPreferred(candidate_list &available, const replica_pool &pool, const replica_query &query,
-                                 instant now)
+                                 instant now) const
 {
     if (query.sharedPrefixHash == 0)
         return;
--- a/src/replica_table_p.h
+++ b/src/replica_table_p.h
@@ -164,15 +164,15 @@
     void addToPool(replica &added);
     void removeFromPool(replica &removed);
     [[nodiscard]] static bool isEligible(const replica &candidate, const replica_query &query);
-    [[nodiscard]] static send_exclusion exclusionOf(const replica &candidate, const replica_query &query, instant now);
+    [[nodiscard]] send_exclusion exclusionOf(const replica &candidate, const replica_query &query, instant now) const;
     [[nodiscard]] candidate_list candidates(const replica_query &query, instant now);
     [[nodiscard]] static candidate_list gatheredReplicas(const replica_pool &pool, const replica_query &query);
-    [[nodiscard]] static candidate_list subset(const replica_pool &pool, const replica_query &query, std::size_t size,
-                                               instant now);
+    [[nodiscard]] candidate_list subset(const replica_pool &pool, const replica_query &query, std::size_t size,
+                                        instant now) const;
     /// Adds the preferred replica for the prompt if it isn't in this host's subset.
-    static void addPreferred(candidate_list &available, const replica_pool &pool, const replica_query &query,
-                             instant now);
-    [[nodiscard]] static bool mayGetRequest(const replica &candidate, const replica_query &query, instant now);
+    void addPreferred(candidate_list &available, const replica_pool &pool, const replica_query &query,
+                      instant now) const;
+    [[nodiscard]] bool mayGetRequest(const replica &candidate, const replica_query &query, instant now) const;
     [[nodiscard]] static double meanOthersRunning(const candidate_list &replicas);
     [[nodiscard]] replica *earliestFirstToken(const candidate_list &available, const replica_query &query, instant now);
     [[nodiscard]] replica *earliestByOwnLoad(const candidate_list &available, const replica_query &query, instant now);
--- a/tests/test_replica_gate.cpp
+++ b/tests/test_replica_gate.cpp
@@ -159,7 +159,7 @@
     gate.setReplicas({entryOf("a"), entryOf("b")}, kStart);
     gate.recordStatement({"a", 1}, paused(8), kStart, kStart);
     gate.recordStatement({"b", 1}, paused(4), kStart, kStart);
-    CHECK(gate.check("a", kStart) == send_exclusion::paused);
+    CHECK(gate.check("a", {}, kStart) == send_exclusion::paused);
     std::set<std::int64_t> delays;
     for (int index = 0; index < 100; ++index) {
         const auto delay = gate.returnDelay("s", send_exclusion::paused, kStart);
@@ -169,7 +169,7 @@
     }
     CHECK(delays.size() > 50);
     gate.recordStatement({"b", 1}, leaving(), kStart, kStart);
-    CHECK(gate.check("b", kStart + seconds{60}) == send_exclusion::leaving);
+    CHECK(gate.check("b", {}, kStart + seconds{60}) == send_exclusion::leaving);
     CHECK(gate.returnDelay("s", send_exclusion::paused, kStart) >= seconds{8});
 }
 
@@ -295,7 +295,7 @@
         if (!draw(0.2))
             return;
         const auto index = m_random() % m_replicas.size();
-        if (each.gate->check(std::to_string(index), m_now) == send_exclusion::none)
+        if (each.gate->check(std::to_string(index), {}, m_now) == send_exclusion::none)
             send(each, index);
     }
 
