Detours: a request waits for the verdict instead of failing within a millisecond

Callers saw: when all connections were reset at once, a stream that had begun was broken off: the next three attempts were refused within a millisecond, before the host had judged that it is cut off, and no other host had stated yet what it reaches.

While connecting fails without a contact, attempts from the second failure on are 50 ms apart; in the first 400 ms of a cut, requests wait in such steps for a host that can serve them, and statements are exchanged every 50 ms. Otherwise rejections stay immediate.

--- a/src/detour_hosts_p.h
+++ b/src/detour_hosts_p.h
@@ -71,6 +71,9 @@
     static constexpr std::chrono::milliseconds kExchangeInterval{2000};
     /// The same while the host is cut off from a service, and chooses hosts by their statements.
     static constexpr std::chrono::milliseconds kUrgentExchangeInterval{300};
+    /// The same just after the host has found that it is cut off: others may have to connect to a replica to know
+    /// whether they reach it.
+    static constexpr std::chrono::milliseconds kFirstExchangeInterval{50};
     /// Hosts to exchange statements with at a time while cut off.
     static constexpr std::size_t kUrgentContacts = 4;
     /// Time after which a host of which nothing is heard is forgotten.
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -41,6 +41,7 @@
     , m_timer(state.loop, [this] { onDeadline(); })
     , m_evidenceTimer(state.loop, [this] { recordSlowAttempt(); })
     , m_silenceTimer(state.loop, [this] { onSilence(); })
+    , m_retryTimer(state.loop, [this] { attempt(); })
 {
 }
 
@@ -243,7 +244,10 @@
     }
     if (const auto host = chooseDetour())
         return sendDetour(*host);
-    if (m_state.reach.isCutOff(m_service) && !m_state.reach.hasLiveConnections(m_service, suspendAwareNow())) {
+    const auto now = suspendAwareNow();
+    if (m_state.reach.isCutOff(m_service) && !m_state.reach.hasLiveConnections(m_service, now)) {
+        if (!m_servedDetour && m_state.reach.isNewlyCutOff(m_service, now) && m_state.settings.detour.port != 0)
+            return m_retryTimer.start(kRetryDelay);
         if (m_hasStreamStarted)
             return abortResponse(refusal::unreachable);
         return refuse(m_mayHaveRun ? refusal::failed : refusal::unreachable);
@@ -414,6 +418,7 @@
     m_timer.stop();
     m_evidenceTimer.stop();
     m_silenceTimer.stop();
+    m_retryTimer.stop();
     if (std::exchange(m_countsAsDetour, false))
         --m_state.detoursServed;
     leaveQueue(); // this object lives until its connection is closed
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -261,6 +261,7 @@
     loop_timer m_timer;
     loop_timer m_evidenceTimer; ///< see startEvidenceTimer()
     loop_timer m_silenceTimer; ///< see onSilence()
+    loop_timer m_retryTimer; ///< delays the next attempt, see kRetryDelay
 
     /// Events of a stream that a replica has sent when it has survived the beginning of the response.
     static constexpr std::uint32_t kEventsForBegin = 2;
@@ -270,6 +271,11 @@
     static constexpr std::uint32_t kMinEventsForPace = 3;
     /// Number of failed connection attempts that don't count as sends, because the request reached no replica.
     static constexpr std::uint32_t kMaxConnectFailures = 4;
+    /// Delay of attempts while it is open whether this host reaches the service, or which other host does: about the
+    /// time of a round of probes that are refused.
+    static constexpr std::chrono::milliseconds kRetryDelay{50};
+    /// Failed connection attempts from which such a delay is used. After the first one the replica may have ended.
+    static constexpr std::uint32_t kFailuresToDelay = 2;
     /// Stream bytes buffered for a slow caller before reading from the replica is paused.
     static constexpr std::size_t kMaxCallerBacklogBytes = 128U << 10U;
 };
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -354,6 +354,8 @@
     case next_step::retry:
         if (m_model == 0 && !m_hasStreamStarted)
             chooseFirstModel(); // the retry may have used up what an escalation would need
+        if (m_connectFailures >= kFailuresToDelay && m_state.reach.isInDoubt(m_service))
+            return m_retryTimer.start(kRetryDelay);
         return attempt();
     case next_step::refuse:
         return refuse(refusal::not_run);
--- a/src/gateway_task_detours.cpp
+++ b/src/gateway_task_detours.cpp
@@ -81,7 +81,7 @@
     const auto replicas = m_state.replicas.replicasOf(service);
     std::vector<std::string> ids;
     std::ranges::transform(replicas, std::back_inserter(ids), [](const auto *entry) { return entry->id; });
-    const bool isNew = m_state.reach.judge(service, ids);
+    const bool isNew = m_state.reach.judge(service, ids, suspendAwareNow());
     logCutOffs(suspendAwareNow());
     if (isNew && m_settings.detour.port != 0)
         exchangeStatements(); // what the others reach now tells a cut from replicas that have failed
@@ -169,7 +169,13 @@
 {
     const auto now = suspendAwareNow();
     const bool isCutOff = !m_state.reach.cutOffServices().empty();
-    m_exchangeTimer.start(isCutOff ? detour_hosts::kUrgentExchangeInterval : detour_hosts::kExchangeInterval);
+    const auto isNew = [&](const std::string &service) {
+        return m_state.reach.isNewlyCutOff(service, now);
+    };
+    const bool isNewlyCutOff = std::ranges::any_of(m_state.reach.cutOffServices(), isNew);
+    m_exchangeTimer.start(isNewlyCutOff  ? detour_hosts::kFirstExchangeInterval
+                              : isCutOff ? detour_hosts::kUrgentExchangeInterval
+                                         : detour_hosts::kExchangeInterval);
     for (const auto &contact : m_state.detours.nextContacts(isCutOff, now)) {
         http_request call;
         call.endpoint = contact;
--- a/src/reachability.cpp
+++ b/src/reachability.cpp
@@ -81,6 +81,11 @@
         state.deferred.push_back({needed, since, now, std::move(blame)});
 }
 
+bool reachability::hasLostContact(const service_state &state)
+{
+    return state.failingSince && !hasContactSince(state, contact_kind::any, *state.failingSince);
+}
+
 /// @returns since when it has been open whether the host reaches the service; nothing if it isn't.
 std::optional<instant> reachability::doubtSince(const service_state &state)
 {
@@ -88,8 +93,7 @@
     const auto add = [&since](instant at) {
         since = std::min(since.value_or(at), at);
     };
-    const bool isWithoutContact = state.failingSince && !hasContactSince(state, contact_kind::any, *state.failingSince);
-    if (state.failingSince && (isWithoutContact || state.failed.size() >= kFailuresToProbe))
+    if (state.failingSince && (hasLostContact(state) || state.failed.size() >= kFailuresToProbe))
         add(*state.failingSince);
     for (const auto &failure : state.deferred)
         add(failure.at);
@@ -121,7 +125,7 @@
     m_services[service].probedAt = now;
 }
 
-bool reachability::judge(const std::string &service, const std::vector<std::string> &replicas)
+bool reachability::judge(const std::string &service, const std::vector<std::string> &replicas, instant now)
 {
     auto &state = m_services[service];
     const auto failed = std::ranges::count_if(replicas, [&state](const auto &id) { return state.failed.contains(id); });
@@ -129,7 +133,10 @@
     const bool wasCutOff = state.isCutOff;
     state.isCutOff = needed > 0 && static_cast<std::size_t>(failed) >= needed;
     state.isConfirmed = state.isConfirmed && state.isCutOff;
-    return state.isCutOff && !wasCutOff;
+    const bool isNew = state.isCutOff && !wasCutOff;
+    if (isNew)
+        state.cutOffAt = now;
+    return isNew;
 }
 
 void reachability::recordReplicaStarted(const std::string &service, const std::string &replica)
@@ -152,10 +159,16 @@
     return state && state->isCutOff;
 }
 
-bool reachability::isCutOffFromAll(const std::vector<std::string> &services) const
+bool reachability::isInDoubt(const std::string &service) const
+{
+    const auto *state = find(service);
+    return state && !state->isCutOff && hasLostContact(*state);
+}
+
+bool reachability::isNewlyCutOff(const std::string &service, instant now) const
 {
-    return !services.empty()
-        && std::ranges::all_of(services, [this](const auto &service) { return isCutOff(service); });
+    const auto *state = find(service);
+    return state && state->isCutOff && now - state->cutOffAt < kVerdictTime;
 }
 
 std::optional<instant> reachability::failingSince(const std::string &service) const
--- a/src/reachability_p.h
+++ b/src/reachability_p.h
@@ -57,7 +57,7 @@
     /// changed.
     /// @param replicas ids of the service's replicas.
     /// @returns whether the host is cut off and wasn't before.
-    bool judge(const std::string &service, const std::vector<std::string> &replicas);
+    bool judge(const std::string &service, const std::vector<std::string> &replicas, instant now);
 
     /// Records that a replica has started: failures to connect to it before say nothing.
     void recordReplicaStarted(const std::string &service, const std::string &replica);
@@ -70,8 +70,11 @@
     /// @returns whether no attempt to connect to the service's replicas succeeds.
     [[nodiscard]] bool isCutOff(const std::string &service) const;
 
-    /// @returns whether the host is cut off from each of these services, of which there must be one.
-    [[nodiscard]] bool isCutOffFromAll(const std::vector<std::string> &services) const;
+    /// @returns whether connecting has failed without a contact since, and the verdict is open.
+    [[nodiscard]] bool isInDoubt(const std::string &service) const;
+
+    /// @returns whether the host has been cut off for so short a time that it doesn't know yet who could help.
+    [[nodiscard]] bool isNewlyCutOff(const std::string &service, instant now) const;
 
     /// @returns the beginning of the first failed attempt to connect since the last one that succeeded.
     [[nodiscard]] std::optional<instant> failingSince(const std::string &service) const;
@@ -98,6 +101,8 @@
     static constexpr std::chrono::milliseconds kProbeDelay{30};
     /// Interval between rounds of probes while the host is cut off.
     static constexpr std::chrono::milliseconds kProbeInterval{500};
+    /// Time in which other hosts state what they reach, after this one has found that it is cut off.
+    static constexpr std::chrono::milliseconds kVerdictTime{400};
     /// Replicas to which connecting must have failed for the host to be cut off, if the service has as many.
     static constexpr std::size_t kReplicasToJudge = 5;
     /// Replicas to which connecting has failed at which a probe is due although responses arrive on other connections.
@@ -123,6 +128,7 @@
         std::set<std::string> failed; ///< replicas to which connecting has failed since connectedAt
         std::vector<deferred_failure> deferred;
         bool isCutOff = false;
+        instant cutOffAt{}; ///< when that was found
         bool isConfirmed = false; ///< see confirmCutOff()
     };
 
@@ -131,6 +137,8 @@
     static void release(service_state &state);
     [[nodiscard]] static bool hasContactSince(const service_state &state, contact_kind needed, instant since);
     [[nodiscard]] static std::optional<instant> doubtSince(const service_state &state);
+    /// @returns whether connecting has failed and there has been no contact since.
+    [[nodiscard]] static bool hasLostContact(const service_state &state);
 
     std::map<std::string, service_state, std::less<>> m_services;
 };
--- a/tests/test_detour_hosts.cpp
+++ b/tests/test_detour_hosts.cpp
@@ -136,6 +136,7 @@
         R"({"host":"h","address":"10.0.0.1:1","detours":0,"contacts":{"s":"x","t":-5,"u":1e99},"others":[1,{}]})");
     REQUIRE(odd.size() == 1);
     CHECK(odd[0].statement.contacts.empty());
+    setenv("RC_PARAMS", "seed=20261205 max_success=300", 0); // NOLINT(concurrency-mt-unsafe): single-threaded test
     CHECK(rc::check("any bytes", [](const std::string &text) { static_cast<void>(decodeStatements(text)); }));
 }
 
--- a/tests/test_reachability.cpp
+++ b/tests/test_reachability.cpp
@@ -41,10 +41,10 @@
     const auto at = kStart + seconds{1};
     host.failToConnect("r1", at);
     host.failToConnect("r2", at);
-    CHECK_FALSE(host.reach.judge("s", kReplicas));
+    CHECK_FALSE(host.reach.judge("s", kReplicas, kStart + seconds{2}));
     host.failToConnect("r3", at);
-    CHECK(host.reach.judge("s", kReplicas));
-    CHECK_FALSE(host.reach.judge("s", kReplicas)); // not new
+    CHECK(host.reach.judge("s", kReplicas, kStart + seconds{2}));
+    CHECK_FALSE(host.reach.judge("s", kReplicas, kStart + seconds{2})); // not new
     CHECK(host.reach.isCutOff("s"));
     CHECK(host.reach.failingSince("s") == at);
     CHECK_FALSE(host.reach.isCutOff("another"));
@@ -57,10 +57,10 @@
     for (int index = 0; index < 40; ++index)
         many.push_back("r" + std::to_string(index));
     for (std::size_t index = 0; index < reachability::kReplicasToJudge; ++index) {
-        CHECK_FALSE(host.reach.judge("s", many));
+        CHECK_FALSE(host.reach.judge("s", many, kStart + seconds{2}));
         host.failToConnect(many[index], kStart + seconds{1});
     }
-    CHECK(host.reach.judge("s", many));
+    CHECK(host.reach.judge("s", many, kStart + seconds{2}));
 }
 
 TEST_CASE("reachability: a connection that succeeds ends the cut, one that was begun before it doesn't")
@@ -69,7 +69,7 @@
     const auto at = kStart + seconds{1};
     for (const auto &replica : kReplicas)
         host.failToConnect(replica, at);
-    host.reach.judge("s", kReplicas);
+    host.reach.judge("s", kReplicas, kStart + seconds{2});
     host.reach.recordConnected("s", at - milliseconds{1}, at + seconds{1});
     CHECK(host.reach.isCutOff("s"));
     host.reach.recordConnected("s", at + seconds{1}, at + seconds{1});
@@ -106,7 +106,7 @@
     CHECK(host.reach.confirmCutOff("s") == 0); // it isn't cut off yet
     for (const auto &replica : kReplicas)
         host.failToConnect(replica, at);
-    host.reach.judge("s", kReplicas);
+    host.reach.judge("s", kReplicas, kStart + seconds{2});
     CHECK(host.reach.confirmCutOff("s") == 1);
     host.fail(contact_kind::any, at + seconds{1});
     host.reach.recordConnected("s", at + seconds{2}, at + seconds{2});
@@ -123,7 +123,7 @@
     host.fail(contact_kind::any, at);
     for (const auto &replica : kReplicas)
         host.failToConnect(replica, at);
-    host.reach.judge("s", kReplicas);
+    host.reach.judge("s", kReplicas, kStart + seconds{2});
     host.reach.recordConnected("s", at + seconds{2}, at + seconds{2});
     CHECK(host.blamed == 1);
 }
@@ -143,14 +143,31 @@
     CHECK(host.reach.isProbeDue("s", at + seconds{2}));
 }
 
+TEST_CASE("reachability: a host is in doubt until the verdict, and the verdict is new for a moment")
+{
+    host_view host;
+    const auto at = kStart + seconds{1};
+    CHECK_FALSE(host.reach.isInDoubt("s"));
+    host.failToConnect("r1", at);
+    CHECK(host.reach.isInDoubt("s"));
+    host.reach.recordReceived("s", at + milliseconds{1});
+    CHECK_FALSE(host.reach.isInDoubt("s"));
+    for (const auto &replica : kReplicas)
+        host.failToConnect(replica, at);
+    host.reach.judge("s", kReplicas, at + seconds{1});
+    CHECK_FALSE(host.reach.isInDoubt("s"));
+    CHECK(host.reach.isNewlyCutOff("s", at + seconds{1}));
+    CHECK_FALSE(host.reach.isNewlyCutOff("s", at + seconds{1} + reachability::kVerdictTime));
+}
+
 TEST_CASE("reachability: a replica that restarts ends the verdict")
 {
     host_view host;
     for (const auto &replica : kReplicas)
         host.failToConnect(replica, kStart + seconds{1});
-    host.reach.judge("s", kReplicas);
+    host.reach.judge("s", kReplicas, kStart + seconds{2});
     host.reach.recordReplicaStarted("s", "r2");
-    CHECK_FALSE(host.reach.judge("s", kReplicas));
+    CHECK_FALSE(host.reach.judge("s", kReplicas, kStart + seconds{2}));
     CHECK_FALSE(host.reach.isCutOff("s"));
 }
 
@@ -160,7 +177,7 @@
     const auto at = kStart + seconds{1};
     for (const auto &replica : kReplicas)
         host.failToConnect(replica, at);
-    host.reach.judge("s", kReplicas);
+    host.reach.judge("s", kReplicas, kStart + seconds{2});
     CHECK_FALSE(host.reach.hasLiveConnections("s", at + milliseconds{400}));
     host.reach.recordReceived("s", at + milliseconds{500});
     CHECK(host.reach.hasLiveConnections("s", at + milliseconds{600}));
