Ejected replicas: failures of attempts sent before the ejection add nothing

A replica that was silent for a second was used again only under load: attempts that had been waiting to connect counted as failures after the first one had ejected it, and an idle host prefers replicas without failures, for as long as it sends them nothing.

New test "silent replica: one that says nothing for a second is waited for, and nothing is sent twice": 12 requests, 12 served, 12 received; before, one of three replicas was not used in the 60 requests after it.

--- a/src/replica_table.cpp
+++ b/src/replica_table.cpp
@@ -449,6 +449,8 @@
 
 void replica_table::recordFailure(const std::string &id, replica &target, instant now)
 {
+    if (target.ejectedUntil > now)
+        return; // sent before the ejection, to which it adds nothing
     target.failureRate += kFailureWeight * (1.0 - target.failureRate);
     ++target.consecutiveFailures;
     if (target.consecutiveFailures >= kFailuresToEject || target.failureRate >= kFailureRateToEject)
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -83,7 +83,8 @@
 {
     const host_ports ports{testing::reservePort(), testing::reservePort(), testing::reservePort()};
     m_moreHosts.push_back(startProgram(writeSettings(host, ports, other, moreSettings)));
-    REQUIRE(runUntil([&] { return get(ports.readiness, "/v1/readyz").status == 200; }));
+    m_lastReadinessPort = ports.readiness;
+    REQUIRE(runUntil([&] { return readiness(ports.readiness) == 200; }));
     return ports.callers;
 }
 
@@ -165,9 +166,9 @@
     return response.value_or(http_response{});
 }
 
-int gateway_process::readiness()
+int gateway_process::readiness(std::uint16_t port)
 {
-    return get(m_readinessPort, "/v1/readyz").status;
+    return get(port, "/v1/readyz").status;
 }
 
 std::string gateway_process::metrics()
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -25,6 +25,8 @@
 
     [[nodiscard]] testing::child_process &process() { return *m_process; }
     void signal(int number) const { m_process->signal(number); }
+    /// @returns the process of a further host, in the order in which they were added.
+    [[nodiscard]] testing::child_process &hostProcess(std::size_t index) { return *m_moreHosts.at(index); }
     /// Runs the loop until the process ends. @returns its exit code.
     std::optional<int> waitExit();
 
@@ -46,7 +48,10 @@
     received_response sendRequest(const std::string &request) { return sendRequest(request, callerPort); }
     received_response sendRequest(const std::string &request, std::uint16_t port);
     /// @returns the status of a GET request to the readiness address; 0: no response.
-    int readiness();
+    int readiness() { return readiness(m_readinessPort); }
+    int readiness(std::uint16_t port);
+    /// @returns the readiness port of the host that was added last.
+    [[nodiscard]] std::uint16_t lastReadinessPort() const { return m_lastReadinessPort; }
     /// @returns the response body of the metrics address.
     std::string metrics();
     /// @returns whether the log has a line that contains both texts.
@@ -72,6 +77,7 @@
     std::string m_moreSettings;
     std::uint16_t m_readinessPort = 0;
     std::uint16_t m_metricsPort = 0;
+    std::uint16_t m_lastReadinessPort = 0;
     http_client m_client{loop};
     std::unique_ptr<testing::child_process> m_process;
     std::vector<std::unique_ptr<testing::child_process>> m_moreHosts;
--- a/tests/test_detour_path.cpp
+++ b/tests/test_detour_path.cpp
@@ -1,5 +1,6 @@
 // Requests that a host which is cut off from the replicas sends through another one: two gateways in one process, of
 // which the first reaches the replicas over links that the test cuts.
+#include "failure_support.h"
 #include "gateway_harness.h"
 #include "severable_link.h"
 #include "wire_names.h"
@@ -119,7 +120,7 @@
     }
 
     /// @returns a newer configuration whose routes have this timeout.
-    static std::shared_ptr<gateway_config> shortened(milliseconds timeout)
+    static std::shared_ptr<gateway_config> withTimeout(milliseconds timeout)
     {
         auto config = gateway_harness::makeConfig(2);
         for (auto &route : config->routes)
@@ -136,8 +137,8 @@
         return sum;
     }
 
-    std::uint16_t ownPort = reservedPort();
-    std::uint16_t helperPort = reservedPort();
+    std::uint16_t ownPort = testing::reservePort();
+    std::uint16_t helperPort = testing::reservePort();
     scripted_feed helperFeed;
     scripted_feed ownFeed;
     std::vector<std::unique_ptr<scripted_replica>> replicas;
@@ -154,14 +155,6 @@
                                 confirm();
                             }};
 
-    /// @returns a free port, of which a listener with SO_REUSEADDR can take possession.
-    static std::uint16_t reservedPort()
-    {
-        test_loop temporary;
-        scripted_replica listener(temporary.loop, "x", {});
-        return listener.entry("s").address.port;
-    }
-
     gateway_task helper; ///< reaches the replicas
     gateway_task own; ///< reaches them over the links
 };
@@ -218,7 +211,7 @@
     hosts.respond = [](const received_request &) {
         return replica_script{.bytes = "", .delay = seconds{30}};
     };
-    hosts.configure(two_gateways::shortened(milliseconds{300}));
+    hosts.configure(two_gateways::withTimeout(milliseconds{300}));
     const auto caller = hosts.start("/once/b");
     REQUIRE(hosts.runUntil([&] { return hosts.receivedCount("/once/b") == 1; }));
     const auto response = hosts.finish(*caller);
@@ -327,3 +320,34 @@
     CHECK(hosts.request("/safe/c").head.status == 200);
     CHECK(hosts.connections() > before);
 }
+
+TEST_CASE("silent replica: one that says nothing for a second is waited for, and nothing is sent twice")
+{
+    two_gateways hosts;
+    hosts.configure(two_gateways::withTimeout(seconds{3}));
+    for (int request = 0; request < 6; ++request)
+        CHECK(hosts.request("/once/a").head.status == 200);
+    std::vector<std::unique_ptr<scripted_caller>> callers;
+    hosts.received.clear();
+    hosts.links.front()->cut(cut_form::silent);
+    for (int index = 0; index < 12; ++index)
+        callers.push_back(hosts.start(index % 2 == 0 ? "/once/b" : "/stream/b"));
+    hosts.runFor(milliseconds{1200});
+    hosts.links.front()->heal();
+    std::size_t served = 0;
+    for (const auto &caller : callers) {
+        const auto response = hosts.finish(*caller);
+        served += response.head.status == 200 ? 1 : 0;
+    }
+    CHECK(served == callers.size());
+    CHECK(hosts.received.size() == callers.size());
+    hosts.runFor(seconds{1});
+    std::set<std::string> used;
+    hosts.respond = [&used](const received_request &request) {
+        used.insert(std::string(request.head.header("Foxtaildyke-Expect-Replica")));
+        return replica_script{responseText(200, std::string(request.head.header("Foxtaildyke-Request-Id")), "x")};
+    };
+    for (int request = 0; request < 60; ++request)
+        CHECK(hosts.request("/safe/c").head.status == 200);
+    CHECK(used.size() == two_gateways::kReplicas);
+}
