--- a/tests/severable_link.cpp
+++ b/tests/severable_link.cpp
@@ -44,7 +44,7 @@
         setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
     }
 
-    stream_socket::handlers handlersFor(std::function<stream_socket *()> peer)
+    stream_socket::handlers handlersFor(const std::function<stream_socket *()> &peer)
     {
         const auto forward = [this, peer] {
             auto &from = peer() == &host ? *target : host;
--- a/tests/test_crash_registry.cpp
+++ b/tests/test_crash_registry.cpp
@@ -39,6 +39,25 @@
     CHECK_FALSE(blockedFor(registry, kRequest + 1, 10s));
 }
 
+TEST_CASE("crash registry: crashes that a cut of the host has feigned are withdrawn, others stay")
+{
+    crash_registry registry("host-0");
+    const std::vector<std::uint64_t> parts{7};
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        registry.recordCrash(kRequest, crash, 1s);
+        registry.recordPartCrash(parts, crash, true, 1s);
+    }
+    CHECK(blockedFor(registry, kRequest, 1s));
+    CHECK(blockedFor(registry, 7, 1s));
+    registry.withdrawCrashes({2, 3}, 2s);
+    CHECK_FALSE(blockedFor(registry, kRequest, 2s));
+    CHECK_FALSE(blockedFor(registry, 7, 2s));
+    CHECK(registry.crashes(kRequest) == 1);
+    registry.withdrawCrashes({1}, 3s);
+    CHECK(registry.crashes(kRequest) == 0);
+    CHECK(registry.ownReports().empty());
+}
+
 TEST_CASE("crash registry: a replica that restarts under its id can crash again, and hosts agree on the crash")
 {
     replica_entry replica;
--- a/tests/test_detour_path.cpp
+++ b/tests/test_detour_path.cpp
@@ -327,10 +327,12 @@
     hosts.configure(two_gateways::withTimeout(seconds{3}));
     for (int request = 0; request < 6; ++request)
         CHECK(hosts.request("/once/a").head.status == 200);
+    constexpr std::size_t kCallers = 12;
     std::vector<std::unique_ptr<scripted_caller>> callers;
+    callers.reserve(kCallers);
     hosts.received.clear();
     hosts.links.front()->cut(cut_form::silent);
-    for (int index = 0; index < 12; ++index)
+    for (std::size_t index = 0; index < kCallers; ++index)
         callers.push_back(hosts.start(index % 2 == 0 ? "/once/b" : "/stream/b"));
     hosts.runFor(milliseconds{1200});
     hosts.links.front()->heal();
--- a/tests/test_reachability.cpp
+++ b/tests/test_reachability.cpp
@@ -53,8 +53,10 @@
 TEST_CASE("reachability: of a large service, failures at five replicas are enough")
 {
     host_view host;
+    constexpr int kCount = 40;
     std::vector<std::string> many;
-    for (int index = 0; index < 40; ++index)
+    many.reserve(kCount);
+    for (int index = 0; index < kCount; ++index)
         many.push_back("r" + std::to_string(index));
     for (std::size_t index = 0; index < reachability::kReplicasToJudge; ++index) {
         CHECK_FALSE(host.reach.judge("s", many, kStart + seconds{2}));
--- a/tests/test_replica_gate.cpp
+++ b/tests/test_replica_gate.cpp
@@ -54,6 +54,7 @@
                                                        {{"Server-Leaving", " 1 "},
                                                         {"Retry-After", "2.5"},
                                                         {"Server-Limit", "12"},
+                                                        {"Server-Brittle", "5"},
                                                         {"Foxtaildyke-Not-Executed", "1"},
                                                         {"Foxtaildyke-Server-Stamp", "s"},
                                                         {"Foxtaildyke-Confidence", "70"}}));
@@ -62,6 +63,7 @@
     CHECK(full.isStamped);
     CHECK(full.retryAfterSeconds == 2.5);
     CHECK(full.rateLimit == 12);
+    CHECK(full.bearableRejections == 5);
     CHECK(full.confidence == 70);
     CHECK(full.unusable.empty());
     // A time to come back only counts in a rejection.
@@ -78,17 +80,42 @@
     CHECK(bad.isUnusable(statement_field::retry_after));
 }
 
+TEST_CASE("brittle replica: a rejection keeps every request of this host away, until the replica states it no longer")
+{
+    replica_gate gate("host", 1);
+    gate.setReplicas({entryOf("r")}, kStart);
+    const slot_usage usage{64, 0, std::nullopt};
+    replica_statement rejection;
+    rejection.hasNotRun = true;
+    gate.recordStatement({"r", 1}, rejection, kStart, kStart);
+    CHECK(gate.check("r", usage, kStart) == send_exclusion::none);
+    rejection.bearableRejections = 2;
+    CHECK(gate.recordStatement({"r", 1}, rejection, kStart, kStart).hasBrittlenessChanged);
+    CHECK(gate.check("r", usage, kStart + seconds{1}) == send_exclusion::full);
+    // A response without stamp may come from anybody.
+    CHECK_FALSE(gate.recordStatement({"r", 1}, {}, kStart, kStart).hasBrittlenessChanged);
+    CHECK(gate.check("r", usage, kStart + seconds{1}) == send_exclusion::full);
+    replica_statement sound;
+    sound.isStamped = true;
+    CHECK(gate.recordStatement({"r", 1}, sound, kStart, kStart).hasBrittlenessChanged);
+    CHECK(gate.check("r", usage, kStart + seconds{1}) == send_exclusion::none);
+}
+
 TEST_CASE("replica statement: any text in the headers is decoded to a bounded value or none (property)")
 {
     rc::check([](const std::string &text, const std::string &digits, int status) {
         std::string fraction = digits;
         fraction.append(".").append(digits);
         for (const auto &value : {text, digits, fraction, "-" + digits}) {
-            const auto statement = platform::decodeStatement(headOf(
-                std::abs(status % 600), {{"Server-Leaving", value}, {"Retry-After", value}, {"Server-Limit", value}}));
+            const auto statement = platform::decodeStatement(headOf(std::abs(status % 600),
+                                                                    {{"Server-Leaving", value},
+                                                                     {"Retry-After", value},
+                                                                     {"Server-Limit", value},
+                                                                     {"Server-Brittle", value}}));
             RC_ASSERT(statement.retryAfterSeconds.value_or(0) >= 0);
             RC_ASSERT(statement.rateLimit.value_or(0) >= 0);
-            RC_ASSERT(statement.unusable.size() <= 3);
+            RC_ASSERT(statement.bearableRejections.value_or(0) >= 0);
+            RC_ASSERT(statement.unusable.size() <= 4);
             replica_gate gate("host", 1);
             gate.setReplicas({entryOf("r")}, kStart);
             const auto effect = gate.recordStatement({"r", 1}, statement, kStart, kStart);
