Detours: a request waits while a configuration spreads, instead of being rejected

Found by reading: a host that had just learned of a configuration sent requests through hosts that hadn't; these refused, weren't asked again for a second, and callers were rejected meanwhile, at each change of the configuration. Now the refusal says why.

New tests: a request while a configuration spreads; a bounded number of requests served for another host. The former code wasn't run against the first one.

--- a/src/detour_hosts.cpp
+++ b/src/detour_hosts.cpp
@@ -26,9 +26,9 @@
     m_hosts[statement.host] = {statement, statedAt};
 }
 
-void detour_hosts::recordFailure(const http_endpoint &address, instant now)
+void detour_hosts::recordFailure(const http_endpoint &address, instant now, std::chrono::milliseconds pause)
 {
-    m_pausedUntil[address] = now + kFailurePause;
+    m_pausedUntil[address] = now + pause;
 }
 
 void detour_hosts::recordEnd(const http_endpoint &address)
--- a/src/detour_hosts_p.h
+++ b/src/detour_hosts_p.h
@@ -39,8 +39,8 @@
     /// @param statedAt when it was stated.
     void record(const host_statement &statement, instant statedAt);
 
-    /// Records that a host could not be reached, or refused a request: it isn't chosen for kFailurePause.
-    void recordFailure(const http_endpoint &address, instant now);
+    /// Records that a host could not be reached, or refused a request: it isn't chosen for some time.
+    void recordFailure(const http_endpoint &address, instant now, std::chrono::milliseconds pause = kFailurePause);
 
     /// Counts a request that this host sends through another one.
     void recordStart(const http_endpoint &address) { ++m_outstanding[address]; }
@@ -81,6 +81,8 @@
     /// Age of a statement up to which a host is chosen by it.
     static constexpr std::chrono::seconds kMaxAge{6};
     static constexpr std::chrono::milliseconds kFailurePause{1000};
+    /// The same after a refusal that ends soon, such as an older configuration.
+    static constexpr std::chrono::milliseconds kBriefPause{40};
     /// Statements passed on in one exchange.
     static constexpr std::size_t kSampleSize = 4;
     /// Maximum number of hosts known.
--- a/src/detour_wire.cpp
+++ b/src/detour_wire.cpp
@@ -17,7 +17,7 @@
 constexpr std::string_view kGeneration = "Detour-Generation";
 constexpr std::string_view kSends = "Detour-Sends";
 constexpr std::string_view kModel = "Detour-Model";
-constexpr std::string_view kRefused = "Detour-Refused";
+constexpr std::string_view kRefused = "Detour-Refused"; ///< name of a detour_refusal
 constexpr std::string_view kReplica = "Detour-Replica"; ///< "STARTED_AT_MS ID"
 
 constexpr std::array kAll{kHost, kService, kGeneration, kSends, kModel, kRefused, kReplica};
@@ -134,15 +134,21 @@
         headers.emplace_back(kModel, std::to_string(*response.model));
 }
 
-http_headers refusedDetourHeaders()
+http_headers refusedDetourHeaders(detour_refusal refusal)
 {
-    return {{std::string(kRefused), "1"}};
+    return {{std::string(kRefused), std::string(nameOf(refusal))}};
 }
 
 detour_response takeDetourResponse(message_head &head)
 {
     detour_response response;
-    response.isRefused = !head.header(kRefused).empty();
+    const auto refused = head.header(kRefused);
+    const auto &names = enum_names<detour_refusal>::kNames;
+    const auto refusal = std::ranges::find(names, refused);
+    if (refusal != names.end())
+        response.refusal = static_cast<detour_refusal>(refusal - names.begin());
+    else if (!refused.empty())
+        response.refusal = detour_refusal::busy; // a reason of a newer build
     response.replica = parseReplica(head.header(kReplica));
     response.model = parseNumber(head.header(kModel));
     removeDetourHeaders(head);
--- a/src/detour_wire_p.h
+++ b/src/detour_wire_p.h
@@ -20,9 +20,23 @@
     std::optional<std::size_t> model; ///< index of the model of a stream that has begun
 };
 
+/// Why a host doesn't try to serve another one's request.
+enum class detour_refusal : std::uint8_t {
+    none, ///< it does
+    outdated, ///< it knows an older configuration, or can't confirm the one it knows; others may soon know it
+    cut_off, ///< it doesn't reach the service either
+    busy, ///< it serves as many already as it may
+    count
+};
+
+template <>
+struct enum_names<detour_refusal> {
+    static constexpr std::array kNames{"none", "outdated", "cut_off", "busy"};
+};
+
 /// What the host that serves a request tells the one that received it.
 struct detour_response {
-    bool isRefused = false; ///< it has not tried: it doesn't reach the service either, is busy, or knows less
+    detour_refusal refusal = detour_refusal::none;
     std::optional<replica_run> replica; ///< that responded
     std::optional<std::size_t> model; ///< index of the model that did
 };
@@ -38,7 +52,7 @@
 
 /// Adds headers to a replica's response, for the host that received the request.
 void addDetourResponse(http_headers &headers, const detour_response &response);
-[[nodiscard]] http_headers refusedDetourHeaders();
+[[nodiscard]] http_headers refusedDetourHeaders(detour_refusal refusal);
 
 /// Removes what the other host has added to a response. @returns what it was.
 [[nodiscard]] detour_response takeDetourResponse(message_head &head);
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -60,7 +60,7 @@
     if (m_state.hasStarted())
         return process();
     if (m_servedDetour)
-        return refuseDetour();
+        return refuseDetour(detour_refusal::outdated);
     const auto now = suspendAwareNow();
     const auto wait = m_state.starting.waitTime(now, m_metadata.timeout.value_or(start_queue::kMaxWait));
     if (wait <= std::chrono::milliseconds{0})
@@ -78,8 +78,8 @@
 
 void gateway_exchange::process()
 {
-    if (m_servedDetour && !canServeDetour())
-        return refuseDetour();
+    if (const auto refusal = checkDetour(); refusal != detour_refusal::none)
+        return refuseDetour(refusal);
     if (const auto reason = validate())
         return refuse(*reason);
     const auto wait = std::min(m_route->timeout, m_metadata.timeout.value_or(m_route->timeout));
@@ -246,8 +246,10 @@
         return sendDetour(*host);
     const auto now = suspendAwareNow();
     if (m_state.reach.isCutOff(m_service) && !m_state.reach.hasLiveConnections(m_service, now)) {
-        if (!m_servedDetour && m_state.reach.isNewlyCutOff(m_service, now) && m_state.settings.detour.port != 0)
+        if (mayHostHelpSoon(now)) {
+            m_triedHosts.clear();
             return m_retryTimer.start(kRetryDelay);
+        }
         if (m_hasStreamStarted)
             return abortResponse(refusal::unreachable);
         return refuse(m_mayHaveRun ? refusal::failed : refusal::unreachable);
--- a/src/gateway_exchange_detour.cpp
+++ b/src/gateway_exchange_detour.cpp
@@ -51,7 +51,7 @@
     m_replicaVersion.clear();
     m_detour = host;
     m_triedHosts.insert(host);
-    m_isDetourRefused = false;
+    m_detourRefusal = detour_refusal::none;
     m_state.detours.recordStart(host);
     m_state.log.write("detour",
                       {{"request_id", m_metadata.id},
@@ -71,7 +71,7 @@
     m_firstByteAt = suspendAwareNow();
     m_response = head;
     const auto detour = takeDetourResponse(m_response);
-    m_isDetourRefused = detour.isRefused;
+    m_detourRefusal = detour.refusal;
     m_statement = m_state.headerNames.decodeStatement(m_response);
     if (detour.replica) {
         // This host will send to the replica again, and must know what it has stated to the caller.
@@ -87,7 +87,8 @@
 
 attempt_result gateway_exchange::classifyDetour(upstream_end end)
 {
-    if (end == upstream_end::not_connected || (end == upstream_end::complete && m_isDetourRefused))
+    const bool isRefused = end == upstream_end::complete && m_detourRefusal != detour_refusal::none;
+    if (end == upstream_end::not_connected || isRefused)
         return attempt_result::not_connected; // no replica has received the request
     if (end == upstream_end::malformed)
         return attempt_result::unusable;
@@ -109,11 +110,14 @@
     m_state.metrics.recordDetour(nameOf(result));
     if (result != attempt_result::answered) {
         clearBody();
-        m_state.detours.recordFailure(host, suspendAwareNow());
+        const bool isBrief = m_detourRefusal == detour_refusal::outdated;
+        m_state.detours.recordFailure(host, suspendAwareNow(),
+                                      isBrief ? detour_hosts::kBriefPause : detour_hosts::kFailurePause);
         m_state.log.write("detour_failed",
                           {{"request_id", m_metadata.id},
                            {"host", textOf(host)},
-                           {"result", m_isDetourRefused ? "refused" : nameOf(result)},
+                           {"result", nameOf(result)},
+                           {"refusal", nameOf(m_detourRefusal)},
                            {"ms", (suspendAwareNow() - m_sentAt).count() / 1000}},
                           log_subject::request);
     }
@@ -131,17 +135,29 @@
     passOn("detoured");
 }
 
-bool gateway_exchange::canServeDetour() const
+bool gateway_exchange::mayHostHelpSoon(instant now) const
 {
-    const auto &detour = *m_servedDetour;
-    return m_config->version >= detour.generation && m_state.hasKeyLease(suspendAwareNow())
-        && !m_state.reach.isCutOff(detour.service) && m_state.detoursServed < kMaxDetoursServed;
+    if (m_servedDetour || m_state.settings.detour.port == 0)
+        return false;
+    const bool mayTryAgain = m_detourRefusal == detour_refusal::outdated && m_connectFailures < kMaxConnectFailures;
+    return mayTryAgain || m_state.reach.isNewlyCutOff(m_service, now);
 }
 
-void gateway_exchange::refuseDetour()
+detour_refusal gateway_exchange::checkDetour() const
+{
+    if (!m_servedDetour)
+        return detour_refusal::none;
+    if (m_config->version < m_servedDetour->generation || !m_state.hasKeyLease(suspendAwareNow()))
+        return detour_refusal::outdated;
+    if (m_state.reach.isCutOff(m_servedDetour->service))
+        return detour_refusal::cut_off;
+    return m_state.detoursServed < kMaxDetoursServed ? detour_refusal::none : detour_refusal::busy;
+}
+
+void gateway_exchange::refuseDetour(detour_refusal refusal)
 {
     finish(http_status::kServiceUnavailable, "detour_refused");
-    auto headers = refusedDetourHeaders();
+    auto headers = refusedDetourHeaders(refusal);
     headers.emplace_back(m_state.headerNames.requestId, m_metadata.id);
     m_callerResponse.sendResponse(http_status::kServiceUnavailable, headers, {});
 }
@@ -152,7 +168,7 @@
     auto headers = forwardedResponseHeaders(m_response);
     if (m_servedDetour) {
         const auto model = m_route->models.empty() ? std::nullopt : std::optional(m_model);
-        addDetourResponse(headers, {false, replica_run{m_replica, m_replicaStartedAtMs}, model});
+        addDetourResponse(headers, {detour_refusal::none, replica_run{m_replica, m_replicaStartedAtMs}, model});
     }
     return headers;
 }
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -145,10 +145,12 @@
     void onDetourEnd(upstream_end end);
     [[nodiscard]] attempt_result classifyDetour(upstream_end end);
     void forwardDetourResponse();
-    /// @returns whether this host may serve a request that another host has received.
-    [[nodiscard]] bool canServeDetour() const;
+    /// @returns whether a host may be able to serve the request in a moment, though none is known to be now.
+    [[nodiscard]] bool mayHostHelpSoon(instant now) const;
+    /// @returns why this host doesn't serve a request that another host has received, or none.
+    [[nodiscard]] detour_refusal checkDetour() const;
     /// Tells the other host that the request hasn't been tried.
-    void refuseDetour();
+    void refuseDetour(detour_refusal refusal);
     [[nodiscard]] http_headers responseHeaders() const;
 
     void logAttempt() const;
@@ -244,7 +246,7 @@
     std::optional<detour_request> m_servedDetour; ///< another host has received the request
     bool m_countsAsDetour = false; ///< in gateway_state::detoursServed
     std::optional<http_endpoint> m_detour; ///< host to which the current attempt is sent; unset: to a replica
-    bool m_isDetourRefused = false; ///< by that host
+    detour_refusal m_detourRefusal = detour_refusal::none; ///< by the last host
     std::set<http_endpoint> m_triedHosts;
 
     std::set<std::string> m_triedReplicas;
--- a/tests/test_detour_hosts.cpp
+++ b/tests/test_detour_hosts.cpp
@@ -176,15 +176,17 @@
 {
     message_head head;
     head.headers = {{"Content-Type", "text/plain"}};
-    addDetourResponse(head.headers, {false, replica_run{"i-1 2", 1700}, 2});
+    addDetourResponse(head.headers, {detour_refusal::none, replica_run{"i-1 2", 1700}, 2});
     const auto taken = takeDetourResponse(head);
     REQUIRE(taken.replica);
     CHECK(taken.replica->id == "i-1 2");
     CHECK(taken.replica->startedAtMs == 1700);
     CHECK(taken.model == 2);
-    CHECK_FALSE(taken.isRefused);
+    CHECK(taken.refusal == detour_refusal::none);
     CHECK(head.headers.size() == 1);
-    head.headers = refusedDetourHeaders();
-    CHECK(takeDetourResponse(head).isRefused);
+    head.headers = refusedDetourHeaders(detour_refusal::outdated);
+    CHECK(takeDetourResponse(head).refusal == detour_refusal::outdated);
     CHECK(head.headers.empty());
+    head.headers = {{"Detour-Refused", "for a reason of a newer build"}};
+    CHECK(takeDetourResponse(head).refusal != detour_refusal::none);
 }
--- a/tests/test_detour_path.cpp
+++ b/tests/test_detour_path.cpp
@@ -175,6 +175,7 @@
     const auto &head = hosts.received.front().head;
     CHECK(head.header("Foxtaildyke-Tenant") == "account-1");
     CHECK(head.header("Authorization").empty());
+    CHECK(std::stoi(std::string(head.header("Foxtaildyke-Deadline-Ms"))) <= 1000); // the route's timeout
     CHECK_FALSE(head.header("Foxtaildyke-Expect-Replica").empty());
     CHECK(std::ranges::none_of(head.headers, [](const auto &entry) { return entry.first.starts_with("Detour-"); }));
     CHECK(hosts.received.front().body == "the body");
@@ -252,6 +253,31 @@
     CHECK(suspendAwareNow() - before < milliseconds{500});
 }
 
+TEST_CASE("detour: a host serves a bounded number of another one's requests, the rest is rejected at once as not run")
+{
+    constexpr std::size_t kServed = 256;
+    constexpr std::size_t kMore = 40;
+    two_gateways hosts;
+    hosts.configure(two_gateways::withTimeout(seconds{8}));
+    hosts.cutAndWait();
+    hosts.respond = [](const received_request &) {
+        return replica_script{.bytes = "", .delay = seconds{30}};
+    };
+    std::vector<std::unique_ptr<scripted_caller>> callers;
+    callers.reserve(kServed + kMore);
+    for (std::size_t index = 0; index < kServed; ++index)
+        callers.push_back(hosts.start("/once/b"));
+    REQUIRE(hosts.runUntil([&] { return hosts.receivedCount("/once/b") == kServed; }));
+    for (std::size_t index = 0; index < kMore; ++index)
+        callers.push_back(hosts.start("/once/b"));
+    for (std::size_t index = kServed; index < callers.size(); ++index) {
+        const auto response = hosts.finish(*callers[index]);
+        CHECK(response.head.status == 503);
+        CHECK_FALSE(response.head.header("Retry-After").empty());
+    }
+    CHECK(hosts.receivedCount("/once/b") == kServed);
+}
+
 TEST_CASE("detour: a host that knows an older configuration doesn't serve another one's request")
 {
     two_gateways hosts;
@@ -267,6 +293,21 @@
     REQUIRE(hosts.runUntil([&] { return hosts.request("/once/b").head.status == 200; }));
 }
 
+TEST_CASE("detour: a request that arrives while a configuration spreads is served once the other host knows it")
+{
+    two_gateways hosts;
+    hosts.cutAndWait();
+    hosts.runFor(seconds{1}); // the cut isn't new any more
+    const auto newer = gateway_harness::makeConfig(2);
+    hosts.ownFeed.listener->onConfig(newer);
+    hosts.ownFeed.listener->onConfigConfirmed(suspendAwareNow());
+    const auto caller = hosts.start("/once/b");
+    hosts.runFor(milliseconds{60});
+    hosts.helperFeed.listener->onConfig(newer);
+    CHECK(hosts.finish(*caller).head.status == 200);
+    CHECK(hosts.receivedCount("/once/b") == 1);
+}
+
 TEST_CASE("detour: a replica that states to a detour that it leaves gets nothing from either host afterwards")
 {
     two_gateways hosts;
