--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -454,6 +454,41 @@
                          "for", answer.request)
         return answer
 
+    async def kept_channel(self, index, path, until, answers, deadline_ms=1500):
+        """Sends requests one after another on one channel, as a client that keeps it, until a time of the record.
+
+        A channel that ends without an answer, although its request was sent, is recorded with status 0."""
+        while self.record.now() < until:
+            try:
+                reader, writer = await asyncio.open_connection(self.ips[index], self.port)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            used = 0
+            while self.record.now() < until:
+                answer = Answer("%016x" % next(self.ids), self.record.now())
+                answer.kept = used > 0
+                text = (f"POST {path} HTTP/1.1\r\nHost: ficu95.example\r\nFoxtaildyke-Request-Id: {answer.request}\r\n"
+                        f"Foxtaildyke-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n"
+                        "Content-Length: 2\r\n\r\n{}")
+                self.record.line("client sends", answer.request, path, "to", f"edge-{index + 1}")
+                try:
+                    writer.write(text.encode())
+                    head = await asyncio.wait_for(read_head(reader), deadline_ms / 1000 + 0.5)
+                    if head is not None:
+                        answer.body = await read_body(reader, head[1])
+                        answer.status, answer.headers = int(head[0].split(" ")[1]), head[1]
+                except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+                    answer.headers = {"error": type(error).__name__}
+                answer.done = self.record.now()
+                answers.append(answer)
+                self.record.line("client gets", answer.status or "a closed channel", "for", answer.request)
+                used += 1
+                if not answer.status or answer.headers.get("connection", "").lower() == "close":
+                    break
+                await asyncio.sleep(random.uniform(0.01, 0.06))
+            writer.close()
+
     async def load(self, indexes, path, per_s, until, answers, **more):
         """Sends requests at an even rate, to the gateways in turn, until a time of the record."""
         tasks = set()
