--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -454,7 +454,7 @@
                          "for", answer.request)
         return answer
 
-    async def kept_channel(self, index, path, until, answers, deadline_ms=1500):
+    async def kept_channel(self, index, path, until, answers, deadline_ms=1500, body=b"{}"):
         """Sends requests one after another on one channel, as a client that keeps it, until a time of the record.
 
         A channel that ends without an answer, although its request was sent, is recorded with status 0."""
@@ -470,10 +470,11 @@
                 answer.kept = used > 0
                 text = (f"POST {path} HTTP/1.1\r\nHost: ficu95.example\r\nFoxtaildyke-Request-Id: {answer.request}\r\n"
                         f"Foxtaildyke-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n"
-                        "Content-Length: 2\r\n\r\n{}")
+                        f"Content-Length: {len(body)}\r\n\r\n")
                 self.record.line("client sends", answer.request, path, "to", f"edge-{index + 1}")
                 try:
                     writer.write(text.encode())
+                    writer.write(body)
                     head = await asyncio.wait_for(read_head(reader), deadline_ms / 1000 + 0.5)
                     if head is not None:
                         answer.body = await read_body(reader, head[1])
