--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A replica drains while the list of replicas holds an entry that can't be read."""
+"""The store is silent for a second; later, while all is well, a replica drains."""
 
 import asyncio
 import os
@@ -9,14 +9,11 @@
 import fleet as f  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# What the other writer has left in place of the entry's spec. `bytes`: text that isn't UTF-8. `surrogate`: the same as
-# an encoder that keeps to ASCII writes it. `number`: a field of another type.
-ENTRIES = {"bytes": b'{"service":"\xff\xfe\x80\xc3","state":"ready"}',
-           "surrogate": b'{"service":"\\udcff\\udcfe","state":"ready"}',
-           "number": b'{"service":"clerk-desk","state":"ready","batch_slots":1e999}'}
-ENTRY = os.environ.get("ENTRY", "bytes")
+SILENT_S = float(os.environ.get("SILENT_S", "1.0"))
+SETTLE_S = f.BOUNDS["settle_window_ms"] / 1000
 DRAIN_S = f.BOUNDS["drain_ms"] / 1000
-LINGER_S = 5.0  # from draining to the exit
+LINGER_S = 7.0  # from draining to the exit
+PATH = "/puxa403/2f"
 
 
 async def case(record, store, fleet):
@@ -29,13 +26,17 @@
     if not await fleet.wait_ready(range(fleet.count)):
         raise f.CannotRun("the gateways don't get ready")
     answers = []
-    load = asyncio.create_task(
-        fleet.load(range(fleet.count), "/puxa403/2f", 30, record.now() + 16, answers))
+    load = asyncio.create_task(fleet.load(range(fleet.count), PATH, 30, record.now() + 20, answers))
     await asyncio.sleep(4)  # longer than settle_window_ms
     if TROUBLE:
-        store.put_raw("servers", "i-other", ENTRIES[ENTRY])
-        record.line("another writer has left the entry i-other:", ENTRIES[ENTRY])
-    await asyncio.sleep(3)
+        record.line("the store falls silent")
+        for index in range(fleet.count):
+            store.faults[index] = lambda method, target: "silent"
+    await asyncio.sleep(SILENT_S)
+    if TROUBLE:
+        store.faults.clear()
+        record.line("the store answers again: calls made from now on, also on new channels")
+    await asyncio.sleep(SETTLE_S + 0.3)
     leaving = replicas[0]
     acknowledged = leaving.drain()
     await asyncio.sleep(LINGER_S)
@@ -44,10 +45,9 @@
     sent = {answer.request: answer.sent for answer in answers}
     late = [(at, request) for at, request in leaving.arrivals
             if at > acknowledged + DRAIN_S and sent[request] > acknowledged + DRAIN_S]
-    after = [answer for answer in answers if answer.sent > acknowledged]
-    failed = [answer for answer in after if answer.status != 200]
-    record.line(f"{len(answers)} requests, {len(after)} of them after the acknowledgement, {len(failed)} of these not"
-                f" served: {sorted((answer.status, answer.request) for answer in failed)}")
+    failed = [answer for answer in answers if answer.sent > acknowledged and answer.status != 200]
+    record.line(f"{len(answers)} requests; not served of those sent after the acknowledgement:"
+                f" {sorted((answer.status, answer.request) for answer in failed)}")
     ended = fleet.check_running()
     if ended:
         raise f.CannotRun("gateways have ended: " + ", ".join(ended))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -149,6 +149,9 @@
                 else:
                     await asyncio.sleep(0.004)
                     status, text = await self.handle(method, target, body)
+                    fault = self.faults.get(node)
+                    if fault and fault(method, target) == "silent":
+                        await asyncio.sleep(3600)  # a channel on which a response is lost returns nothing further
                 writer.write(encode(status, {"Content-Type": "application/json", "Store-Era": self.era}, text))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
