--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -12,9 +12,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -90,7 +92,6 @@
         self.changed = asyncio.Event()
         self.faults = {}  # node -> function(method, path) -> None or "silent" / "refuse"
         self.servers = []
-        self.calls = 0
 
     async def listen(self, node, address, port):
         async def serve(reader, writer):
@@ -139,7 +140,6 @@
                     break
                 body = await read_body(reader, head[1])
                 method, target, _ = head[0].split(" ")
-                self.calls += 1
                 fault = self.faults.get(node)
                 kind = fault(method, target) if fault else None
                 if kind == "silent":
@@ -538,8 +538,11 @@
             return 1 if broken else 0
         finally:
             fleet.end()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the gateways are ended
     try:
         return asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
-        print("could not run:", type(error).__name__, error)
-        return 2
+    except CannotRun as error:
+        print("could not run:", error)
+    except Exception:  # a fault of the script must not look like a broken rule
+        traceback.print_exc()
+    return 2
