--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -64,6 +64,14 @@
     return (text + f"Content-Length: {len(body)}\r\n\r\n").encode("latin-1") + body
 
 
+def say(text):
+    """Prints a line. A reader that is gone must not change the exit code."""
+    try:
+        print(text, flush=True)
+    except OSError:
+        sys.stdout = open(os.devnull, "w", encoding="utf-8")
+
+
 class Record:
     """Lines of record.txt, with seconds since the start."""
 
@@ -516,7 +524,7 @@
                 process.kill()
                 process.wait()
         if os.environ.get("KEEP"):
-            print("logs in", self.directory)
+            say(f"logs in {self.directory}")
         else:
             shutil.rmtree(self.directory, ignore_errors=True)
 
@@ -532,9 +540,9 @@
             broken = await asyncio.wait_for(case(record, store, fleet), 110)
             for text in broken:
                 record.line("BROKEN:", text)
-                print("broken:", text)
+                say(f"broken: {text}")
             record.line("result:", "the rule was broken" if broken else "the rule held")
-            print("the rule was broken" if broken else "the rule held")
+            say("the rule was broken" if broken else "the rule held")
             return 1 if broken else 0
         finally:
             fleet.end()
@@ -542,7 +550,7 @@
     try:
         return asyncio.run(run())
     except CannotRun as error:
-        print("could not run:", error)
+        say(f"could not run: {error}")
     except Exception:  # a fault of the script must not look like a broken rule
         traceback.print_exc()
     return 2
