--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -24,6 +24,8 @@
           "retry_ratio": 0.9, "retry_window_s": 10, "retry_slack": 52, "canary_share": 0.15, "canary_slack": 30,
           "recovery_s": 12}
 HEARTBEAT_S = 1.2
+LINK_BYTES_PER_S = 100e6  # 0.8 of the link of the site's machines (1,000 Mbit/s), so that no packet waits there
+SLICE_BYTES = 65536
 KEY = "n2ctnfzs989anu6wsjnb"
 
 
@@ -344,6 +346,8 @@
         self.port = self.free_ports()
         self.directory = tempfile.mkdtemp(prefix="foxtaildyke-review-")
         self.processes = [None] * count
+        self.link_bytes_per_s = LINK_BYTES_PER_S
+        self.link_free_at = [0.0] * count
         self.ids = itertools.count(random.getrandbits(48) << 12)
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.role = tomllib.load(file)["roles"]["gateway"]
@@ -465,6 +469,18 @@
                          "for", answer.request)
         return answer
 
+    async def write_paced(self, writer, index, body):
+        """Writes a body at what all clients together send to a gateway: link_bytes_per_s."""
+        for start in range(0, len(body), SLICE_BYTES):
+            part = body[start:start + SLICE_BYTES]
+            now = time.monotonic()
+            at = max(now, self.link_free_at[index])
+            self.link_free_at[index] = at + len(part) / self.link_bytes_per_s
+            if at > now:
+                await asyncio.sleep(at - now)
+            writer.write(part)
+            await writer.drain()
+
     async def kept_channel(self, index, path, until, answers, deadline_ms=1500, body=b"{}"):
         """Sends requests one after another on one channel, as a client that keeps it, until a time of the record.
 
@@ -485,7 +501,7 @@
                 self.record.line("client sends", answer.request, path, "to", f"edge-{index + 1}")
                 try:
                     writer.write(text.encode())
-                    writer.write(body)
+                    await asyncio.wait_for(self.write_paced(writer, index, body), deadline_ms / 1000)
                     head = await asyncio.wait_for(read_head(reader), deadline_ms / 1000 + 0.5)
                     if head is not None:
                         answer.body = await read_body(reader, head[1])
