HTTP client: after a timeout, idle connections to the endpoint aren't used any more

Seen by: the test "after a call without a response, the next one opens a connection". Cause: a timed-out call closes its own connection only. Change: the idle connections to that endpoint are closed as well. Measured: the test fails on (the second call times out as well) and passes now. Not seen with real processes.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -171,6 +171,15 @@
     m_cleanupTimer.start(std::chrono::microseconds{0});
 }
 
+void http_client::discardIdle(const http_endpoint &endpoint)
+{
+    const auto found = m_idle.find(endpoint);
+    if (found == m_idle.end())
+        return;
+    for (const auto &idle : std::exchange(found->second, {}))
+        discard(idle.connection, nullptr);
+}
+
 void http_client::freeDiscarded()
 {
     decltype(m_discarded) connections;
@@ -294,6 +303,8 @@
 
 void http_client::onTimeout(call &open)
 {
+    // What has silenced this connection may have silenced the idle ones; the next call would wait for another timeout.
+    discardIdle(open.request.endpoint);
     http_response response;
     response.end = http_end::timed_out;
     response.status = open.lastStatus;
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -109,6 +109,8 @@
     evhttp_connection *newConnection(const http_endpoint &endpoint);
     void releaseConnection(const http_endpoint &endpoint, evhttp_connection *connection);
     void discard(evhttp_connection *connection, std::unique_ptr<call> endedCall);
+    /// Closes all idle connections to an endpoint.
+    void discardIdle(const http_endpoint &endpoint);
     void freeDiscarded();
     void pruneIdle();
     bool send(call &open);
--- a/tests/severable_link.cpp
+++ b/tests/severable_link.cpp
@@ -129,12 +129,17 @@
         m_pairs.clear();
     if (form != cut_form::silent)
         return;
+    hangConnections();
+    occupyBacklog();
+}
+
+void severable_link::hangConnections()
+{
     for (const auto &open : m_pairs) {
         open->isHeld = true;
         open->host.setReading(false);
         open->target->setReading(false);
     }
-    occupyBacklog();
 }
 
 void severable_link::heal()
--- a/tests/severable_link.h
+++ b/tests/severable_link.h
@@ -32,6 +32,8 @@
     [[nodiscard]] const http_endpoint &address() const { return m_address; }
 
     void cut(cut_form form);
+    /// The connections open now hang; new ones are served.
+    void hangConnections();
     /// Ends a cut. Connections that hung go on.
     void heal();
 
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -1,6 +1,7 @@
 // HTTP client: idle connections to replaced hosts must not accumulate, and endpoints must be IP addresses.
 #include "gateway_harness.h"
 #include "loopback_p.h"
+#include "severable_link.h"
 
 using namespace foxtaildyke;
 
@@ -96,6 +97,38 @@
     }
 }
 
+// Guards against a host that tries one dead connection after another, each for the whole timeout of a call.
+TEST_CASE("after a call without a response, the next one opens a connection, as idle ones may be dead as well")
+{
+    constexpr std::size_t kIdle = 4;
+    loopback net;
+    severable_link link(net.loop, net.endpoint);
+    net.serve = [](const http_exchange_ptr &exchange) {
+        exchange->respond(200, {});
+    };
+    http_request request;
+    request.endpoint = link.address();
+    request.path = "/";
+    request.timeout = std::chrono::milliseconds(300);
+    std::vector<http_end> ends;
+    http_handlers handlers;
+    handlers.onDone = [&](const http_response &response) {
+        ends.push_back(response.end);
+        if (ends.size() == kIdle)
+            link.hangConnections();
+        if (ends.size() == kIdle + 2)
+            return net.stopSoon();
+        if (ends.size() >= kIdle)
+            net.client.start(request, handlers);
+    };
+    for (std::size_t call = 0; call < kIdle; ++call)
+        net.client.start(request, handlers);
+    REQUIRE(net.run());
+    CHECK(ends[kIdle - 1] == http_end::complete);
+    CHECK(ends[kIdle] == http_end::timed_out);
+    CHECK(ends[kIdle + 1] == http_end::complete);
+}
+
 TEST_CASE("an endpoint is an IP address and a port")
 {
     CHECK(parseEndpoint("127.0.0.1:80") == http_endpoint{"127.0.0.1", 80});
