Store feed: no watch outlasts the time in which its loss must be noticed

Cause: a watch whose response is lost looks like one without changes until its wait ends, and watches of replicas, roll-outs and host reports waited for 10 s. Change: the wait of every watch follows from the bounds on changes (settings settle_ms, drain_ms, config_ms), and after an outage the calls of all kinds sent before its end are repeated, instead of conditions for single kinds. Why it works: whatever swallows a response, the watch is replaced, and its changes delivered, before a host that is in touch again has to act on them. Failed try: the test of the outage first silenced the watches at a moment at which the configuration had none, so that it failed with the change as well; it now silences them until the outage is noticed.

--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -50,7 +50,14 @@
     setting_key{"config_watch_ms", &g::configWatch, "ms", 100, 30000, false,
                 "Longest wait of a watch of the configuration; renews the key lease."},
     setting_key{"replica_watch_ms", &g::replicaWatch, "ms", 100, 30000, false,
-                "Longest wait of a watch of replicas and roll-outs."},
+                "Longest wait of a watch of replicas, roll-outs and reports."},
+    setting_key{"settle_ms", &g::settleTime, "ms", 0, 60000, false,
+                "Time after an outage until drain_ms and config_ms hold again. No watch waits for so long that its loss"
+                " would be noticed later than that."},
+    setting_key{"drain_ms", &g::drainTime, "ms", 100, 60000, false,
+                "Time within which a replica that drains gets no more requests."},
+    setting_key{"config_ms", &g::configTime, "ms", 100, 60000, false,
+                "Time within which a published configuration is in force."},
     setting_key{"lapse_grace_ms", &g::lapseGrace, "ms", 0, 60000, false,
                 "Time after a store outage for replicas to register again."},
     setting_key{"retry_ratio", &g::retryRatio, "1", 0, 100, false, "Repeats for each request, over all hosts."},
@@ -151,6 +158,11 @@
 
 } // namespace
 
+std::chrono::milliseconds changeLimitOf(const gateway_settings &settings)
+{
+    return settings.settleTime + std::min(settings.drainTime, settings.configTime);
+}
+
 result<gateway_settings> checkGatewaySettings(const ini_sections &sections)
 {
     gateway_settings settings;
--- a/src/gateway_settings_p.h
+++ b/src/gateway_settings_p.h
@@ -26,7 +26,10 @@
     std::chrono::milliseconds grace{8000}; ///< from SIGTERM to SIGKILL
     std::chrono::milliseconds keyLease{5000}; ///< maximum age of the configuration for accepting keys
     std::chrono::milliseconds configWatch{2000}; ///< maximum wait of one watch of the configuration
-    std::chrono::milliseconds replicaWatch{10000}; ///< the same for replicas and roll-outs
+    std::chrono::milliseconds replicaWatch{10000}; ///< the same for replicas, roll-outs and reports
+    std::chrono::milliseconds settleTime{3000}; ///< after an outage, until the next two bounds hold again
+    std::chrono::milliseconds drainTime{2000}; ///< from a replica's report that it drains until it gets no request
+    std::chrono::milliseconds configTime{2000}; ///< from the publication of a configuration until it is in force
     std::chrono::milliseconds lapseGrace{1800}; ///< time for which missing replicas are retained after a store outage
     double retryRatio = 0.9; ///< retries per request in the window, over all hosts
     std::chrono::milliseconds retryWindow{10'000};
@@ -37,6 +40,9 @@
     bool startsSmall = true; ///< whether requests start with the smallest model of their route
 };
 
+/// @returns the time from the loss of any response of the store until changes made since must have taken effect.
+[[nodiscard]] std::chrono::milliseconds changeLimitOf(const gateway_settings &settings);
+
 /// Parses and validates the section `[gateway]`. Unknown keys are ignored, so that older programs start with newer
 /// settings.
 /// @returns the settings, or the first error, with the field as "gateway/key".
--- a/tests/standin_store.cpp
+++ b/tests/standin_store.cpp
@@ -127,11 +127,15 @@
     exchange->respond(status, body, {{"Store-Era", std::to_string(era)}});
 }
 
-void standin_store::silenceWatches()
+void standin_store::silenceWatches(const std::string &kind)
 {
-    for (auto &watch : m_waiting)
+    const auto isKept = [&kind](const waiting_watch &watch) {
+        return !kind.empty() && watch.kind != kind;
+    };
+    const auto silenced = std::ranges::stable_partition(m_waiting, isKept);
+    for (auto &watch : silenced)
         m_openExchanges.push_back(std::move(watch.exchange));
-    m_waiting.clear();
+    m_waiting.erase(silenced.begin(), silenced.end());
 }
 
 void standin_store::setState(store_state state)
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -49,7 +49,8 @@
     /// Comes back from the copy: changes since then are gone, revisions are given out again, and the era rises.
     void rewind();
     /// Never responds to the watches that wait now; other calls are served.
-    void silenceWatches();
+    /// @param kind whose watches; empty: all.
+    void silenceWatches(const std::string &kind = {});
     /// Changes how calls are handled and drops the connections of all open calls.
     void setState(store_state state);
 
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -526,15 +526,20 @@
                                                    {"readiness", "10.0.0.1:2"},
                                                    {"platform", "10.0.0.9:3"},
                                                    {"grace_s", "7.5"},
+                                                   {"settle_ms", "4000"},
+                                                   {"drain_ms", "3000"},
+                                                   {"config_ms", "2500"},
                                                    {"key_of_a_later_version", "x"}};
     const auto settings = checkGatewaySettings({{"gateway", valid}});
     REQUIRE(settings.has_value());
     CHECK(settings.value().grace == 7500ms);
+    CHECK(changeLimitOf(settings.value()) == 6500ms);
     auto missing = valid;
     missing.erase("platform");
     CHECK(checkGatewaySettings({{"gateway", missing}}).error().field == "gateway/platform");
-    for (const auto &[key, value] : {std::pair{"listen", "nowhere"}, std::pair{"grace_s", "-1"},
-                                     std::pair{"retry_ratio", "0.9x"}, std::pair{"starts_small", "yes"}}) {
+    for (const auto &[key, value] :
+         {std::pair{"listen", "nowhere"}, std::pair{"grace_s", "-1"}, std::pair{"retry_ratio", "0.9x"},
+          std::pair{"starts_small", "yes"}, std::pair{"drain_ms", "0"}}) {
         auto wrong = valid;
         wrong[key] = value;
         const auto result = checkGatewaySettings({{"gateway", wrong}});
--- a/tests/test_relay_fleet.cpp
+++ b/tests/test_relay_fleet.cpp
@@ -221,6 +221,22 @@
     }
 }
 
+// Guards against relays that miss a change for as long as a watch may wait, and with them all hosts that follow them.
+TEST_CASE("relay fleet: a change that a lost watch of the relays would have delivered reaches all hosts in time")
+{
+    constexpr auto kLimit = 2500ms;
+    constexpr auto kQueryWait = 200ms; // of a host at its relay; queries follow one another
+    fleet net(kHosts, {300ms, 10s, kLimit});
+    REQUIRE(net.waitUntilFollowing());
+    net.runFor(1s); // the relays watch all kinds
+    net.store.silenceWatches("servers");
+    net.store.put("servers", "later", replicaSpec());
+    const auto &confirmations = net.hosts.back()->recorder.confirmations;
+    const auto last = confirmations + kLimit / kQueryWait;
+    REQUIRE(net.runUntil([&] { return net.allHaveReplica("later") || confirmations > last; }));
+    CHECK(net.allHaveReplica("later"));
+}
+
 namespace
 {
 
--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -269,6 +269,87 @@
     CHECK(loop.runUntil([&] { return recorder.hostReports.contains("host-2"); }));
 }
 
+namespace
+{
+
+constexpr std::array kWatchedKinds{"servers", "rollouts", "crash-reports"};
+
+/// Feed whose watches wait for up to 10 s, unless that is too long for the limit.
+struct watching_feed : test_loop {
+    static constexpr std::chrono::milliseconds kConfigWatch{100};
+    /// Within which a change is to be seen. Watches of the configuration follow one another, so counting them excludes
+    /// pauses of this process.
+    static constexpr int kMaxConfirmations = 25;
+
+    standin_store store{loop};
+    feed_recorder recorder;
+    platform::store_feed feed;
+
+    explicit watching_feed(std::chrono::milliseconds changeLimit)
+        : feed(loop, store.endpoint, {kConfigWatch, 10s, changeLimit}, {"host-1", {}, {}})
+    {
+        store.put("config", "main", {{"version", 1}});
+        feed.start(recorder);
+        REQUIRE(runUntil([this] { return recorder.isReachable; }));
+        runFor(2 * kConfigWatch); // all kinds are watched
+    }
+
+    void change(const std::string &kind)
+    {
+        if (kind == "servers")
+            store.put(kind, "r1", nlohmann::json::parse(replicaSpec()));
+        else if (kind == "rollouts")
+            store.put(kind, "s", {{"service", "s"}, {"target", "v2"}, {"duration_s", 12}});
+        else
+            store.put(kind, "host-2", {{"reports", {{{"fingerprint", "2a"}, {"crashes", {"1"}}}}}});
+    }
+
+    [[nodiscard]] bool hasSeen(std::string_view kind) const
+    {
+        if (kind == "servers")
+            return !recorder.replicas.empty();
+        return kind == "rollouts" ? !recorder.orders.empty() : recorder.hostReports.contains("host-2");
+    }
+
+    /// @returns whether the changes of the kinds are seen in time.
+    bool waitUntilSeen(const std::vector<std::string> &kinds)
+    {
+        const auto last = recorder.confirmations + kMaxConfirmations;
+        const auto areSeen = [&] {
+            return std::ranges::all_of(kinds, [this](const auto &kind) { return hasSeen(kind); });
+        };
+        return runUntil([&] { return areSeen() || recorder.confirmations > last; }) && areSeen();
+    }
+};
+
+} // namespace
+
+// Guards against a host that misses all changes of a kind for as long as a watch may wait, because one response is
+// lost.
+TEST_CASE("store feed: a watch that never gets a response is replaced in time, whatever its kind")
+{
+    for (const std::string kind : kWatchedKinds) {
+        CAPTURE(kind);
+        watching_feed net(watching_feed::kMaxConfirmations * watching_feed::kConfigWatch);
+        net.store.silenceWatches(kind);
+        net.change(kind);
+        CHECK(net.waitUntilSeen({kind}));
+    }
+}
+
+// Guards against watches that an outage has swallowed and that nobody repeats when the store is back.
+TEST_CASE("store feed: after a silent outage the watches of all kinds are repeated")
+{
+    watching_feed net(20s); // the watches themselves wait for 10 s
+    REQUIRE(net.runUntil([&] {
+        net.store.silenceWatches();
+        return net.recorder.hasEvent("store_lost config");
+    }));
+    for (const auto *kind : kWatchedKinds)
+        net.change(kind);
+    CHECK(net.waitUntilSeen({kWatchedKinds.begin(), kWatchedKinds.end()}));
+}
+
 TEST_CASE("store feed: after the store came back from an older copy, revisions that are given out again hide no change")
 {
     test_loop loop;
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -41,7 +41,8 @@
 exit_code run(const gateway_settings &settings)
 {
     event_loop loop;
-    platform::store_feed feed(loop, settings.platform, {settings.configWatch, settings.replicaWatch},
+    platform::store_feed feed(loop, settings.platform,
+                              {settings.configWatch, settings.replicaWatch, changeLimitOf(settings)},
                               {settings.host, settings.relays, settings.relay});
     const auto listening = feed.listen();
     if (listening.has_error()) {
