Gateway: a SIGHUP before there is a handler doesn't end the process

Cause: the signal's default action holds until the event loop exists. Change: it is ignored from the first line of main() on; the settings are read after that, so nothing is missed. The time from exec to main() remains, in which the dynamic linker works; a program can't close that itself.

--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -74,6 +74,22 @@
     CHECK(gateway.metrics().find("status=\"200\"") != std::string::npos);
 }
 
+// Guards against a process that a change of its settings file ends, because it has no handler for SIGHUP yet.
+TEST_CASE("gateway process: a SIGHUP while it starts doesn't end it")
+{
+    gateway_process gateway;
+    scripted_replica replica(gateway.loop, "r1", echoResponse);
+    gateway.publish(1);
+    gateway.registerReplica(replica);
+    gateway.startWithoutSettings();
+    gateway.signal(SIGHUP);
+    gateway.runFor(50ms);
+    REQUIRE(gateway.process().isRunning());
+    gateway.giveSettings();
+    REQUIRE(gateway.runUntil([&] { return gateway.readiness() == 200; }));
+    CHECK(gateway.sendRequest(safeRequest("id-1")).head.status == 200);
+}
+
 TEST_CASE("gateway process: an invalid request is refused with the status for its error")
 {
     single_replica_fixture fixture;
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -1,8 +1,10 @@
 // The gateway program as a child process; see gateway_process.h.
 #include "gateway_process.h"
 
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <sys/stat.h>
 
 namespace foxtaildyke
 {
@@ -73,6 +75,23 @@
         startProgram(writeSettings("host-1", {callerPort, m_readinessPort, m_metricsPort}, store, m_moreSettings));
 }
 
+void gateway_process::startWithoutSettings()
+{
+    REQUIRE(::mkfifo(settingsPath().c_str(), S_IRUSR | S_IWUSR) == 0);
+    m_process = startProgram(settingsPath());
+    // Opening fails as long as nobody reads the pipe.
+    REQUIRE(runUntil([this] {
+        m_settingsPipe = ::open(settingsPath().c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        return m_settingsPipe >= 0;
+    }));
+}
+
+void gateway_process::giveSettings()
+{
+    std::ignore = writeSettings("host-1", {callerPort, m_readinessPort, m_metricsPort}, store, m_moreSettings);
+    ::close(m_settingsPipe);
+}
+
 std::uint16_t gateway_process::addHost(const std::string &host)
 {
     return addHost(host, store, m_moreSettings);
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -20,6 +20,9 @@
 
     /// Starts the program without waiting for it.
     void start();
+    /// Starts the program and runs the loop until it waits for its settings, which giveSettings() writes.
+    void startWithoutSettings();
+    void giveSettings();
     /// Starts the program and waits until it is ready. @returns false on timeout.
     bool startReady();
 
@@ -69,11 +72,13 @@
         std::uint16_t metrics = 0;
     };
     /// @returns the path of the settings file.
+    [[nodiscard]] std::string settingsPath() const { return m_directory + "/host-1.ini"; }
     [[nodiscard]] std::string writeSettings(const std::string &host, const host_ports &ports,
                                             const standin_store &hostStore, const std::string &moreSettings) const;
     [[nodiscard]] std::unique_ptr<testing::child_process> startProgram(const std::string &settingsPath) const;
 
     std::string m_directory;
+    int m_settingsPipe = -1; ///< writing end of the settings that the program waits for
     std::string m_moreSettings;
     std::uint16_t m_readinessPort = 0;
     std::uint16_t m_metricsPort = 0;
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -66,5 +66,7 @@
 
 int main(int argc, char **argv)
 {
+    // Until there is a handler, SIGHUP would end the process; the settings are read below anyway.
+    std::signal(SIGHUP, SIG_IGN);
     return runProgram(program(), argc, argv, loadSettings, run);
 }
