Decision log: the end of a process waits for the log's reader for half a second at most

Cause: lines are queued without blocking, but closing the log at the end waits for its thread, which is blocked in a write. Change: decision_log::close() waits for 500 ms; if the sink hasn't taken the lines, the process ends without static destructors, which would wait as well.

--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -4,9 +4,11 @@
 #include "gateway_clock_p.h"
 #include "log_output_p.h"
 
+#include <future>
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/logger.h>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace foxtaildyke
 {
@@ -39,10 +41,25 @@
 
 decision_log::~decision_log()
 {
+    std::ignore = close();
+}
+
+bool decision_log::close(std::chrono::milliseconds limit)
+{
+    if (std::exchange(m_isClosed, true))
+        return true;
     const auto logger = log4cxx::Logger::getLogger(m_loggerName);
-    for (const auto &appender : logger->getAllAppenders())
-        appender->close();
+    // Closing waits for the sink, which may be a pipe that nobody reads.
+    std::packaged_task<void()> closing([appenders = logger->getAllAppenders()] {
+        for (const auto &appender : appenders)
+            appender->close();
+    });
+    auto closed = closing.get_future();
+    std::thread(std::move(closing)).detach();
+    if (closed.wait_for(limit) != std::future_status::ready)
+        return false;
     logger->removeAllAppenders();
+    return true;
 }
 
 bool decision_log::tryConsumeToken(instant now, log_subject subject)
--- a/src/decision_log_p.h
+++ b/src/decision_log_p.h
@@ -4,6 +4,7 @@
 
 #include "foxtaildyke/foxtaildyke.h"
 
+#include <chrono>
 #include <nlohmann/json_fwd.hpp>
 
 namespace foxtaildyke
@@ -31,6 +32,11 @@
     void write(std::string_view event, const nlohmann::ordered_json &fields,
                log_subject subject = log_subject::process);
 
+    /// Writes out the lines that wait and ends the log.
+    /// @returns false if its sink hasn't taken them within the limit. The process must then end without static
+    /// destructors, which would wait for the sink.
+    [[nodiscard]] bool close(std::chrono::milliseconds limit = kCloseLimit);
+
     /// @returns the number of lines that the rate limit has dropped since the start.
     [[nodiscard]] std::uint64_t droppedLines() const { return m_droppedTotal; }
 
@@ -39,12 +45,15 @@
 
     /// Share of the rate limit that is reserved for process lines.
     static constexpr double kProcessShare = 0.25;
+    /// Time for the last lines at the end of the process: much less than a platform waits before it kills.
+    static constexpr std::chrono::milliseconds kCloseLimit{500};
 
     std::string m_host;
     std::string m_loggerName;
     double m_linesPerSecond;
     double m_tokens;
     instant m_refilledAt{};
+    bool m_isClosed = false;
     std::uint64_t m_nextSequence = 1;
     std::uint64_t m_dropped = 0; ///< lines dropped since the last written line
     std::uint64_t m_droppedTotal = 0;
--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -90,6 +90,22 @@
     CHECK(gateway.sendRequest(safeRequest("id-1")).head.status == 200);
 }
 
+// Guards against a process that waits for the reader of its output until it is killed.
+TEST_CASE("gateway process: it serves and stops while nobody reads its output")
+{
+    constexpr int kRequests = 60; // several lines each, more than the pipe holds
+    gateway_process gateway;
+    scripted_replica replica(gateway.loop, "r1", echoResponse);
+    gateway.publish(1);
+    gateway.registerReplica(replica);
+    gateway.leaveOutputUnread();
+    REQUIRE(gateway.startReady());
+    for (int number = 0; number < kRequests; ++number)
+        CHECK(gateway.sendRequest(safeRequest("id-" + std::to_string(number))).head.status == 200);
+    gateway.signal(SIGTERM);
+    CHECK(gateway.waitExit() == 0);
+}
+
 TEST_CASE("gateway process: an invalid request is refused with the status for its error")
 {
     single_replica_fixture fixture;
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -39,6 +39,13 @@
 
 } // namespace
 
+gateway_process::~gateway_process()
+{
+    m_process.reset();
+    if (m_unreadPipe >= 0)
+        ::close(m_unreadPipe);
+}
+
 gateway_process::gateway_process(const std::string &moreSettings)
     : callerPort(testing::reservePort())
     , m_directory(makeDirectory())
@@ -92,6 +99,16 @@
     ::close(m_settingsPipe);
 }
 
+void gateway_process::leaveOutputUnread()
+{
+    constexpr int kPipeBytes = 4096;
+    const auto path = m_directory + "/log";
+    REQUIRE(::mkfifo(path.c_str(), S_IRUSR | S_IWUSR) == 0);
+    m_unreadPipe = ::open(path.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+    REQUIRE(m_unreadPipe >= 0);
+    REQUIRE(::fcntl(m_unreadPipe, F_SETPIPE_SZ, kPipeBytes) >= 0);
+}
+
 std::uint16_t gateway_process::addHost(const std::string &host)
 {
     return addHost(host, store, m_moreSettings);
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -14,6 +14,9 @@
 public:
     /// @param moreSettings lines of the section [gateway] that precede the default ones.
     explicit gateway_process(const std::string &moreSettings = {});
+    ~gateway_process();
+    gateway_process(const gateway_process &) = delete;
+    gateway_process &operator=(const gateway_process &) = delete;
 
     standin_store store{loop};
     std::uint16_t callerPort = 0;
@@ -23,6 +26,8 @@
     /// Starts the program and runs the loop until it waits for its settings, which giveSettings() writes.
     void startWithoutSettings();
     void giveSettings();
+    /// From the next start on, the program's output goes to a pipe that nobody reads.
+    void leaveOutputUnread();
     /// Starts the program and waits until it is ready. @returns false on timeout.
     bool startReady();
 
@@ -78,6 +83,7 @@
     [[nodiscard]] std::unique_ptr<testing::child_process> startProgram(const std::string &settingsPath) const;
 
     std::string m_directory;
+    int m_unreadPipe = -1; ///< reading end of the program's output
     int m_settingsPipe = -1; ///< writing end of the settings that the program waits for
     std::string m_moreSettings;
     std::uint16_t m_readinessPort = 0;
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -59,6 +59,8 @@
         return exit_code::failure;
     }
     loop.run();
+    if (!task.closeLog())
+        std::_Exit(static_cast<int>(exit_code::success));
     return exit_code::success;
 }
 
