Gateway: a port that is in use at the start is waited for

Cause, by reading: a host gets the same ports at each start, and one that isn't free yet (the process before is ending, or another process has opened a connection from it) ends the process with an error; a platform counts that as an end by itself. Change: the addresses of the settings are tried for up to 5 s before anything is opened, with a line on standard error.

--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -90,6 +90,23 @@
     CHECK(gateway.sendRequest(safeRequest("id-1")).head.status == 200);
 }
 
+// Guards against a process that ends because its port isn't free yet, as after a kill.
+TEST_CASE("gateway process: it waits for a port that is in use")
+{
+    gateway_process gateway;
+    scripted_replica replica(gateway.loop, "r1", echoResponse);
+    gateway.publish(1);
+    gateway.registerReplica(replica);
+    {
+        http_server other(gateway.loop, [](const http_exchange_ptr &) {});
+        REQUIRE(other.listen({"127.0.0.1", gateway.callerPort}).has_value());
+        gateway.start();
+        REQUIRE(gateway.waitForLog("in use", std::to_string(gateway.callerPort)));
+    }
+    REQUIRE(gateway.runUntil([&] { return gateway.readiness() == 200; }));
+    CHECK(gateway.sendRequest(safeRequest("id-1")).head.status == 200);
+}
+
 // Guards against a process that waits for the reader of its output until it is killed.
 TEST_CASE("gateway process: it serves and stops while nobody reads its output")
 {
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -1,5 +1,6 @@
 // foxtaildyke-gateway: request router of one host on the users' platform.
 #include "gateway_task_p.h"
+#include "port_wait_p.h"
 #include "store_feed.h"
 #include "wire_names.h"
 
@@ -11,6 +12,9 @@
 namespace
 {
 
+/// Time for ports that are still in use at the start; without them, the process ends with an error.
+constexpr std::chrono::seconds kPortWait{5};
+
 /// Environment variable with the path of the settings file; used if --config is absent.
 constexpr const char *kSettingsVariable = "FOXTAILDYKE_SETTINGS";
 
@@ -40,6 +44,11 @@
 
 exit_code run(const gateway_settings &settings)
 {
+    const std::array addresses{settings.listen, settings.readiness, settings.metrics, settings.relay, settings.detour};
+    std::ignore = waitForPorts(addresses, kPortWait, [](const http_endpoint &address) {
+        std::cerr << program().name << ": waiting for " << address.address << ':' << address.port
+                  << ", which is in use\n";
+    });
     event_loop loop;
     platform::store_feed feed(loop, settings.platform,
                               {settings.configWatch, settings.replicaWatch, changeLimitOf(settings)},
