Listeners: pause while no descriptor is left

Cause: a listening socket stays readable while accepting fails (EMFILE), so that the event loop tries again at once, for ever. Change: the listeners of callers and detours pause until the next tick (0.25 s), with a log line; those of the servers over evhttp for 0.1 s.

--- a/src/caller_connection_p.h
+++ b/src/caller_connection_p.h
@@ -71,6 +71,9 @@
     /// Takes over a connection that was accepted.
     virtual void accept(int socket) = 0;
 
+    /// A connection couldn't be accepted, as no descriptor or memory is left; the listener pauses.
+    virtual void recordAcceptFailure(int error) = 0;
+
     /// Starts work on a request. `response` is valid until the work is destroyed; it may be used before this returns.
     [[nodiscard]] virtual std::unique_ptr<request_work> serve(inbound_request request, caller_response &response) = 0;
 
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -140,8 +140,28 @@
         auto *connections = static_cast<connection_owner *>(self);
         connections->accept(socket);
     };
-    return evconnlistener_new_bind(m_loop.base(), onAccept, &owner, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                   kListenBacklog, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    auto *listener = evconnlistener_new_bind(m_loop.base(), onAccept, &owner, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                             kListenBacklog, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    if (listener)
+        evconnlistener_set_error_cb(listener, [](evconnlistener *failing, void *self) {
+            const int error = EVUTIL_SOCKET_ERROR();
+            // The socket stays readable, so that the loop would try again at once, for ever.
+            evconnlistener_disable(failing);
+            static_cast<connection_owner *>(self)->recordAcceptFailure(error);
+        });
+    return listener;
+}
+
+void gateway_task::recordAcceptFailure(int error)
+{
+    m_log.write("accept_paused", {{"errno", error}, {"connections", m_connections.size()}});
+}
+
+void gateway_task::resumeListeners()
+{
+    for (auto *listener : {m_listener, m_detourListener})
+        if (listener)
+            evconnlistener_enable(listener);
 }
 
 result<void> gateway_task::listenForCallers()
@@ -221,6 +241,7 @@
 void gateway_task::tick()
 {
     const auto now = suspendAwareNow();
+    resumeListeners();
     if (m_registry.expire(now))
         applyReplicas();
     if (isReady() != m_wasReady) {
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -45,6 +45,7 @@
     [[nodiscard]] const caller_limits &limits() const override;
     [[nodiscard]] bool isDraining() const override { return m_isDraining; }
     void accept(int socket) override { accept(socket, *this); }
+    void recordAcceptFailure(int error) override;
     [[nodiscard]] std::unique_ptr<request_work> serve(inbound_request request, caller_response &response) override;
     void recordRejected(int status, std::string_view reason) override;
     void onConnectionEnd(caller_connection &connection) override;
@@ -86,6 +87,7 @@
         [[nodiscard]] const caller_limits &limits() const override;
         [[nodiscard]] bool isDraining() const override { return task.m_isDraining; }
         void accept(int socket) override { task.accept(socket, *this); }
+        void recordAcceptFailure(int error) override { task.recordAcceptFailure(error); }
         [[nodiscard]] std::unique_ptr<request_work> serve(inbound_request request, caller_response &response) override;
         void recordRejected(int status, std::string_view reason) override { task.recordRejected(status, reason); }
         void onConnectionEnd(caller_connection &connection) override { task.onConnectionEnd(connection); }
@@ -106,6 +108,8 @@
     /// Processes the requests that have arrived before the host knew enough.
     void resumeStarting();
     void tick();
+    /// Lets listeners that paused accept again.
+    void resumeListeners();
     void applyPeerEvidence();
     /// Writes the next state of a roll-out that is due for it, as long as one is undecided.
     void advanceRollouts();
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <netinet/tcp.h>
 
 namespace foxtaildyke
@@ -52,6 +53,18 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof(isOn));
 }
 
+/// Pauses a listener that can't accept, as no descriptor is left: its socket stays readable, so that the loop would try
+/// again at once, for ever. The listener must exist as long as the loop runs.
+void pauseListener(evconnlistener *listener, void *)
+{
+    constexpr timeval kPause{0, 100'000};
+    const auto resume = [](evutil_socket_t, short, void *paused) {
+        evconnlistener_enable(static_cast<evconnlistener *>(paused));
+    };
+    evconnlistener_disable(listener);
+    event_base_once(evconnlistener_get_base(listener), -1, EV_TIMEOUT, resume, listener, &kPause);
+}
+
 std::string decoded(const char *path)
 {
     std::size_t size = 0;
@@ -201,6 +214,7 @@
     auto *socket = evhttp_bind_socket_with_handle(m_server, endpoint.address.c_str(), endpoint.port);
     if (!socket)
         return error{error_code::io_failure, endpoint.address + ':' + std::to_string(endpoint.port)};
+    evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(socket), pauseListener);
     sockaddr_storage bound{};
     socklen_t size = sizeof(bound);
     getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr *>(&bound), &size);
--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -123,6 +123,25 @@
     CHECK(gateway.waitExit() == 0);
 }
 
+// Guards against a listener that tries again at once, for ever, while no descriptor is left for another connection.
+TEST_CASE("gateway process: without a free descriptor it waits instead of using the processor")
+{
+    constexpr std::size_t kCallers = 100;
+    single_replica_fixture fixture;
+    fixture.process().limitDescriptors(kCallers / 2);
+    std::vector<std::unique_ptr<scripted_caller>> callers;
+    for (std::size_t number = 0; number < kCallers; ++number)
+        callers.push_back(std::make_unique<scripted_caller>(fixture.loop, fixture.callerPort));
+    callers.push_back(std::make_unique<scripted_caller>(fixture.loop, fixture.readinessPort()));
+    fixture.runFor(200ms);
+    const auto before = fixture.process().processorTime();
+    fixture.runFor(1s);
+    CHECK(fixture.process().processorTime() - before < 500ms);
+    CHECK(fixture.hasLogged("accept_paused", "errno"));
+    callers.clear();
+    CHECK(fixture.sendRequest(safeRequest("id-1")).head.status == 200);
+}
+
 TEST_CASE("gateway process: an invalid request is refused with the status for its error")
 {
     single_replica_fixture fixture;
--- a/tests/failure_support.cpp
+++ b/tests/failure_support.cpp
@@ -12,6 +12,7 @@
 #include <poll.h>
 #include <spawn.h>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -212,6 +213,23 @@
     return false;
 }
 
+void child_process::limitDescriptors(std::size_t count) const
+{
+    const rlimit limit{count, count};
+    if (::prlimit(m_pid, RLIMIT_NOFILE, &limit, nullptr) != 0)
+        throw std::runtime_error("cannot limit the descriptors of a process");
+}
+
+std::chrono::milliseconds child_process::processorTime() const
+{
+    clockid_t clock{};
+    timespec time{};
+    if (::clock_getcpuclockid(m_pid, &clock) != 0 || ::clock_gettime(clock, &time) != 0)
+        throw std::runtime_error("cannot read the processor time of a process");
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::seconds{time.tv_sec}
+                                                                 + std::chrono::nanoseconds{time.tv_nsec});
+}
+
 call_response send(const http_call &call)
 {
     const int socket = connectTo(call.port);
--- a/tests/failure_support.h
+++ b/tests/failure_support.h
@@ -43,6 +43,10 @@
     /// @returns the exit code (128 + signal number if a signal terminated it), or nothing on timeout.
     std::optional<int> waitExit(std::chrono::milliseconds timeout = kEventTimeout);
     [[nodiscard]] bool isRunning();
+    /// Limits the descriptors that the process may have open.
+    void limitDescriptors(std::size_t count) const;
+    /// @returns the processor time that the process has used.
+    [[nodiscard]] std::chrono::milliseconds processorTime() const;
 
 private:
     pid_t m_pid = -1;
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -58,6 +58,7 @@
     /// @returns the status of a GET request to the readiness address; 0: no response.
     int readiness() { return readiness(m_readinessPort); }
     int readiness(std::uint16_t port);
+    [[nodiscard]] std::uint16_t readinessPort() const { return m_readinessPort; }
     /// @returns the readiness port of the host that was added last.
     [[nodiscard]] std::uint16_t lastReadinessPort() const { return m_lastReadinessPort; }
     /// @returns the response body of the metrics address.
