--- a/tests/standin_store.cpp
+++ b/tests/standin_store.cpp
@@ -132,10 +132,10 @@
     const auto isKept = [&kind](const waiting_watch &watch) {
         return !kind.empty() && watch.kind != kind;
     };
-    const auto silenced = std::ranges::stable_partition(m_waiting, isKept);
-    for (auto &watch : silenced)
-        m_openExchanges.push_back(std::move(watch.exchange));
-    m_waiting.erase(silenced.begin(), silenced.end());
+    const auto silenced = std::stable_partition(m_waiting.begin(), m_waiting.end(), isKept);
+    std::transform(silenced, m_waiting.end(), std::back_inserter(m_openExchanges),
+                   [](waiting_watch &watch) { return std::move(watch.exchange); });
+    m_waiting.erase(silenced, m_waiting.end());
 }
 
 void standin_store::setState(store_state state)
