Decision log: the destructor waits for the log's thread again

Seen: in a second run of the tests beside load, "endless response: a body without end ..." passed all checks and its process ended with a failure. Change: only an explicit close(), after which the gateway ends without static destructors, has the limit. Measured: the test "its destructor waits for a slow reader of the lines" failed before (and its process then hung at its end until it was killed) and passes.

--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -41,7 +41,13 @@
 
 decision_log::~decision_log()
 {
-    std::ignore = close();
+    if (m_isClosed)
+        return;
+    // Waits for the sink: the thread that writes must not outlive the logger's static objects.
+    const auto logger = log4cxx::Logger::getLogger(m_loggerName);
+    for (const auto &appender : logger->getAllAppenders())
+        appender->close();
+    logger->removeAllAppenders();
 }
 
 bool decision_log::close(std::chrono::milliseconds limit)
--- a/src/decision_log_p.h
+++ b/src/decision_log_p.h
@@ -32,7 +32,7 @@
     void write(std::string_view event, const nlohmann::ordered_json &fields,
                log_subject subject = log_subject::process);
 
-    /// Writes out the lines that wait and ends the log.
+    /// Writes out the lines that wait and ends the log, for which the destructor has no time limit.
     /// @returns false if its sink hasn't taken them within the limit. The process must then end without static
     /// destructors, which would wait for the sink.
     [[nodiscard]] bool close(std::chrono::milliseconds limit = kCloseLimit);
--- a/tests/test_decision_log.cpp
+++ b/tests/test_decision_log.cpp
@@ -2,10 +2,14 @@
 // does not crowd out process lines, which are needed to explain them.
 #include "decision_log_p.h"
 
+#include <atomic>
 #include <cstdio>
 #include <doctest/doctest.h>
+#include <fcntl.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <sys/stat.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace foxtaildyke;
@@ -50,3 +54,39 @@
     CHECK(lines.back()["event"] == "rollout_state");
     CHECK(lines.back()["dropped_before"].get<std::size_t>() + lines.size() == kRequests + 1);
 }
+
+// Guards against a thread that still writes while the static objects of the logger are destroyed.
+TEST_CASE("decision log: its destructor waits for a slow reader of the lines")
+{
+    using namespace std::chrono_literals;
+    constexpr int kPipeBytes = 4096;
+    constexpr int kLines = 200; // more than the pipe holds
+    std::string directory = "/tmp/foxtaildyke-decisions-XXXXXX";
+    REQUIRE(mkdtemp(directory.data()));
+    const auto path = directory + "/log";
+    REQUIRE(mkfifo(path.c_str(), S_IRUSR | S_IWUSR) == 0);
+    const int pipe = open(path.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+    REQUIRE(fcntl(pipe, F_SETPIPE_SZ, kPipeBytes) >= 0);
+    std::atomic<bool> isReading = false;
+    std::atomic<bool> isDone = false;
+    std::optional<std::thread> reader;
+    {
+        decision_log log("host-1", path, 10 * kLines);
+        for (int line = 0; line < kLines; ++line)
+            log.write("request_end", {{"request_id", std::to_string(line)}});
+        reader.emplace([&] {
+            std::this_thread::sleep_for(1s);
+            isReading = true;
+            std::array<char, kPipeBytes> part{};
+            while (!isDone)
+                if (read(pipe, part.data(), part.size()) <= 0)
+                    std::this_thread::sleep_for(1ms);
+        });
+    }
+    CHECK(isReading);
+    isDone = true;
+    reader->join();
+    close(pipe);
+    std::remove(path.c_str());
+    std::remove(directory.c_str());
+}
