Requests: the memory of their bodies is bounded, each is held once

Requests in flight at such a process are lost.

Cause: nothing accounted for the bodies of requests, and each was held three times (request, message to the replica, output of the connection).

A body is held once, and the connection to the replica refers to it. body_memory reserves a body's length before it is read; without room the request is rejected as not run, with Retry-After. A connection whose request was rejected reads on as long as bytes arrive: closing it would reset it before the caller has read the response.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -9,6 +9,7 @@
     platform/store_feed_writes.cpp
     platform/wire_names.cpp
     src/attempt_rules.cpp
+    src/body_memory.cpp
     src/brittle_replicas.cpp
     src/caller_connection.cpp
     src/crash_detector.cpp
--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -88,7 +88,7 @@
     if (m_phase == phase::reading)
         readRequests();
     else if (m_phase == phase::closing)
-        m_socket->consume(m_socket->received().size());
+        skipReceived();
 }
 
 void caller_connection::readRequests()
@@ -116,6 +116,8 @@
             return;
         if (m_body.size() > m_owner.limits().bodyBytes)
             return reject(http_status::kContentTooLarge, "body_too_large");
+        if (!growBody())
+            return;
         if (m_parser.state() == parse_state::complete)
             serve();
     }
@@ -130,6 +132,8 @@
         reject(http_status::kContentTooLarge, "body_too_large");
         return false;
     }
+    if (!reserveBody(head.length.value_or(0)))
+        return false;
     if (m_parser.state() == parse_state::body && isSameHeader(head.header("Expect"), "100-continue"))
         m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
     return true;
@@ -140,19 +144,39 @@
     m_phase = phase::serving;
     m_timer.stop();
     m_keepAlive = m_parser.head().keepAlive;
-    inbound_request request{m_parser.head(), std::exchange(m_body, {}), suspendAwareNow()};
+    inbound_request request{m_parser.head(), std::exchange(m_body, {}), suspendAwareNow(), std::move(m_bodyMemory)};
     m_parser.reset();
     auto work = m_owner.serve(std::move(request), *this);
     if (m_phase == phase::serving)
         m_work = std::move(work);
 }
 
-void caller_connection::reject(int status, std::string_view reason)
+void caller_connection::reject(int status, std::string_view reason, const http_headers &headers)
 {
     m_owner.recordRejected(status, reason);
     m_keepAlive = false;
     m_phase = phase::serving;
-    sendResponse(status, {}, {});
+    m_body = {};
+    m_bodyMemory = {};
+    sendResponse(status, headers, {});
+}
+
+/// Reserves memory for a body. @returns whether there is room; if not, the request has been rejected.
+bool caller_connection::reserveBody(std::size_t bytes)
+{
+    if (!m_owner.bodies().grow(m_bodyMemory, bytes)) {
+        reject(http_status::kServiceUnavailable, "memory", {{"Retry-After", std::string(kMemoryRetryAfter)}});
+        return false;
+    }
+    m_body.reserve(m_bodyMemory.bytes());
+    return true;
+}
+
+/// Reserves more memory for a body of unknown length that has outgrown its reservation.
+bool caller_connection::growBody()
+{
+    const auto reserved = m_bodyMemory.bytes();
+    return m_body.size() <= reserved || reserveBody(std::max(m_body.size(), 2 * reserved));
 }
 
 void caller_connection::writeHead(int status, const http_headers &headers, std::string_view framing)
@@ -233,6 +257,7 @@
 void caller_connection::beginClose()
 {
     m_phase = phase::closing;
+    m_closeStartedAt = suspendAwareNow();
     m_timer.start(kMaxSendTime);
     if (m_socket->pendingBytes() == 0)
         linger();
@@ -244,6 +269,13 @@
     m_timer.start(kLingerTimeout);
 }
 
+void caller_connection::skipReceived()
+{
+    m_socket->consume(m_socket->received().size());
+    if (m_socket->pendingBytes() == 0 && suspendAwareNow() - m_closeStartedAt < kMaxSendTime)
+        m_timer.start(kLingerTimeout);
+}
+
 void caller_connection::onDrained()
 {
     if (m_work)
--- a/src/caller_connection_p.h
+++ b/src/caller_connection_p.h
@@ -2,6 +2,7 @@
 // complete or as a stream. The caller can detect that a response was aborted.
 #pragma once
 
+#include "body_memory_p.h"
 #include "gateway_clock_p.h"
 #include "gateway_model_p.h"
 #include "http_parser_p.h"
@@ -15,6 +16,7 @@
     message_head head;
     std::string body;
     instant readAt{}; ///< when the request had been read completely
+    body_reservation memory; ///< of the body
 };
 
 /// Writer of the response to a request. Either sendResponse() is called once, or startStream() followed by endStream()
@@ -67,6 +69,8 @@
     virtual ~connection_owner() = default;
     [[nodiscard]] virtual const caller_limits &limits() const = 0;
     [[nodiscard]] virtual bool isDraining() const = 0;
+    /// Account of the bodies of all connections.
+    [[nodiscard]] virtual body_memory &bodies() = 0;
 
     /// Takes over a connection that was accepted.
     virtual void accept(int socket) = 0;
@@ -115,7 +119,11 @@
     bool checkHead();
     void readRequests();
     void serve();
-    void reject(int status, std::string_view reason);
+    void reject(int status, std::string_view reason, const http_headers &headers = {});
+    [[nodiscard]] bool reserveBody(std::size_t bytes);
+    [[nodiscard]] bool growBody();
+    /// Drops what arrives on a connection that is being closed.
+    void skipReceived();
     void writeHead(int status, const http_headers &headers, std::string_view framing);
     void finishResponse();
     [[nodiscard]] std::chrono::milliseconds readTimeout() const;
@@ -130,18 +138,25 @@
     std::unique_ptr<stream_socket> m_socket;
     http_parser m_parser{message_type::request};
     std::string m_body;
+    body_reservation m_bodyMemory;
     phase m_phase = phase::reading;
     bool m_keepAlive = true; ///< of the request being served
     bool m_isHeadRequest = false;
     /// When the connection became idle, its last response was sent, or the present request's first byte arrived.
     instant m_timeoutStartedAt{};
+    instant m_closeStartedAt{};
     std::unique_ptr<request_work> m_work;
     std::unique_ptr<request_work> m_finishedWork; ///< kept until its call that finished the response has returned
     loop_timer m_timer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< checked by callbacks that may outlive this object
 
-    /// Time for a caller to close the connection once it has been sent everything.
+    /// Time for a caller to close the connection once it has been sent everything, or to send more of a body that was
+    /// rejected: closing the connection while bytes arrive would reset it, and the caller might never read the
+    /// response.
     static constexpr std::chrono::milliseconds kLingerTimeout{1000};
+    /// Seconds after which a caller whose body found no memory may try again: about the time that the bodies in
+    /// progress take to be passed on.
+    static constexpr std::string_view kMemoryRetryAfter = "0.5";
     /// Time for a caller that reads slowly to receive the rest of a finished response. One that reads nothing at all is
     /// disconnected by kCallerTcpUserTimeout.
     static constexpr std::chrono::milliseconds kMaxSendTime{30'000};
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -32,9 +32,9 @@
 gateway_exchange::gateway_exchange(gateway_state &state, inbound_request request, caller_response &response,
                                    std::optional<detour_request> detour)
     : m_state(state)
-    , m_request(std::move(request))
+    , m_request(std::make_shared<const inbound_request>(std::move(request)))
     , m_callerResponse(response)
-    , m_metadata(parseRequestHeaders(m_request.head, state.headerNames))
+    , m_metadata(parseRequestHeaders(m_request->head, state.headerNames))
     , m_config(state.config)
     , m_servedDetour(std::move(detour))
     , m_lastEventId(m_metadata.lastEventId)
@@ -83,9 +83,9 @@
     if (const auto reason = validate())
         return refuse(*reason);
     const auto wait = std::min(m_route->timeout, m_metadata.timeout.value_or(m_route->timeout));
-    m_deadline = m_request.readAt + wait;
+    m_deadline = m_request->readAt + wait;
     m_timer.start(remainingTime());
-    m_fingerprint = fingerprintOf(m_request, m_account ? std::string_view(m_account->name) : std::string_view());
+    m_fingerprint = fingerprintOf(*m_request, m_account ? std::string_view(m_account->name) : std::string_view());
     m_traits = m_metadata.sharedParts;
     m_traits.push_back(m_fingerprint);
     chooseService();
@@ -94,7 +94,7 @@
         m_countsAsDetour = true;
         ++m_state.detoursServed;
     } else {
-        m_state.budget.recordRequest(m_service, m_request.readAt);
+        m_state.budget.recordRequest(m_service, m_request->readAt);
     }
     chooseFirstModel();
     attempt();
@@ -105,7 +105,7 @@
 {
     if (m_metadata.id.empty())
         return refusal::missing_id;
-    m_route = m_config->findRoute(m_metadata.host, m_request.head.target);
+    m_route = m_config->findRoute(m_metadata.host, m_request->head.target);
     const bool isStale = !m_state.hasKeyLease(suspendAwareNow());
     // A stale configuration can't prove that a route or key doesn't exist.
     if (isStale && (!m_route || !m_route->isPublic))
@@ -298,8 +298,8 @@
         fields.priority = enginePriority();
     if (m_hasStreamStarted)
         fields.lastEventId = m_lastEventId;
-    return {replica.address, replica.id, forwardedHead(m_request, fields, m_state.headerNames) + m_request.body,
-            m_metadata.id, m_respondedReplicas.contains(replica.id)};
+    return {replica.address, replica.id,    forwardedHead(*m_request, fields, m_state.headerNames),
+            sharedBody(),    m_metadata.id, m_respondedReplicas.contains(replica.id)};
 }
 
 void gateway_exchange::send(const replica_entry &replica)
@@ -426,7 +426,7 @@
     leaveQueue(); // this object lives until its connection is closed
     releaseCrashReport();
     const auto now = suspendAwareNow();
-    const auto duration = now - m_request.readAt;
+    const auto duration = now - m_request->readAt;
     const std::string_view route = m_route ? std::string_view(m_route->name) : std::string_view("none");
     m_state.metrics.recordRequest(route, status, reason, duration);
     nlohmann::ordered_json fields{
@@ -435,7 +435,7 @@
         {"status", status},
         {"reason", reason},
         {"ms", duration.count() / 1000},
-        {"first_ms", m_firstEventAt ? (*m_firstEventAt - m_request.readAt).count() / 1000 : -1},
+        {"first_ms", m_firstEventAt ? (*m_firstEventAt - m_request->readAt).count() / 1000 : -1},
         {"sends", m_sends}};
     if (m_fingerprint != 0)
         fields["fingerprint"] = hexText(m_fingerprint);
--- a/src/gateway_exchange_detour.cpp
+++ b/src/gateway_exchange_detour.cpp
@@ -60,9 +60,12 @@
                        {"sends", m_sends},
                        {"remaining_ms", timeout.count()}},
                       log_subject::request);
-    upstream_request request{host, "detour " + textOf(host),
-                             detourHead(m_request, detour, timeout, lastEventId, m_state.headerNames) + m_request.body,
-                             m_metadata.id, false};
+    upstream_request request{host,
+                             "detour " + textOf(host),
+                             detourHead(*m_request, detour, timeout, lastEventId, m_state.headerNames),
+                             sharedBody(),
+                             m_metadata.id,
+                             false};
     m_upstream = std::make_unique<upstream_exchange>(m_state.pool, std::move(request), m_detourHandler);
 }
 
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -41,6 +41,7 @@
     retry_budget budget;
     rollout_policy rollouts;
     cascade_settings cascade;
+    body_memory requestBodies; ///< of all requests, from their first byte on
     connection_pool pool;
     crash_registry crashes;
     crash_detector crashDetector;
@@ -50,6 +51,7 @@
     std::uint32_t detoursServed = 0; ///< requests of other hosts in progress
     std::function<void()> requestProbe; ///< to be called when `reach` may have a probe due
     std::mt19937_64 random;
+    std::size_t responseBytesLimit; ///< for bufferedBodyBytes
     std::size_t bufferedBodyBytes = 0; ///< sum of the non-streamed responses held by all requests
 
     /// @returns whether keys may be accepted: the configuration is recent enough that no accepted key can have been
@@ -155,6 +157,8 @@
 
     void logAttempt() const;
     [[nodiscard]] upstream_request upstreamRequest(const replica_entry &replica) const;
+    /// @returns the body of the request, which the result keeps alive.
+    [[nodiscard]] std::shared_ptr<const std::string> sharedBody() const { return {m_request, &m_request->body}; }
     [[nodiscard]] std::optional<std::size_t> escalation();
     void escalate(std::size_t model);
     void forwardEvent(std::string_view event, std::optional<std::uint64_t> id);
@@ -212,7 +216,7 @@
     [[nodiscard]] std::string retryAfter(refusal reason);
 
     gateway_state &m_state;
-    inbound_request m_request;
+    std::shared_ptr<const inbound_request> m_request; ///< shared with connections on which its body is being written
     caller_response &m_callerResponse;
     request_metadata m_metadata;
     gateway_config_ptr m_config; ///< active when the request arrived
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -17,8 +17,6 @@
 
 /// Largest non-streamed response; such a response is buffered until it is complete.
 constexpr std::size_t kMaxBodyBytes = 16U << 20U;
-/// The same for all requests of a host together: a quarter of the memory of the smallest hosts (260 MB).
-constexpr std::size_t kMaxBufferedBytes = 64U << 20U;
 /// Largest event of a stream. Events hold a few tokens; a longer one is no event of a model.
 constexpr std::size_t kMaxEventBytes = 256U << 10U;
 
@@ -126,7 +124,7 @@
     step.sends = m_sends;
     step.maxSends = m_route->maxAttempts;
     step.confidence = m_statement.confidence;
-    step.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(suspendAwareNow() - m_request.readAt);
+    step.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(suspendAwareNow() - m_request->readAt);
     step.objective = m_route->objective;
     const auto next = nextModel(m_state.cascade, step);
     if (!next)
@@ -158,7 +156,8 @@
 
 bool gateway_exchange::bufferBody(std::string_view bytes)
 {
-    if (m_body.size() + bytes.size() > kMaxBodyBytes || m_state.bufferedBodyBytes + bytes.size() > kMaxBufferedBytes)
+    if (m_body.size() + bytes.size() > kMaxBodyBytes
+        || m_state.bufferedBodyBytes + bytes.size() > m_state.responseBytesLimit)
         return false;
     m_body.append(bytes);
     m_state.bufferedBodyBytes += bytes.size();
@@ -210,7 +209,7 @@
 void gateway_exchange::beginStream()
 {
     m_hasStreamStarted = true;
-    m_state.metrics.recordFirstEvent(m_route->name, suspendAwareNow() - m_request.readAt);
+    m_state.metrics.recordFirstEvent(m_route->name, suspendAwareNow() - m_request->readAt);
     m_callerResponse.startStream(m_response.status, responseHeaders());
 }
 
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -66,6 +66,8 @@
     setting_key{"canary_share", &g::canaryShare, "1", 0, 1, false,
                 "Largest share of a service's requests that a version under evaluation gets, over all hosts."},
     setting_key{"canary_slack", &g::canarySlack, "requests", 0, 1e6, false, "Requests beyond canary_share."},
+    setting_key{"memory_mb", &g::memoryMb, "MB", 32, 1e6, false,
+                "Memory of the host. Requests whose bodies would take more than a part of it are rejected as not run."},
     setting_key{"confidence_to_keep", &g::confidenceToKeep, "percent", 0, 101, false,
                 "Answers of the smallest model below this go to the largest."},
     setting_key{"starts_small", &g::startsSmall, "true or false", 0, 0, false,
--- a/src/gateway_settings_p.h
+++ b/src/gateway_settings_p.h
@@ -36,6 +36,7 @@
     double retrySlack = 0; ///< retries in the window in addition to the ratio, over all hosts
     double canaryShare = 0.15; ///< largest share of a service's requests for a version under evaluation, over all hosts
     double canarySlack = 0; ///< requests in addition to the share, over all hosts
+    double memoryMb = 260; ///< memory of the host, of which bodies of requests and responses may take a part
     std::uint32_t confidenceToKeep = 60; ///< percent; below it the smallest model's response is escalated
     bool startsSmall = true; ///< whether requests start with the smallest model of their route
 };
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -16,6 +16,16 @@
 {
 
 constexpr int kListenBacklog = 1024; ///< connections waiting to be accepted
+/// Part of a host's memory for bodies of requests.
+constexpr double kRequestBodyShare = 0.35;
+/// Part of a host's memory for bodies of responses, which are held twice while they are sent.
+constexpr double kResponseBodyShare = 0.15;
+
+std::size_t shareOfMemory(const gateway_settings &settings, double share)
+{
+    constexpr double kBytesPerMb = 1024.0 * 1024.0;
+    return static_cast<std::size_t>(settings.memoryMb * kBytesPerMb * share);
+}
 
 /// @returns a connection that waits to be accepted, or -1.
 int acceptNext(int listeningSocket)
@@ -70,6 +80,7 @@
               .budget = retry_budget({m_settings.retryRatio, m_settings.retryWindow, m_settings.retrySlack}),
               .rollouts = rollout_policy({m_settings.canaryShare, m_settings.canarySlack}),
               .cascade = {.confidenceToKeep = m_settings.confidenceToKeep, .startsSmall = m_settings.startsSmall},
+              .requestBodies = body_memory(shareOfMemory(m_settings, kRequestBodyShare)),
               .pool = {loop, m_headerNames.requestId},
               .crashes = crash_registry(m_settings.host),
               .crashDetector = {m_state.pool,
@@ -86,7 +97,8 @@
                       if (!std::exchange(m_isProbePending, true))
                           m_probeTimer.start(reachability::kProbeDelay);
                   },
-              .random = std::mt19937_64{std::random_device{}()}}
+              .random = std::mt19937_64{std::random_device{}()},
+              .responseBytesLimit = shareOfMemory(m_settings, kResponseBodyShare)}
     , m_registry(m_settings.lapseGrace)
     , m_readiness(loop, [this](const http_exchange_ptr &exchange) { serveReadiness(exchange); })
     , m_metricsServer(loop, [this](const http_exchange_ptr &exchange) { serveMetrics(exchange); })
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -44,6 +44,7 @@
 private:
     [[nodiscard]] const caller_limits &limits() const override;
     [[nodiscard]] bool isDraining() const override { return m_isDraining; }
+    [[nodiscard]] body_memory &bodies() override { return m_state.requestBodies; }
     void accept(int socket) override { accept(socket, *this); }
     void recordAcceptFailure(int error) override;
     [[nodiscard]] std::unique_ptr<request_work> serve(inbound_request request, caller_response &response) override;
@@ -86,6 +87,7 @@
         }
         [[nodiscard]] const caller_limits &limits() const override;
         [[nodiscard]] bool isDraining() const override { return task.m_isDraining; }
+        [[nodiscard]] body_memory &bodies() override { return task.bodies(); }
         void accept(int socket) override { task.accept(socket, *this); }
         void recordAcceptFailure(int error) override { task.recordAcceptFailure(error); }
         [[nodiscard]] std::unique_ptr<request_work> serve(inbound_request request, caller_response &response) override;
--- a/src/stream_socket.cpp
+++ b/src/stream_socket.cpp
@@ -17,6 +17,8 @@
 
 /// Reading pauses when this many received bytes have not been consumed.
 constexpr std::size_t kReceiveLimitBytes = 256U << 10U;
+/// Copying fewer bytes costs less than sharing them.
+constexpr std::size_t kMinSharedBytes = 16U << 10U;
 
 } // namespace
 
@@ -64,6 +66,20 @@
     bufferevent_write(m_stream, bytes.data(), bytes.size());
 }
 
+void stream_socket::write(std::shared_ptr<const std::string> bytes)
+{
+    if (bytes->size() < kMinSharedBytes)
+        return write(*bytes);
+    m_hasWritten = true;
+    auto owner = std::make_unique<std::shared_ptr<const std::string>>(std::move(bytes));
+    const auto &text = **owner;
+    const auto release = [](const void *, std::size_t, void *shared) {
+        delete static_cast<std::shared_ptr<const std::string> *>(shared); // NOLINT: ownership passes through libevent
+    };
+    if (evbuffer_add_reference(bufferevent_get_output(m_stream), text.data(), text.size(), release, owner.get()) == 0)
+        std::ignore = owner.release(); // freed by the callback
+}
+
 std::string_view stream_socket::received()
 {
     auto *input = bufferevent_get_input(m_stream);
--- a/src/stream_socket_p.h
+++ b/src/stream_socket_p.h
@@ -4,6 +4,7 @@
 #include "event_loop_p.h"
 
 #include <memory>
+#include <string>
 #include <string_view>
 
 struct bufferevent;
@@ -45,6 +46,9 @@
 
     void write(std::string_view bytes);
 
+    /// Writes bytes that are shared with other owners instead of copied.
+    void write(std::shared_ptr<const std::string> bytes);
+
     /// @returns whether anything has been written, by any owner.
     [[nodiscard]] bool hasWritten() const { return m_hasWritten; }
 
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -124,7 +124,9 @@
 {
     m_connectTimer.stop();
     m_isConnected = true;
-    m_socket->write(m_request.bytes);
+    m_socket->write(m_request.head);
+    if (m_request.body)
+        m_socket->write(m_request.body);
 }
 
 /// Passes the head that has been read to the listener, unless it is informational or belongs to another request.
--- a/src/upstream_exchange_p.h
+++ b/src/upstream_exchange_p.h
@@ -42,7 +42,8 @@
 struct upstream_request {
     http_endpoint address;
     std::string replica; ///< id; connections are pooled per replica and address
-    std::string bytes; ///< head and body
+    std::string head;
+    std::shared_ptr<const std::string> body; ///< not copied; null: none
     std::string requestId; ///< a response that echoes another id is skipped
     /// The replica has responded to the same id before. A second copy of that response can't be told from the new
     /// response, so the request gets a connection of its own.
