Roll-outs: a response that was cut goes on at its version while that has a replica

Cause: once all replicas of the session's version had been tried, the request went to any other version, though a replica that cuts a response may well run the next one. A resumed stream then got events of two versions.

While the replica of the version is usable, a request whose successful response was cut is sent to it again.

Test: "gateway: an interrupted stream isn't resumed by another version while its own one has a replica" failed before.

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -2,6 +2,7 @@
 // gateway_exchange_responses.cpp.
 #include "gateway_exchange_p.h"
 
+#include "http_status_p.h"
 #include "text_hash_p.h"
 
 #include <cmath>
@@ -211,6 +212,13 @@
     m_exclusion = m_state.replicas.exclusion(queryFor(choice), now);
     if (choice.version.empty() || m_exclusion != send_exclusion::none)
         return nullptr;
+    // Events of another version don't continue a response that has begun, and a session keeps its version.
+    if (http_status::isSuccess(m_response.status) && m_connectFailures == 0) {
+        auto again = queryFor(choice);
+        again.tried = nullptr;
+        if (const auto *same = m_state.replicas.pick(again, now))
+            return same;
+    }
     // The new version may have no running replica yet, or its only replica has been tried.
     const auto others = choice.withExcluded(choice.version);
     const auto *other = m_state.replicas.pick(queryFor(others), now);
--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -294,6 +294,29 @@
     CHECK(one.requests.size() + two.requests.size() + three.requests.size() == 3);
 }
 
+TEST_CASE("gateway: an interrupted stream isn't resumed by another version while its own one has a replica")
+{
+    gateway_harness harness;
+    scripted_replica newer(harness.loop, "r-new", [](const received_request &request) {
+        const bool isResumed = !request.head.header("Last-Event-Id").empty();
+        if (isResumed)
+            return replica_script{streamText("id1", 4, 6)};
+        return replica_script{.bytes = streamText("id1", 1, 3, false), .resets = true};
+    });
+    scripted_replica older(harness.loop, "r-old",
+                           [](const received_request &) { return replica_script{streamText("id1", 4, 6)}; });
+    harness.publish(gateway_harness::makeConfig());
+    harness.publishesRollouts = false;
+    harness.feed.listener->onRollouts({{"s", "v2", std::chrono::seconds{20}, rollout_state::completed, 0, 8, 8, {}}});
+    harness.publishReplicas({newer.entry("s", "v2"), older.entry("s", "v1")});
+    scripted_caller caller(harness.loop, harness.task.callerPort());
+    caller.send(requestText("POST", "/stream/x", "id1"));
+    REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, 1); }));
+    CHECK(caller.responses[0].body == eventsText(1, 6));
+    CHECK(newer.requests.size() == 2);
+    CHECK(older.requests.empty());
+}
+
 TEST_CASE("gateway: a stream that can't be resumed ends as incomplete")
 {
     gateway_harness harness;
