Retry budget: hosts that restart in a burst of failures don't exceed the limit of all hosts

What callers saw: BUDGET; a service got more retries in one retry_window_s than retry_ratio x requests + retry_slack over all hosts.

Cause: a host could spend at once what the requests of the whole last window had earned. A process that was killed after that started without memory of it and earned again in the same window. Each process kept its own part; the sum of a host's two processes didn't. Class of fault: a limit over a window that is kept only in the memory of one process.

Why the fix works: what a request has earned expires after 12 % of the window. Retries in a window are then paid for by its requests and those shortly before it, also across the end of a process: 0.88 x 1.12 of the ratio at an even rate.

Not proven: a rate that peaks just before a restart by far more than the mean of its window. The slack that each new process gets is bounded only while hosts and restarts in a window are no more than the hosts that the slack is divided among.

Failed try: a first idea, credit as a plain bucket of 12 % of a window's requests, was dropped before it was built: it would deny retries for a burst of arrivals that the test of the sum over hosts asks for.

--- a/src/retry_budget_p.h
+++ b/src/retry_budget_p.h
@@ -26,7 +26,9 @@
 };
 
 /// One host's share of the budget. It is proportional to the requests that the host received itself, so that the sum
-/// over all hosts stays within the limits without communication, also when hosts join or leave.
+/// over all hosts stays within the limits without communication, also when hosts join or leave. A host that starts
+/// doesn't know what its earlier process has spent. Therefore what requests have earned expires soon: a process can't
+/// spend the earnings of a whole window in a burst, end, and earn again in the same window.
 class retry_budget
 {
 public:
@@ -48,6 +50,9 @@
     /// Fraction of the ratio that hosts use. The rest is a margin, as the windows of the hosts don't coincide with the
     /// one over which the sum is checked.
     static constexpr double kSpendableShare = 0.88;
+    /// Percentage of the window after which what requests have earned expires. The retries in a window are paid for by
+    /// its requests and those of this time before it; at an even rate, these earn the ratio's part of one window.
+    static constexpr int kCreditPercent = 12;
     /// Fraction of the spendable share that escalations may use.
     static constexpr double kEscalationShare = 0.85;
     /// The same of the slack. A host that gets few requests could otherwise never escalate the first of them.
@@ -60,7 +65,11 @@
     struct counts {
         std::deque<instant> requests; ///< arrival times in the window
         std::deque<instant> retries; ///< send times in the window
+        double credit = 0; ///< retries that are paid for
     };
+    [[nodiscard]] counts &countsOf(const std::string &service);
+    [[nodiscard]] double slackPerHost() const { return m_limits.slack / static_cast<double>(m_hosts); }
+    void expireCredit(counts &entry, instant now) const;
     void evictExpired(std::deque<instant> &times, instant now) const;
 
     retry_budget_limits m_limits;
