Kept connections: a request that arrived in time isn't lost to the idle timeout

Callers saw their connection closed without an answer to a request that they had sent in time, when the process stood still (busy, frozen) across the idle timeout: the timer ran before what had arrived was handed on (callbacks are deferred).

The timer looks for unread bytes first, as a planned stop does already; they are read before the connection is judged again.

Not shown: that this is what users saw.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -308,6 +308,8 @@
         return;
     if (suspendAwareNow() - m_timeoutStartedAt < readTimeout())
         return restartTimer(); // a newer configuration has a longer timeout
+    if (m_socket->hasUnread())
+        return restartTimer(); // what arrived in time is read first, also if the process stood still meanwhile
     if (m_parser.hasBegun() && m_parser.state() == parse_state::head)
         return reject(http_status::kRequestTimeout, "head_timeout");
     if (m_parser.hasBegun())
