Upstream connections: one that its replica has closed already isn't used again

Callers of a route without retries got 502 for a request that was written to a kept connection whose close had arrived, but hadn't been reported by the loop yet. The pool looked only at bytes that were already read.

The pool asks the kernel whether bytes or a close have arrived. A close that is still on its way can't be seen.

test_connection_races.cpp, "kept connection: a request isn't sent on a connection that its replica has closed already": failed 4 of 4 before (502), passes with it.

--- a/src/stream_socket.cpp
+++ b/src/stream_socket.cpp
@@ -100,6 +100,13 @@
     return !received().empty() || ::recv(bufferevent_getfd(m_stream), next.data(), next.size(), MSG_PEEK) > 0;
 }
 
+bool stream_socket::isQuiet()
+{
+    std::array<char, 1> next{};
+    return received().empty() && ::recv(bufferevent_getfd(m_stream), next.data(), next.size(), MSG_PEEK) < 0
+        && errno == EAGAIN;
+}
+
 std::size_t stream_socket::pendingBytes() const
 {
     return evbuffer_get_length(bufferevent_get_output(m_stream));
--- a/src/stream_socket_p.h
+++ b/src/stream_socket_p.h
@@ -59,6 +59,9 @@
     /// @returns whether bytes have arrived that aren't consumed, or not even read from the kernel.
     [[nodiscard]] bool hasUnread();
 
+    /// @returns whether nothing has arrived, neither bytes nor the peer's close, that the owner may not know of yet.
+    [[nodiscard]] bool isQuiet();
+
     /// @returns the number of bytes not yet handed to the kernel.
     [[nodiscard]] std::size_t pendingBytes() const;
 
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -41,8 +41,9 @@
     while (!idle.empty()) {
         auto last = std::move(idle.back());
         idle.pop_back();
-        // Bytes that arrived on an idle connection belong to no request; such a connection is not reused.
-        if (last.usableUntil > now && last.address == address && last.socket->received().empty())
+        // Bytes that arrived on an idle connection belong to no request, and a replica may have closed it before the
+        // loop has reported that; such a connection is not reused.
+        if (last.usableUntil > now && last.address == address && last.socket->isQuiet())
             return std::move(last.socket);
     }
     return nullptr;
