Connections: after a failed write, what the peer sent before is read, and its end is no orderly one

A replica that answered before it had read a long body, and then closed: callers got 502 in place of a whole response, or a 200 with the beginning of a response without a length, as if it were whole.

Cause: a failed write ended the connection before the rest was read from the kernel; and the write takes the socket's error, so that reading then reports an end of file like that of an orderly close. A failed write now leaves the end to reading, and an end after it counts as a failure.

test_connection_races.cpp, both cases "reset by a replica": failed 4 of 4 before, pass with it.

--- a/src/stream_socket.cpp
+++ b/src/stream_socket.cpp
@@ -141,13 +141,20 @@
 
 void stream_socket::onEvent(bufferevent *, short what, void *self)
 {
-    const auto handlers = static_cast<stream_socket *>(self)->m_handlers;
+    auto &socket = *static_cast<stream_socket *>(self);
+    const auto handlers = socket.m_handlers;
     if (what & BEV_EVENT_CONNECTED) {
         if (handlers.onConnected)
             handlers.onConnected();
         return;
     }
-    const auto end = (what & BEV_EVENT_EOF) ? socket_end::closed : socket_end::failed;
+    // A peer that resets the connection may have sent bytes before. They are read until the end, which the kernel then
+    // reports like an orderly one.
+    socket.m_hasWriteFailed = socket.m_hasWriteFailed || (what & BEV_EVENT_WRITING);
+    if ((what & BEV_EVENT_WRITING) && !(what & BEV_EVENT_READING))
+        return;
+    const bool isOrderly = (what & BEV_EVENT_EOF) && !(what & BEV_EVENT_ERROR) && !socket.m_hasWriteFailed;
+    const auto end = isOrderly ? socket_end::closed : socket_end::failed;
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) && handlers.onEnd)
         handlers.onEnd(end);
 }
--- a/src/stream_socket_p.h
+++ b/src/stream_socket_p.h
@@ -81,6 +81,7 @@
     handlers m_handlers;
     bufferevent *m_stream = nullptr;
     bool m_hasWritten = false;
+    bool m_hasWriteFailed = false; ///< the connection has failed; reading goes on to its end, which is no orderly one
 };
 
 } // namespace foxtaildyke
