--- a/src/stream_socket_p.h
+++ b/src/stream_socket_p.h
@@ -59,6 +59,9 @@
     /// @returns whether bytes have arrived that aren't consumed, or not even read from the kernel.
     [[nodiscard]] bool hasUnread();
 
+    /// @returns whether nothing has arrived, neither bytes nor the peer's close, that the owner may not know of yet.
+    [[nodiscard]] bool isQuiet();
+
     /// @returns the number of bytes not yet handed to the kernel.
     [[nodiscard]] std::size_t pendingBytes() const;
 
@@ -78,6 +81,7 @@
     handlers m_handlers;
     bufferevent *m_stream = nullptr;
     bool m_hasWritten = false;
+    bool m_hasWriteFailed = false; ///< the connection has failed; reading goes on to its end, which is no orderly one
 };
 
 } // namespace foxtaildyke
