--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -423,3 +423,32 @@
     CHECK(net.runUntil([&] { return haveAll({"r1", "r3"}); }));
     CHECK(std::ranges::all_of(net.hosts, [](const auto &host) { return host->recorder.rewinds == 1; }));
 }
+
+// Guards against calls for one kind that go on side by side: a host that follows a relay again kept reading the store.
+TEST_CASE(
+    "relay: hosts that search the store as it comes back from an older copy read each kind once, and stop for a relay")
+{
+    relayed_hosts net(8);
+    REQUIRE(net.runUntil([&] { return net.allRecorded("relay_followed 127.0.0.1"); }));
+    net.store.takeCopy();
+    net.store.setState(store_state::refusing);
+    net.relay.reset();
+    REQUIRE(net.runUntil([&] { return net.allRecorded("store_lost config"); }));
+    net.store.rewind();
+    net.store.setState(store_state::serving);
+    net.store.put("servers", "later", replicaSpec());
+    REQUIRE(net.runUntil([&] { return net.allHaveReplica("later"); }));
+    net.runFor(1500ms); // beyond the time for which they wait for a relay
+    for (auto &host : net.hosts)
+        host->recorder.events.clear();
+    net.relay =
+        std::make_unique<relayed_hosts::host>(net.loop, net.store.endpoint, net.addressesOf("relay", net.address));
+    REQUIRE(net.relay->feed.listen().has_value());
+    net.relay->feed.start(net.relay->recorder);
+    REQUIRE(net.runUntil([&] { return net.allRecorded("relay_followed 127.0.0.1"); }));
+    for (auto &host : net.hosts)
+        host->recorder.storeCalls.clear();
+    net.runFor(1s);
+    for (const auto &host : net.hosts)
+        CHECK(host->recorder.storeCalls.empty());
+}
