Gateway: a port in use or a stop during the start doesn't end the process by an error or a signal

Callers saw (may have seen; the report has no logs): FAULT, a process that ends by itself while it starts, or after a planned stop with the status of a signal.

Causes: ports in use were waited for during 5 s, less than the grace period of a predecessor (8 s), and the process ended with status 1 then. SIGTERM and SIGINT had their default action until the event loop existed, so also while ports were waited for, and again once the event loop was gone, while the log is closed.

Why it works: both signals have a handler from the first line of main() on, which the event loop's handler replaces and restores; a request that came before it is carried out after the start. Ports are waited for until they are free or a stop is requested.

--- a/src/port_wait.cpp
+++ b/src/port_wait.cpp
@@ -35,15 +35,14 @@
 
 } // namespace
 
-bool waitForPorts(std::span<const http_endpoint> addresses, std::chrono::milliseconds limit,
+bool waitForPorts(std::span<const http_endpoint> addresses, const std::function<bool()> &isCancelled,
                   const std::function<void(const http_endpoint &)> &onWait)
 {
-    const auto end = std::chrono::steady_clock::now() + limit;
     return std::ranges::all_of(addresses, [&](const http_endpoint &address) {
         if (address.port == 0 || !isInUse(address))
             return true;
         onWait(address);
-        while (std::chrono::steady_clock::now() < end) {
+        while (!isCancelled()) {
             std::this_thread::sleep_for(kRetryInterval);
             if (!isInUse(address))
                 return true;
--- a/src/port_wait_p.h
+++ b/src/port_wait_p.h
@@ -9,10 +9,11 @@
 namespace foxtaildyke
 {
 
-/// Tries until all addresses can be bound, or until the limit.
+/// Tries until all addresses can be bound, or the wait is cancelled.
+/// @param isCancelled called before each further try.
 /// @param onWait called once for each address that is in use.
 /// @returns whether they can be bound. Errors other than a port in use count as free, as binding will report them.
-[[nodiscard]] bool waitForPorts(std::span<const http_endpoint> addresses, std::chrono::milliseconds limit,
+[[nodiscard]] bool waitForPorts(std::span<const http_endpoint> addresses, const std::function<bool()> &isCancelled,
                                 const std::function<void(const http_endpoint &)> &onWait);
 
 } // namespace foxtaildyke
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -12,8 +12,13 @@
 namespace
 {
 
-/// Time for ports that are still in use at the start; without them, the process ends with an error.
-constexpr std::chrono::seconds kPortWait{5};
+/// A stop was requested by a signal before the event loop handles it, or after.
+volatile std::sig_atomic_t s_isStopRequested = 0;
+
+void requestStop(int /*signal*/)
+{
+    s_isStopRequested = 1;
+}
 
 /// Environment variable with the path of the settings file; used if --config is absent.
 constexpr const char *kSettingsVariable = "FOXTAILDYKE_SETTINGS";
@@ -45,10 +50,15 @@
 exit_code run(const gateway_settings &settings)
 {
     const std::array addresses{settings.listen, settings.readiness, settings.metrics, settings.relay, settings.detour};
-    std::ignore = waitForPorts(addresses, kPortWait, [](const http_endpoint &address) {
+    const auto isStopped = [] {
+        return s_isStopRequested != 0;
+    };
+    std::ignore = waitForPorts(addresses, isStopped, [](const http_endpoint &address) {
         std::cerr << program().name << ": waiting for " << address.address << ':' << address.port
                   << ", which is in use\n";
     });
+    if (isStopped())
+        return exit_code::success;
     event_loop loop;
     platform::store_feed feed(loop, settings.platform,
                               {settings.configWatch, settings.replicaWatch, changeLimitOf(settings)},
@@ -67,6 +77,8 @@
         printError(program(), started.error());
         return exit_code::failure;
     }
+    if (isStopped())
+        task.stop();
     loop.run();
     if (!task.closeLog())
         std::_Exit(static_cast<int>(exit_code::success));
@@ -77,7 +89,10 @@
 
 int main(int argc, char **argv)
 {
-    // Until there is a handler, SIGHUP would end the process; the settings are read below anyway.
+    // Until the event loop handles them, and again once it is gone, these would end the process by a signal.
+    std::signal(SIGTERM, requestStop);
+    std::signal(SIGINT, requestStop);
+    // So would SIGHUP; the settings are read below anyway.
     std::signal(SIGHUP, SIG_IGN);
     return runProgram(program(), argc, argv, loadSettings, run);
 }
