Gateway: settings that are being replaced are read again instead of ending the process

Callers saw (may have seen; the report has no logs): FAULT, a process that doesn't start.

Cause: the settings file was read once. A file that is replaced in place is empty and then partial for a moment; a process that started in that moment ended with status 3.

Evidence: test "start: settings that are empty while they are being replaced ..." failed before and passes now.

Left: a file that is cut where what remains is valid is taken as it is.

--- a/tests/failure_starts.cpp
+++ b/tests/failure_starts.cpp
@@ -61,3 +61,15 @@
     }
     CHECK(gateway.runUntil([&] { return gateway.readiness() == 200; }));
 }
+
+TEST_CASE("start: settings that are empty while they are being replaced are read again")
+{
+    gateway_process gateway;
+    gateway.publish(1);
+    gateway.startWithoutSettings();
+    gateway.giveEmptySettings();
+    gateway.runFor(200ms);
+    REQUIRE(gateway.process().isRunning());
+    gateway.giveSettings();
+    CHECK(gateway.runUntil([&] { return gateway.readiness() == 200; }));
+}
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -96,7 +96,13 @@
 void gateway_process::giveSettings()
 {
     std::ignore = writeSettings("host-1", {callerPort, m_readinessPort, m_metricsPort}, store, m_moreSettings);
-    ::close(m_settingsPipe);
+    giveEmptySettings();
+}
+
+void gateway_process::giveEmptySettings()
+{
+    if (m_settingsPipe >= 0)
+        ::close(std::exchange(m_settingsPipe, -1));
 }
 
 void gateway_process::leaveOutputUnread()
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -26,6 +26,8 @@
     /// Starts the program and runs the loop until it waits for its settings, which giveSettings() writes.
     void startWithoutSettings();
     void giveSettings();
+    /// After startWithoutSettings(): the program reads an empty file, as while its settings are being replaced.
+    void giveEmptySettings();
     /// From the next start on, the program's output goes to a pipe that nobody reads.
     void leaveOutputUnread();
     /// Starts the program and waits until it is ready. @returns false on timeout.
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -6,12 +6,17 @@
 
 #include <csignal>
 #include <iostream>
+#include <thread>
 
 using namespace foxtaildyke;
 
 namespace
 {
 
+/// Settings that are being replaced are invalid for a moment; they are read again for this time.
+constexpr std::chrono::seconds kSettingsWait{2};
+constexpr std::chrono::milliseconds kSettingsRetryInterval{20};
+
 /// A stop was requested by a signal before the event loop handles it, or after.
 volatile std::sig_atomic_t s_isStopRequested = 0;
 
@@ -34,6 +39,14 @@
     return s_program;
 }
 
+result<gateway_settings> readSettings(const std::string &path)
+{
+    const auto sections = readIniFile(path);
+    if (sections.has_error())
+        return sections.error();
+    return checkGatewaySettings(sections.value());
+}
+
 result<gateway_settings> loadSettings(const command_line &line)
 {
     const char *fromEnvironment =
@@ -41,10 +54,13 @@
     const std::string path = !line.configPath.empty() || !fromEnvironment ? line.configPath : fromEnvironment;
     if (path.empty())
         return error{error_code::missing_key, "--config"};
-    const auto sections = readIniFile(path);
-    if (sections.has_error())
-        return sections.error();
-    return checkGatewaySettings(sections.value());
+    const auto end = std::chrono::steady_clock::now() + kSettingsWait;
+    auto settings = readSettings(path);
+    while (settings.has_error() && !line.checkOnly && !s_isStopRequested && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(kSettingsRetryInterval);
+        settings = readSettings(path);
+    }
+    return settings;
 }
 
 exit_code run(const gateway_settings &settings)
