--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 REPOSITORY = os.path.dirname(os.path.dirname(HERE))
 sys.path.insert(0, os.path.join(REPOSITORY, "review", "standins"))
+import connections  # noqa: E402
 import fleet as standins  # noqa: E402
 
 SETTLE_S = standins.BOUNDS["settle_window_ms"] / 1000
@@ -68,14 +69,21 @@
         self.record.line("BROKEN:", text)
 
     async def add_replica(self, service):
-        replica = standins.Replica(self.store, self.record, service, *self.fleet.replica_address(self.next_port))
+        kind = connections.Replica if self.options.connections else standins.Replica
+        replica = kind(self.store, self.record, service, *self.fleet.replica_address(self.next_port))
         self.next_port += 1
         await replica.start()
         self.replicas.append(replica)
 
     def publish(self):
         self.version += self.random.randint(1, 5)
-        self.store.put("config", "main", standins.make_config(self.version, self.routes))
+        return self.put_config()
+
+    def put_config(self):
+        config = standins.make_config(self.version, self.routes)
+        if self.options.connections:
+            config["limits"]["idle_timeout_ms"] = int(connections.IDLE_S * 1000)
+        self.store.put("config", "main", config)
         return self.record.now()
 
     # Troubles. Each returns once it is over.
@@ -262,7 +270,7 @@
                     self.report(f"DRAIN: {request} reached {replica.id} {at - acknowledged:.1f} s after it was draining")
 
     async def run(self):
-        self.store.put("config", "main", standins.make_config(self.version, self.routes))
+        self.put_config()
         for service in (OLD, NEW):
             for _ in range(3):
                 await self.add_replica(service)
@@ -276,6 +284,9 @@
         per_gateway = 60 / self.fleet.count  # seconds between troubles of one gateway, on average
         callers = [asyncio.create_task(caller(until)) for caller in
                    [self.keep_connection] * self.options.kept + [self.connect_anew] * self.options.new]
+        others = connections.Callers(self)
+        callers += [asyncio.create_task(others.play(way, until))
+                    for way in others.WAYS * self.options.connections]
         troubles = [(self.stop_one, per_gateway), (self.kill_some, per_gateway), (self.hang_up, per_gateway / 2),
                     (self.freeze, per_gateway), (self.fail_store, 12), (self.drain_replica, 6), (self.move_route, 3),
                     (self.add_route, 4)]
@@ -288,7 +299,8 @@
         self.check_drained()
         served = sum(answer.status == 200 for _, _, _, answer in self.answers)
         print(f"seed {self.options.seed}: {served} of {len(self.answers)} served,"
-              f" {', '.join(trouble.__name__ for trouble, _ in chosen)}", flush=True)
+              f" {', '.join(trouble.__name__ for trouble, _ in chosen)}; of {others.half_closed[0]} half-closed"
+              f" callers {others.half_closed[1]} answered", flush=True)
         return self.broken
 
 
@@ -321,6 +333,8 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of plays, with consecutive seeds")
     parser.add_argument("--kept", type=int, default=20, help="callers that keep their connections")
     parser.add_argument("--new", type=int, default=5, help="callers that open a connection for each request")
+    parser.add_argument("--connections", type=int, default=0,
+                        help="callers of each kind in connections.py; with its replicas instead of plain ones")
     parser.add_argument("--work-tree", help="project whose target/ holds the gateway; default: build/ of this one")
     parser.add_argument("--untimed", action="store_true", help="check only what no busy machine can break")
     parser.add_argument("--records", help="folder that keeps the records")
