Store: an entry that can't be read affects no other entry

Callers saw: with one entry in `servers` that can't be read (bytes, a lone surrogate, 1e999), a draining replica got requests until its exit (DRAIN). A list nested 250,000 deep ended all gateways by SIGSEGV, again after each restart (LOST, FAULT).

Cause: a page, and a relay's whole response, were parsed as one JSON text, and nesting had no bound.

The new process test wasn't run before the fix. Not run to the end: the relay and feed relay tests (54 passed, then the run's time limit of 45 s on a busy machine).

Fix: a scanner without recursion splits a text into its parts; each is bounded in depth and parsed by itself.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -10,6 +10,7 @@
     platform/wire_names.cpp
     src/attempt_rules.cpp
     src/body_memory.cpp
+    src/bounded_json.cpp
     src/brittle_replicas.cpp
     src/caller_connection.cpp
     src/crash_detector.cpp
--- a/src/detour_wire.cpp
+++ b/src/detour_wire.cpp
@@ -1,6 +1,8 @@
 // Encoding of what hosts tell each other about detours; see detour_wire_p.h.
 #include "detour_wire_p.h"
 
+#include "bounded_json_p.h"
+
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -168,7 +170,7 @@
 
 std::vector<aged_statement> decodeStatements(const std::string &text)
 {
-    const auto body = json::parse(text, nullptr, false);
+    const auto body = parseBounded(text);
     const auto own = decode(body);
     if (!own)
         return {};
--- a/tests/failure_gateway.cpp
+++ b/tests/failure_gateway.cpp
@@ -282,6 +282,33 @@
     CHECK(replicas[0]->requests.size() == before);
 }
 
+// Guards against gateways that end, or start and never get ready, because of one entry of another writer.
+TEST_CASE("gateway process: entries that can't be read neither end it nor hide replicas, also from one that starts")
+{
+    constexpr std::size_t kDepth = 250'000;
+    const std::vector<std::string> specs{"{\"service\":" + std::string(kDepth, '[') + std::string(kDepth, ']') + "}",
+                                         "{\"service\":\"\xff\xfe\"}", R"({"batch_slots":1e999})"};
+    for (const bool isAtStart : {false, true}) {
+        gateway_process gateway;
+        gateway.publish(1);
+        scripted_replica replica(gateway.loop, "r1", echoResponse);
+        gateway.registerReplica(replica);
+        const auto leaveEntries = [&] {
+            for (const auto &spec : specs)
+                gateway.store.putRaw("servers", "r0-" + std::to_string(&spec - specs.data()), spec);
+        };
+        if (isAtStart)
+            leaveEntries();
+        REQUIRE(gateway.startReady());
+        leaveEntries();
+        REQUIRE(gateway.waitForLog("entry_unreadable", "servers/r0-2"));
+        scripted_replica late(gateway.loop, "r2", echoResponse);
+        gateway.registerReplica(late);
+        REQUIRE(gateway.runUntil([&] { return gateway.metrics().find("replicas 2") != std::string::npos; }));
+        CHECK(gateway.sendRequest(onceRequest("id-1")).head.status == 200);
+    }
+}
+
 TEST_CASE("gateway process: a configuration takes effect without a restart and is never replaced by an older one")
 {
     single_replica_fixture fixture;
--- a/tests/standin_store.cpp
+++ b/tests/standin_store.cpp
@@ -56,6 +56,22 @@
     return m_content.revision;
 }
 
+std::uint64_t standin_store::putRaw(const std::string &kind, const std::string &name, std::string spec)
+{
+    const auto mark = "@raw " + std::to_string(m_rawSpecs.size()) + '@';
+    m_rawSpecs.emplace(json(mark).dump(), std::move(spec));
+    return put(kind, name, mark);
+}
+
+std::string standin_store::withRawSpecs(const json &body) const
+{
+    auto text = body.dump();
+    for (const auto &[mark, spec] : m_rawSpecs)
+        for (auto at = text.find(mark); at != std::string::npos; at = text.find(mark, at + spec.size()))
+            text.replace(at, mark.size(), spec);
+    return text;
+}
+
 void standin_store::remove(const std::string &kind, const std::string &name)
 {
     recordChange(kind, name, true);
@@ -202,7 +218,7 @@
         items.push_back(render(name, object));
     }
     respond(exchange, http_status::kOk,
-            json{{"items", items}, {"truncated", isTruncated}, {"at", m_content.revision}}.dump());
+            withRawSpecs({{"items", items}, {"truncated", isTruncated}, {"at", m_content.revision}}));
 }
 
 void standin_store::serveWatch(const std::string &kind, const http_exchange_ptr &exchange)
@@ -237,7 +253,7 @@
             events.push_back({{"object", entry.object}, {"removed", entry.isRemoved}});
     if (events.empty() && !hasWaitEnded)
         return false;
-    respond(watch.exchange, http_status::kOk, json{{"events", events}, {"at", m_content.revision}}.dump());
+    respond(watch.exchange, http_status::kOk, withRawSpecs({{"events", events}, {"at", m_content.revision}}));
     return true;
 }
 
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -35,6 +35,8 @@
 
     /// Creates an object or replaces its spec; its status is retained. @returns its revision.
     std::uint64_t put(const std::string &kind, const std::string &name, nlohmann::json spec);
+    /// The same with a spec that is any text, as another writer may have left it.
+    std::uint64_t putRaw(const std::string &kind, const std::string &name, std::string spec);
     void remove(const std::string &kind, const std::string &name);
     [[nodiscard]] nlohmann::json specOf(const std::string &kind, const std::string &name) const;
     [[nodiscard]] nlohmann::json statusOf(const std::string &kind, const std::string &name) const;
@@ -82,6 +84,10 @@
         std::uint64_t after = 0; ///< revision
         http_exchange_ptr exchange;
     };
+    /// @returns the response with the raw specs in place.
+    [[nodiscard]] std::string withRawSpecs(const nlohmann::json &body) const;
+    std::map<std::string, std::string> m_rawSpecs; ///< by the string that stands for them in rendered objects
+
     using object_map = std::map<std::string, stored_object>; ///< by name
 
     struct content {
--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -128,6 +128,90 @@
     CHECK(store.recorder.hasEvent("replica_unusable bytes"));
 }
 
+namespace
+{
+
+std::string nestedList(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// Contents of entries that no JSON reader, or none with bounds, accepts.
+std::vector<std::string> unreadableSpecs()
+{
+    return {"{\"service\":\"\xff\xfe\x80\xc3\"}",      R"({"service":"\udcff\udcfe"})", R"({"batch_slots":1e999})",
+            R"({"note":)" + nestedList(250'000) + "}", "{\"service\":\"a\nb\"}",        "bytes"};
+}
+
+} // namespace
+
+// Guards against a gateway that ends, or learns nothing more of any replica, because of one entry.
+TEST_CASE("store feed: an entry that can't be read affects no other, in a list, on a later page and in a watch")
+{
+    for (const auto &spec : unreadableSpecs()) {
+        scripted_store store;
+        store.lists["servers"] = listOf(object("i1", replicaSpec()) + ',' + object("bad1", spec), true);
+        store.lists["servers after"] = listOf(object("bad2", spec) + ',' + object("i2", replicaSpec()));
+        int watches = 0;
+        store.onWatch = [&](const std::string &kind, const http_exchange_ptr &exchange) {
+            if (kind != "servers" || ++watches > 1)
+                return store.waiting.push_back(exchange);
+            exchange->respond(200,
+                              eventsOf(R"({"removed":false,"object":)" + object("i1", spec) + "},"
+                                           + R"({"removed":true,"object":)" + object("bad1", spec) + "},"
+                                           + R"({"removed":false,"object":)" + object("i3", replicaSpec()) + "}",
+                                       11));
+        };
+        store.feed.start(store.recorder);
+        CHECK(store.runUntil([&] { return store.recorder.replicas == std::vector<std::string>{"i2", "i3"}; }));
+        for (const auto *name : {"bad1", "bad2", "i1"})
+            CHECK(std::ranges::count(store.recorder.events, "entry_unreadable servers/" + std::string(name)) == 1);
+        CHECK(!store.recorder.hasEvent("store_lost servers"));
+    }
+}
+
+// Guards against a configuration that can't be read and stops the one before from being confirmed.
+TEST_CASE("store feed: after a configuration that can't be read, the one before holds")
+{
+    for (const auto &spec : unreadableSpecs()) {
+        scripted_store store;
+        store.lists["config"] = listOf(object("main", R"({"version":9})"));
+        int watches = 0;
+        store.onWatch = [&](const std::string &kind, const http_exchange_ptr &exchange) {
+            if (kind != "config" || ++watches > 2)
+                return store.waiting.push_back(exchange);
+            const auto next = watches == 1 ? spec : R"({"version":10})";
+            exchange->respond(200,
+                              eventsOf(R"({"removed":false,"object":)" + object("main", next) + "}", 10 + watches));
+        };
+        store.feed.start(store.recorder);
+        REQUIRE(store.runUntil([&] { return store.recorder.configs.size() >= 2; }));
+        CHECK(store.recorder.configs[0]->version == 9);
+        CHECK(store.recorder.configs[1]->version == 10);
+        CHECK(store.recorder.hasEvent("entry_unreadable config/main"));
+        CHECK(!store.recorder.hasEvent("store_lost config"));
+    }
+}
+
+// Guards against a follower that loses its relay, or ends, because of one entry in what the relay sends.
+TEST_CASE("store feed: a relayed entry that can't be read affects no other")
+{
+    const auto head = platform::encodeState({.queriers = 1}, platform::encodeLoadReport({})) + '\n';
+    for (const auto &spec : unreadableSpecs()) {
+        const auto item = [](const std::string &name, const std::string &content) {
+            return R"({"name":")" + name + R"(","revision":7,"created":3,"status":null,"spec":)" + content + '}';
+        };
+        const auto feed = platform::decodeFeed(head + R"({"servers":{"revision":10,"list":true,"items":[)"
+                                               + item("bad", spec) + ',' + item("i1", replicaSpec()) + "]}}");
+        REQUIRE(feed.has_value());
+        const auto &items = feed.value().kinds.at("servers").page.items;
+        REQUIRE(items.size() == 2);
+        CHECK(items[0].item.name == "bad");
+        CHECK(platform::decodeReplica(items[0].item).has_error());
+        CHECK(platform::decodeReplica(items[1].item).has_value());
+    }
+}
+
 TEST_CASE("store feed: a long list is read in pages, and changes arrive through the watch")
 {
     scripted_store store;
