Decision log: the end of a process waits for the thread that has closed the log

In the users' terms a process that ends by itself (FAULT).

Cause, by reading, not by a backtrace: the thread that closes the appenders was detached also when it had finished in time. Its references to them, and with them the last ones, could end beside the destructors of static objects.

The thread is joined if it finishes in time; otherwise the process ends without static destructors, as before.

--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -61,9 +61,13 @@
             appender->close();
     });
     auto closed = closing.get_future();
-    std::thread(std::move(closing)).detach();
-    if (closed.wait_for(limit) != std::future_status::ready)
+    std::thread thread(std::move(closing));
+    if (closed.wait_for(limit) != std::future_status::ready) {
+        thread.detach();
         return false;
+    }
+    // The thread holds references to the appenders a little longer; the last one must not end beside static objects.
+    thread.join();
     logger->removeAllAppenders();
     return true;
 }
