--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -199,7 +199,11 @@
     const auto head = platform::encodeState({.queriers = 1}, platform::encodeLoadReport({})) + '\n';
     for (const auto &spec : unreadableSpecs()) {
         const auto item = [](const std::string &name, const std::string &content) {
-            return R"({"name":")" + name + R"(","revision":7,"created":3,"status":null,"spec":)" + content + '}';
+            return std::string(R"({"name":")")
+                .append(name)
+                .append(R"(","revision":7,"created":3,"status":null,"spec":)")
+                .append(content)
+                .append("}");
         };
         const auto feed = platform::decodeFeed(head + R"({"servers":{"revision":10,"list":true,"items":[)"
                                                + item("bad", spec) + ',' + item("i1", replicaSpec()) + "]}}");
