--- a/src/body_memory.cpp
+++ b/src/body_memory.cpp
@@ -5,22 +5,22 @@
 {
 
 body_reservation::body_reservation(body_reservation &&other) noexcept
-    : m_account(std::exchange(other.m_account, nullptr))
+    : m_reserved(std::exchange(other.m_reserved, nullptr))
     , m_bytes(std::exchange(other.m_bytes, 0))
 {
 }
 
 body_reservation &body_reservation::operator=(body_reservation &&other) noexcept
 {
-    std::swap(m_account, other.m_account);
+    std::swap(m_reserved, other.m_reserved);
     std::swap(m_bytes, other.m_bytes);
     return *this;
 }
 
 body_reservation::~body_reservation()
 {
-    if (m_account)
-        m_account->release(m_bytes);
+    if (m_reserved)
+        (*m_reserved)[body_memory::partOf(m_bytes)] -= m_bytes;
 }
 
 body_memory::body_memory(std::size_t limitBytes)
@@ -32,10 +32,11 @@
 std::optional<body_reservation> body_memory::reserve(std::size_t bytes)
 {
     const auto part = partOf(bytes);
-    if (bytes > m_limits[part] - m_reserved[part])
+    auto &reserved = (*m_reserved)[part];
+    if (bytes > m_limits[part] - reserved)
         return std::nullopt;
-    m_reserved[part] += bytes;
-    return body_reservation(*this, bytes);
+    reserved += bytes;
+    return body_reservation(m_reserved, bytes);
 }
 
 bool body_memory::grow(body_reservation &reservation, std::size_t bytes)
@@ -45,11 +46,11 @@
     const auto part = partOf(bytes);
     // Within one part only the difference is needed.
     const auto held = part == partOf(reservation.bytes()) ? reservation.bytes() : 0;
-    if (bytes - held > m_limits[part] - m_reserved[part])
+    if (bytes - held > m_limits[part] - (*m_reserved)[part])
         return false;
-    release(reservation.bytes());
-    m_reserved[part] += bytes;
-    reservation.m_account = this;
+    (*m_reserved)[partOf(reservation.bytes())] -= reservation.bytes();
+    (*m_reserved)[part] += bytes;
+    reservation.m_reserved = m_reserved;
     reservation.m_bytes = bytes;
     return true;
 }
--- a/src/body_memory_p.h
+++ b/src/body_memory_p.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -14,7 +15,11 @@
 
 class body_memory;
 
-/// Memory that a body may take; given back on destruction.
+/// Bytes of small bodies, and of large ones.
+using body_bytes = std::array<std::size_t, 2>;
+
+/// Memory that a body may take; given back on destruction. It may outlive the account: libevent frees what a closed
+/// connection was writing only later.
 class body_reservation
 {
 public:
@@ -27,17 +32,16 @@
 
 private:
     friend class body_memory;
-    body_reservation(body_memory &account, std::size_t bytes)
-        : m_account(&account)
+    body_reservation(std::shared_ptr<body_bytes> reserved, std::size_t bytes)
+        : m_reserved(std::move(reserved))
         , m_bytes(bytes)
     {
     }
 
-    body_memory *m_account = nullptr; ///< null: nothing is reserved
+    std::shared_ptr<body_bytes> m_reserved; ///< of the account; null: nothing is reserved
     std::size_t m_bytes = 0;
 };
 
-/// Must outlive its reservations.
 class body_memory
 {
 public:
@@ -50,7 +54,7 @@
     /// Changes a reservation to a larger size. @returns false, without a change, if there is no room.
     [[nodiscard]] bool grow(body_reservation &reservation, std::size_t bytes);
 
-    [[nodiscard]] std::size_t reservedBytes() const { return m_reserved[0] + m_reserved[1]; }
+    [[nodiscard]] std::size_t reservedBytes() const { return m_reserved->front() + m_reserved->back(); }
 
     /// Bodies up to this size are small.
     static constexpr std::size_t kSmallBodyBytes = 64U << 10U;
@@ -61,10 +65,9 @@
     friend class body_reservation;
     /// @returns the index of the part of the account for bodies of this size.
     [[nodiscard]] static std::size_t partOf(std::size_t bytes) { return bytes <= kSmallBodyBytes ? 0 : 1; }
-    void release(std::size_t bytes) { m_reserved[partOf(bytes)] -= bytes; }
 
-    std::array<std::size_t, 2> m_limits; ///< bytes of small bodies, and of large ones
-    std::array<std::size_t, 2> m_reserved{}; ///< the same; never above the limits
+    body_bytes m_limits;
+    std::shared_ptr<body_bytes> m_reserved = std::make_shared<body_bytes>(); ///< never above the limits
 };
 
 } // namespace foxtaildyke
--- a/src/stream_socket.cpp
+++ b/src/stream_socket.cpp
@@ -107,6 +107,12 @@
         && errno == EAGAIN;
 }
 
+bool stream_socket::isReading() const
+{
+    return (bufferevent_get_enabled(m_stream) & EV_READ) != 0
+        && evbuffer_get_length(bufferevent_get_input(m_stream)) < kReceiveLimitBytes;
+}
+
 std::size_t stream_socket::pendingBytes() const
 {
     return evbuffer_get_length(bufferevent_get_output(m_stream));
@@ -151,7 +157,7 @@
     // A peer that resets the connection may have sent bytes before. They are read until the end, which the kernel then
     // reports like an orderly one.
     socket.m_hasWriteFailed = socket.m_hasWriteFailed || (what & BEV_EVENT_WRITING);
-    if ((what & BEV_EVENT_WRITING) && !(what & BEV_EVENT_READING))
+    if ((what & BEV_EVENT_WRITING) && !(what & BEV_EVENT_READING) && socket.isReading())
         return;
     const bool isOrderly = (what & BEV_EVENT_EOF) && !(what & BEV_EVENT_ERROR) && !socket.m_hasWriteFailed;
     const auto end = isOrderly ? socket_end::closed : socket_end::failed;
--- a/src/stream_socket_p.h
+++ b/src/stream_socket_p.h
@@ -72,6 +72,8 @@
     void shutdownWrite();
 
 private:
+    /// @returns whether what arrives is read, neither paused by the owner nor by kReceiveLimitBytes.
+    [[nodiscard]] bool isReading() const;
     void open(int socket, std::chrono::milliseconds userTimeout);
     static void onRead(bufferevent *stream, void *self);
     static void onWrite(bufferevent *stream, void *self);
