--- a/tests/soak/budget.py
+++ b/tests/soak/budget.py
@@ -148,6 +148,7 @@
     parser.add_argument("--kills", type=int, help="times that all hosts are killed in a burst; default: drawn")
     parser.add_argument("--work-tree", help="project whose target/ holds the gateway; default: build/ of this one")
     parser.add_argument("--records", help="folder that keeps the records")
+    parser.set_defaults(connections=0)  # of soak.py
     options = parser.parse_args()
     directory = tempfile.mkdtemp(prefix="foxtaildyke-soak-")
     standins.ROOT = soak.make_root(directory, options.work_tree)
--- a/tests/soak/config_soak.py
+++ b/tests/soak/config_soak.py
@@ -216,6 +216,7 @@
     parser.add_argument("--troubles", help="names, separated by commas; default: drawn from the seed")
     parser.add_argument("--work-tree", help="project whose target/ holds the gateway; default: build/ of this one")
     parser.add_argument("--records", help="folder that keeps the records and logs")
+    parser.set_defaults(connections=0)  # of soak.py
     options = parser.parse_args()
     options.untimed = False
     directory = tempfile.mkdtemp(prefix="foxtaildyke-soak-")
