--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -313,39 +313,39 @@
     return directory
 
 
-async def play(options, directory):
+async def play(options, directory, kind=Soak):
     record = standins.Record(os.path.join(options.records or directory, f"seed-{options.seed}.txt"))
     random.seed(options.seed)
     store = standins.Store(record)
     fleet = standins.Fleet(record, store, options.gateways)
     try:
         await fleet.start_store()
-        return await Soak(record, store, fleet, options).run()
+        return await kind(record, store, fleet, options).run()
     finally:
         fleet.end()
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+def make_parser(description):
+    parser = argparse.ArgumentParser(description=description.split("\n")[0])
     parser.add_argument("--gateways", type=int, default=6)
     parser.add_argument("--seconds", type=float, default=30)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="number of plays, with consecutive seeds")
-    parser.add_argument("--kept", type=int, default=20, help="callers that keep their connections")
-    parser.add_argument("--new", type=int, default=5, help="callers that open a connection for each request")
-    parser.add_argument("--connections", type=int, default=0,
-                        help="callers of each kind in connections.py; with its replicas instead of plain ones")
     parser.add_argument("--work-tree", help="project whose target/ holds the gateway; default: build/ of this one")
     parser.add_argument("--untimed", action="store_true", help="check only what no busy machine can break")
     parser.add_argument("--records", help="folder that keeps the records")
-    options = parser.parse_args()
+    return parser
+
+
+def run_plays(options, kind):
+    """Plays the seeds one after another. Returns the exit status."""
     failed = False
     for seed in range(options.seed, options.seed + options.seeds):
         options.seed = seed
         directory = tempfile.mkdtemp(prefix="foxtaildyke-soak-")
         standins.ROOT = make_root(directory, options.work_tree)
         try:
-            broken = asyncio.run(play(options, directory))
+            broken = asyncio.run(play(options, directory, kind))
         finally:
             shutil.rmtree(directory, ignore_errors=True)
         for text in broken[:20]:
@@ -354,6 +354,15 @@
     return 1 if failed else 0
 
 
+def main():
+    parser = make_parser(__doc__)
+    parser.add_argument("--kept", type=int, default=20, help="callers that keep their connections")
+    parser.add_argument("--new", type=int, default=5, help="callers that open a connection for each request")
+    parser.add_argument("--connections", type=int, default=0,
+                        help="callers of each kind in connections.py; with its replicas instead of plain ones")
+    return run_plays(parser.parse_args(), Soak)
+
+
 if __name__ == "__main__":
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     sys.exit(main())
