Gateway: a fatal signal leaves a report of where the process was, and the log names the build

Change: handlers of SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT write to standard error the signal, its address, the program counter, the last 12 decisions with their age, and the words of the stack that are addresses of code, as module+offset; no allocation, no lock, no dependence on frame pointers or on libraries that can be unwound; then the signal ends the process as before. The start line has the build id.

--- a/cmake/base.cmake
+++ b/cmake/base.cmake
@@ -2,6 +2,7 @@
 add_library(foxtaildyke-base STATIC
     src/command_line.cpp
     src/event_loop.cpp
+    src/fatal_signal.cpp
     src/http_client.cpp
     src/http_server.cpp
     src/log_output.cpp
--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -1,6 +1,7 @@
 // Structured decision log; see decision_log_p.h.
 #include "decision_log_p.h"
 
+#include "fatal_signal_p.h"
 #include "gateway_clock_p.h"
 #include "log_output_p.h"
 
@@ -19,6 +20,13 @@
 constexpr int kMaxQueuedLines =
     512; ///< lines buffered for a slow sink; log4cxx discards further ones and logs a summary
 
+std::string_view requestIdOf(const nlohmann::ordered_json &fields)
+{
+    const auto found = fields.find("request_id");
+    const auto *id = found != fields.end() ? found->get_ptr<const std::string *>() : nullptr;
+    return id ? std::string_view(*id) : std::string_view();
+}
+
 } // namespace
 
 decision_log::decision_log(std::string host, const std::string &path, std::uint32_t linesPerSecond)
@@ -86,7 +94,9 @@
 
 void decision_log::write(std::string_view event, const nlohmann::ordered_json &fields, log_subject subject)
 {
-    if (!tryConsumeToken(suspendAwareNow(), subject)) {
+    const auto now = suspendAwareNow();
+    keepForFatalReport(event, requestIdOf(fields), now);
+    if (!tryConsumeToken(now, subject)) {
         ++m_dropped;
         ++m_droppedTotal;
         return;
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -1,6 +1,7 @@
 // Gateway of one host; see gateway_task_p.h.
 #include "gateway_task_p.h"
 
+#include "fatal_signal_p.h"
 #include "http_status_p.h"
 
 #include <arpa/inet.h>
@@ -134,7 +135,9 @@
     const auto detours = listenForDetours();
     if (detours.has_error())
         return detours.error();
-    m_log.write("start", {{"failure_domain", m_settings.failureDomain}, {"build", FOXTAILDYKE_VERSION}});
+    m_log.write(
+        "start",
+        {{"failure_domain", m_settings.failureDomain}, {"build", FOXTAILDYKE_VERSION}, {"build_id", buildId()}});
     feed.start(*this);
     m_tick.start(kTickInterval);
     if (m_settings.detour.port != 0)
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -1,4 +1,5 @@
 // foxtaildyke-gateway: request router of one host on the users' platform.
+#include "fatal_signal_p.h"
 #include "gateway_task_p.h"
 #include "port_wait_p.h"
 #include "store_feed.h"
@@ -105,6 +106,7 @@
 
 int main(int argc, char **argv)
 {
+    reportFatalSignals();
     // Until the event loop handles them, and again once it is gone, these would end the process by a signal.
     std::signal(SIGTERM, requestStop);
     std::signal(SIGINT, requestStop);
