Decision log: the gateway writes it without a thread

Cause: the detached thread that had closed the log's appender still held the last references to it. Their destruction, AsyncAppender with its memory pool, ran beside the static destructors of the logger's libraries: SIGSEGV in libapr, in that thread (~AsyncAppenderPriv, ~Pool, from std::thread's state) or in main()'s exit handlers.

Change: no thread. Lines go through log4cxx as before and are written at once if the output takes them without blocking (poll, at most PIPE_BUF bytes); what a slow reader leaves waits in a queue of 512 lines, which the tick and later lines write out. Lines without room are counted in dropped_before, which log4cxx's own summary wasn't. A process whose output isn't read ends through its destructors too.

--- a/cmake/base.cmake
+++ b/cmake/base.cmake
@@ -5,6 +5,7 @@
     src/fatal_signal.cpp
     src/http_client.cpp
     src/http_server.cpp
+    src/line_sink.cpp
     src/log_output.cpp
     src/process_settings.cpp
     src/port_wait.cpp
--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -5,11 +5,10 @@
 #include "gateway_clock_p.h"
 #include "log_output_p.h"
 
-#include <future>
-#include <log4cxx/asyncappender.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 namespace foxtaildyke
 {
@@ -17,8 +16,25 @@
 namespace
 {
 
-constexpr int kMaxQueuedLines =
-    512; ///< lines buffered for a slow sink; log4cxx discards further ones and logs a summary
+/// Passes the messages of a logger to a sink.
+class sink_appender : public log4cxx::AppenderSkeleton
+{
+public:
+    explicit sink_appender(line_sink &sink)
+        : m_sink(sink)
+    {
+    }
+
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &) override
+    {
+        m_sink.write(event->getRenderedMessage() + '\n');
+    }
+    void close() override { }
+    [[nodiscard]] bool requiresLayout() const override { return false; }
+
+private:
+    line_sink &m_sink;
+};
 
 std::string_view requestIdOf(const nlohmann::ordered_json &fields)
 {
@@ -35,49 +51,31 @@
     , m_linesPerSecond(linesPerSecond)
     , m_tokens(linesPerSecond)
     , m_refilledAt(suspendAwareNow())
+    , m_sink(path)
 {
     const auto logger = log4cxx::Logger::getLogger(m_loggerName);
-    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
-    queue->setBufferSize(kMaxQueuedLines);
-    queue->setBlocking(false);
-    queue->addAppender(makeLineAppender(path));
     logger->removeAllAppenders();
     logger->setAdditivity(false);
     logger->setLevel(log4cxx::Level::getInfo());
-    logger->addAppender(queue);
+    logger->addAppender(std::make_shared<sink_appender>(m_sink));
 }
 
 decision_log::~decision_log()
 {
-    if (m_isClosed)
-        return;
-    // Waits for the sink: the thread that writes must not outlive the logger's static objects.
-    const auto logger = log4cxx::Logger::getLogger(m_loggerName);
-    for (const auto &appender : logger->getAllAppenders())
-        appender->close();
-    logger->removeAllAppenders();
+    if (!m_isClosed)
+        std::ignore = end(std::nullopt);
 }
 
 bool decision_log::close(std::chrono::milliseconds limit)
 {
-    if (std::exchange(m_isClosed, true))
-        return true;
-    const auto logger = log4cxx::Logger::getLogger(m_loggerName);
-    // Closing waits for the sink, which may be a pipe that nobody reads.
-    std::packaged_task<void()> closing([appenders = logger->getAllAppenders()] {
-        for (const auto &appender : appenders)
-            appender->close();
-    });
-    auto closed = closing.get_future();
-    std::thread thread(std::move(closing));
-    if (closed.wait_for(limit) != std::future_status::ready) {
-        thread.detach();
-        return false;
-    }
-    // The thread holds references to the appenders a little longer; the last one must not end beside static objects.
-    thread.join();
-    logger->removeAllAppenders();
-    return true;
+    return m_isClosed || end(limit);
+}
+
+bool decision_log::end(std::optional<std::chrono::milliseconds> limit)
+{
+    m_isClosed = true;
+    log4cxx::Logger::getLogger(m_loggerName)->removeAllAppenders();
+    return m_sink.drain(limit);
 }
 
 bool decision_log::tryConsumeToken(instant now, log_subject subject)
@@ -96,7 +94,9 @@
 {
     const auto now = suspendAwareNow();
     keepForFatalReport(event, requestIdOf(fields), now);
-    if (!tryConsumeToken(now, subject)) {
+    if (m_isClosed)
+        return;
+    if (m_sink.isFull() || !tryConsumeToken(now, subject)) {
         ++m_dropped;
         ++m_droppedTotal;
         return;
--- a/src/decision_log_p.h
+++ b/src/decision_log_p.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "foxtaildyke/foxtaildyke.h"
+#include "line_sink_p.h"
 
-#include <chrono>
 #include <nlohmann/json_fwd.hpp>
 
 namespace foxtaildyke
@@ -21,7 +21,8 @@
 {
 public:
     /// @param path file to append to, or "-" for standard output.
-    /// @param linesPerSecond rate limit. Lines beyond it are dropped, and the next written line reports their number.
+    /// @param linesPerSecond rate limit. Lines beyond it, and those for which a slow reader leaves no room, are
+    /// dropped; the next written line reports their number.
     /// Request lines may use only part of it; the rest is reserved for process lines.
     decision_log(std::string host, const std::string &path, std::uint32_t linesPerSecond);
     ~decision_log();
@@ -32,16 +33,19 @@
     void write(std::string_view event, const nlohmann::ordered_json &fields,
                log_subject subject = log_subject::process);
 
+    /// Writes lines that wait for a slow reader, as far as it takes them. To be called from time to time.
+    void flush() { m_sink.flush(); }
+
     /// Writes out the lines that wait and ends the log, for which the destructor has no time limit.
-    /// @returns false if its sink hasn't taken them within the limit. The process must then end without static
-    /// destructors, which would wait for the sink.
+    /// @returns false if the reader hasn't taken them within the limit; they are lost.
     [[nodiscard]] bool close(std::chrono::milliseconds limit = kCloseLimit);
 
-    /// @returns the number of lines that the rate limit has dropped since the start.
+    /// @returns the number of lines that have been dropped since the start.
     [[nodiscard]] std::uint64_t droppedLines() const { return m_droppedTotal; }
 
 private:
     [[nodiscard]] bool tryConsumeToken(instant now, log_subject subject);
+    [[nodiscard]] bool end(std::optional<std::chrono::milliseconds> limit);
 
     /// Share of the rate limit that is reserved for process lines.
     static constexpr double kProcessShare = 0.25;
@@ -53,6 +57,7 @@
     double m_linesPerSecond;
     double m_tokens;
     instant m_refilledAt{};
+    line_sink m_sink;
     bool m_isClosed = false;
     std::uint64_t m_nextSequence = 1;
     std::uint64_t m_dropped = 0; ///< lines dropped since the last written line
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -256,6 +256,7 @@
 void gateway_task::tick()
 {
     const auto now = suspendAwareNow();
+    m_log.flush();
     resumeListeners();
     if (m_registry.expire(now))
         applyReplicas();
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -26,8 +26,8 @@
 
     /// Begins a graceful stop; the loop ends when the last request has completed or the grace period is nearly over.
     void stop();
-    /// Must be called after the loop has ended. @returns as decision_log::close().
-    [[nodiscard]] bool closeLog() { return m_log.close(); }
+    /// Writes out the log. To be called after the loop has ended: the destructor would wait for a reader without limit.
+    void closeLog() { std::ignore = m_log.close(); }
 
     /// @returns the bound port for callers, and that for readiness checks; they differ from the settings where those
     /// specify port 0.
--- a/tests/failure_support.cpp
+++ b/tests/failure_support.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <mutex>
 #include <netinet/in.h>
 #include <poll.h>
@@ -230,6 +231,12 @@
                                                                  + std::chrono::nanoseconds{time.tv_nsec});
 }
 
+std::size_t child_process::threadCount() const
+{
+    const std::filesystem::directory_iterator tasks("/proc/" + std::to_string(m_pid) + "/task");
+    return static_cast<std::size_t>(std::distance(begin(tasks), end(tasks)));
+}
+
 call_response send(const http_call &call)
 {
     const int socket = connectTo(call.port);
--- a/tests/failure_support.h
+++ b/tests/failure_support.h
@@ -47,6 +47,8 @@
     void limitDescriptors(std::size_t count) const;
     /// @returns the processor time that the process has used.
     [[nodiscard]] std::chrono::milliseconds processorTime() const;
+    /// @returns the number of threads that the process has.
+    [[nodiscard]] std::size_t threadCount() const;
 
 private:
     pid_t m_pid = -1;
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -97,8 +97,7 @@
     if (isStopped())
         task.stop();
     loop.run();
-    if (!task.closeLog())
-        std::_Exit(static_cast<int>(exit_code::success));
+    task.closeLog();
     return exit_code::success;
 }
 
