Fatal signals: the report waits for no reader, and needs no descriptor at that time

Cause: lines of the report were written to standard error in blocking mode before the signal ended the process. With a full pipe that nobody reads, a process with a fault kept its sockets open and answered nothing.

Change: each line is written only if poll() says that it won't block. The pipe by which the handler reads the stack is opened at the start. The sender is named for a signal that was sent; the oldest decision, which may be half replaced, isn't printed; a handler that a sanitizer has installed stays.

--- a/src/fatal_signal.cpp
+++ b/src/fatal_signal.cpp
@@ -14,6 +14,7 @@
 #include <elf.h>
 #include <fcntl.h>
 #include <link.h>
+#include <poll.h>
 #include <span>
 #include <sys/syscall.h>
 #include <ucontext.h>
@@ -82,10 +83,13 @@
         const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number, base).ptr;
         return add(base == 16 ? "0x" : "").add({digits.data(), static_cast<std::size_t>(end - digits.data())});
     }
+    /// Writes the line, unless nobody reads standard error: waiting would keep the process from ending.
     void write()
     {
         add("\n");
-        std::ignore = ::write(STDERR_FILENO, m_text.data(), m_size);
+        pollfd output{STDERR_FILENO, POLLOUT, 0};
+        if (::poll(&output, 1, 0) > 0)
+            std::ignore = ::write(STDERR_FILENO, m_text.data(), m_size);
         m_size = 0;
     }
 
@@ -149,17 +153,11 @@
 class safe_reader
 {
 public:
-    safe_reader() { m_isOpen = ::pipe2(m_pipe.data(), O_CLOEXEC | O_NONBLOCK) == 0; }
-    ~safe_reader()
-    {
-        if (m_isOpen)
-            std::ranges::for_each(m_pipe, ::close);
-    }
-    safe_reader(const safe_reader &) = delete;
-    safe_reader &operator=(const safe_reader &) = delete;
+    /// Opens what reading needs, which may not be had any more at the time of the signal.
+    void open() { m_isOpen = ::pipe2(m_pipe.data(), O_CLOEXEC | O_NONBLOCK) == 0; }
 
     /// @returns false if the word can't be read.
-    bool read(std::uintptr_t address, std::uintptr_t &word) const
+    [[nodiscard]] bool read(std::uintptr_t address, std::uintptr_t &word) const
     {
         return m_isOpen && ::write(m_pipe[1], reinterpret_cast<const void *>(address), sizeof(word)) == sizeof(word)
             && ::read(m_pipe[0], &word, sizeof(word)) == sizeof(word);
@@ -170,15 +168,16 @@
     bool m_isOpen = false;
 };
 
+safe_reader s_reader; ///< opened before any handler can run
+
 /// Writes the words of the stack that are addresses of code. This needs no frame pointers and no intact frames; some
 /// of them are left over from earlier calls.
 void writeReturnAddresses(std::uintptr_t stack)
 {
-    const safe_reader reader;
     std::uintptr_t word = 0;
     std::size_t written = 0;
     for (std::size_t index = 0; index < kMaxStackWords && written < kMaxReturnAddresses; ++index) {
-        if (!reader.read(stack + index * sizeof(word), word))
+        if (!s_reader.read(stack + index * sizeof(word), word))
             return;
         if (!moduleOf(word))
             continue;
@@ -192,7 +191,8 @@
     const auto now = suspendAwareNow();
     const auto count = s_decisionCount.load();
     report_line line;
-    for (auto number = count - std::min(count, kKeptDecisions); number < count; ++number) {
+    // The signal may have come while the oldest one was being replaced.
+    for (auto number = count - std::min(count, kKeptDecisions - 1); number < count; ++number) {
         const auto &kept = s_decisions[number % kKeptDecisions];
         const auto age = std::max(now - kept.at, instant::zero());
         line.add("  ").add(static_cast<std::uintptr_t>(age.count()), 10).add(" us before: ");
@@ -211,10 +211,10 @@
         .add(static_cast<std::uintptr_t>(number), 10)
         .add(" (")
         .add(nameOfSignal(number))
-        .add("), code ")
-        .add(static_cast<std::uintptr_t>(std::max(info->si_code, 0)), 10)
-        .add(", address ")
-        .add(reinterpret_cast<std::uintptr_t>(info->si_addr), 16)
+        .add(info->si_code > 0 ? "), address " : "), sent by process ")
+        .add(info->si_code > 0 ? reinterpret_cast<std::uintptr_t>(info->si_addr)
+                               : static_cast<std::uintptr_t>(info->si_pid),
+             info->si_code > 0 ? 16 : 10)
         .add(", thread ")
         .add(static_cast<std::uintptr_t>(::syscall(SYS_gettid)), 10)
         .add(" of process ")
@@ -287,8 +287,9 @@
 void reportFatalSignals()
 {
     dl_iterate_phdr(addModule, nullptr);
-    stack_t present{};
-    if (::sigaltstack(nullptr, &present) == 0 && (present.ss_flags & SS_DISABLE) != 0) {
+    s_reader.open();
+    stack_t presentStack{};
+    if (::sigaltstack(nullptr, &presentStack) == 0 && (presentStack.ss_flags & SS_DISABLE) != 0) {
         stack_t own{};
         own.ss_sp = s_handlerStack.data();
         own.ss_size = s_handlerStack.size();
@@ -299,8 +300,13 @@
     action.sa_sigaction = reportAndEnd;
     action.sa_flags = SA_SIGINFO | SA_ONSTACK;
     sigemptyset(&action.sa_mask);
-    for (const int number : kFatalSignals)
-        ::sigaction(number, &action, nullptr);
+    for (const int number : kFatalSignals) {
+        struct sigaction present {
+        };
+        // A sanitizer reports more than this handler could.
+        if (::sigaction(number, nullptr, &present) == 0 && present.sa_handler == SIG_DFL)
+            ::sigaction(number, &action, nullptr);
+    }
 }
 
 void keepForFatalReport(std::string_view event, std::string_view subject, instant now)
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -115,6 +115,11 @@
     REQUIRE(::fcntl(m_unreadPipe, F_SETPIPE_SZ, kPipeBytes) >= 0);
 }
 
+void gateway_process::fillUnreadOutput() const
+{
+    while (::write(m_unreadPipe, "x", 1) == 1) { }
+}
+
 std::uint16_t gateway_process::addHost(const std::string &host)
 {
     return addHost(host, store, m_moreSettings);
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -30,6 +30,8 @@
     void giveEmptySettings();
     /// From the next start on, the program's output goes to a pipe that nobody reads.
     void leaveOutputUnread();
+    /// After leaveOutputUnread(): leaves no room for output.
+    void fillUnreadOutput() const;
     /// Starts the program and waits until it is ready. @returns false on timeout.
     bool startReady();
 
