Line sink: a failing output loses no line uncounted, and no signal or missing file keeps the end waiting

Causes: the result of open() wasn't checked, and poll() waits for ever on a negative descriptor (a log that can't be opened, on a way out of run() without closeLog()); a signal or EAGAIN ended the wait for the last lines early; a full queue dropped lines until the next tick though the reader had caught up; errors dropped the queue without counting.

Change: without a descriptor, and after errors, lines count as lost and come back in dropped_before; a line that was cut by an error is ended first; the wait goes on after EINTR and EAGAIN; a full queue is flushed before a line is dropped, and a quarter of it is reserved for process lines; files are opened in non-blocking mode.

--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -90,17 +90,31 @@
     return true;
 }
 
+bool decision_log::hasRoom(log_subject subject)
+{
+    constexpr auto kRequestLines =
+        static_cast<std::size_t>((1 - kProcessShare) * static_cast<double>(line_sink::kMaxQueuedLines));
+    const auto limit = subject == log_subject::request ? kRequestLines : line_sink::kMaxQueuedLines;
+    if (m_sink.queuedLines() >= limit)
+        m_sink.flush();
+    return m_sink.queuedLines() < limit;
+}
+
+void decision_log::countDropped(std::size_t lines)
+{
+    m_dropped += lines;
+    m_droppedTotal += lines;
+}
+
 void decision_log::write(std::string_view event, const nlohmann::ordered_json &fields, log_subject subject)
 {
     const auto now = suspendAwareNow();
     keepForFatalReport(event, requestIdOf(fields), now);
     if (m_isClosed)
         return;
-    if (m_sink.isFull() || !tryConsumeToken(now, subject)) {
-        ++m_dropped;
-        ++m_droppedTotal;
-        return;
-    }
+    countDropped(m_sink.takeLostLines());
+    if (!hasRoom(subject) || !tryConsumeToken(now, subject))
+        return countDropped(1);
     nlohmann::ordered_json line{{"time_us", unixMicroseconds()},
                                 {"process", "gateway"},
                                 {"host", m_host},
--- a/src/decision_log_p.h
+++ b/src/decision_log_p.h
@@ -21,7 +21,7 @@
 {
 public:
     /// @param path file to append to, or "-" for standard output.
-    /// @param linesPerSecond rate limit. Lines beyond it, and those for which a slow reader leaves no room, are
+    /// @param linesPerSecond rate limit. Lines beyond it, and those that a slow or failing output doesn't take, are
     /// dropped; the next written line reports their number.
     /// Request lines may use only part of it; the rest is reserved for process lines.
     decision_log(std::string host, const std::string &path, std::uint32_t linesPerSecond);
@@ -45,9 +45,12 @@
 
 private:
     [[nodiscard]] bool tryConsumeToken(instant now, log_subject subject);
+    /// @returns whether the sink has room for a line; part of its queue is reserved for process lines.
+    [[nodiscard]] bool hasRoom(log_subject subject);
+    void countDropped(std::size_t lines);
     [[nodiscard]] bool end(std::optional<std::chrono::milliseconds> limit);
 
-    /// Share of the rate limit that is reserved for process lines.
+    /// Share of the rate limit, and of the lines that wait for a slow reader, that is reserved for process lines.
     static constexpr double kProcessShare = 0.25;
     /// Time for the last lines at the end of the process: much less than a platform waits before it kills.
     static constexpr std::chrono::milliseconds kCloseLimit{500};
--- a/src/line_sink.cpp
+++ b/src/line_sink.cpp
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <sys/stat.h>
+#include <thread>
 #include <unistd.h>
 
 namespace foxtaildyke
@@ -32,7 +33,7 @@
 {
     if (path != "-") {
         constexpr mode_t kMode = S_IRUSR | S_IWUSR | S_IRGRP | S_IROTH;
-        m_descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kMode);
+        m_descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | O_NONBLOCK, kMode);
         m_ownsDescriptor = true;
     }
     m_mayBlock = mayBlock(m_descriptor);
@@ -53,56 +54,62 @@
 void line_sink::flush()
 {
     constexpr std::chrono::milliseconds kNow{0};
-    while (!m_lines.empty() && isWritable(kNow) && writePart()) { }
+    while (!m_lines.empty() && isWritable(kNow) && writePart() == output_state::ready) { }
 }
 
 bool line_sink::drain(std::optional<std::chrono::milliseconds> limit)
 {
     using std::chrono::steady_clock;
+    constexpr std::chrono::milliseconds kBusyWait{1};
     const auto end = steady_clock::now() + limit.value_or(std::chrono::milliseconds{0});
     while (!m_lines.empty()) {
         const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - steady_clock::now());
-        const bool isOver = limit && left <= std::chrono::milliseconds{0};
-        if (isOver || !isWritable(limit ? left : kUnlimited) || !writePart())
+        if (limit && left <= std::chrono::milliseconds{0})
             break;
+        if (isWritable(limit ? left : kUnlimited) && writePart() == output_state::busy)
+            std::this_thread::sleep_for(kBusyWait);
     }
     return m_lines.empty();
 }
 
 bool line_sink::isWritable(std::chrono::milliseconds wait) const
 {
-    if (!m_mayBlock)
-        return true;
+    if (!m_mayBlock || m_descriptor < 0)
+        return true; // writing fails at once without a descriptor
     pollfd output{m_descriptor, POLLOUT, 0};
-    int ready = 0;
-    do {
-        ready = ::poll(&output, 1, static_cast<int>(wait.count()));
-    } while (ready < 0 && errno == EINTR && wait == kUnlimited);
-    return ready > 0;
+    return ::poll(&output, 1, static_cast<int>(wait.count())) > 0;
 }
 
-bool line_sink::writePart()
+line_sink::output_state line_sink::writePart()
 {
+    if (std::exchange(m_isLineCut, false))
+        m_lines.front().insert(m_lines.front().begin(), '\n');
     const auto &line = m_lines.front();
     // A pipe that is writable takes this much without blocking.
     const auto size = std::min<std::size_t>(line.size() - m_written, PIPE_BUF);
     const auto count = ::write(m_descriptor, line.data() + m_written, size);
+    if (count < 0 && errno == EINTR)
+        return output_state::ready;
+    if (count < 0 && errno == EAGAIN)
+        return output_state::busy;
     if (count < 0) {
-        if (errno == EINTR)
-            return true;
-        const bool isGone = errno != EAGAIN;
-        if (isGone) {
-            m_lines.clear();
-            m_written = 0;
-        }
-        return isGone;
+        loseLines();
+        return output_state::failed;
     }
     m_written += static_cast<std::size_t>(count);
     if (m_written == line.size()) {
         m_lines.pop_front();
         m_written = 0;
     }
-    return true;
+    return output_state::ready;
+}
+
+void line_sink::loseLines()
+{
+    m_isLineCut = m_written > 0;
+    m_written = 0;
+    m_lostLines += m_lines.size();
+    m_lines.clear();
 }
 
 } // namespace foxtaildyke
--- a/tests/test_line_sink.cpp
+++ b/tests/test_line_sink.cpp
@@ -2,9 +2,12 @@
 #include "line_sink_p.h"
 
 #include <array>
+#include <csignal>
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <sys/stat.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -63,7 +66,7 @@
     line_sink sink(reader.path);
     std::string expected;
     std::size_t count = 0;
-    for (; !sink.isFull(); ++count) {
+    for (; sink.queuedLines() < line_sink::kMaxQueuedLines; ++count) {
         expected += lineOf(count);
         sink.write(lineOf(count));
     }
@@ -88,7 +91,44 @@
     reader.leave();
     sink.write("after\n");
     CHECK(sink.drain(std::nullopt));
-    CHECK_FALSE(sink.isFull());
+    CHECK(sink.takeLostLines() == 1);
+    CHECK(sink.takeLostLines() == 0);
+}
+
+TEST_CASE("line sink: without an output lines are lost, and waiting for them ends")
+{
+    line_sink sink("/nonexistent/folder/log");
+    sink.write("line\n");
+    CHECK(sink.drain(std::nullopt));
+    CHECK(sink.takeLostLines() == 1);
+}
+
+TEST_CASE("line sink: a signal doesn't end the wait for a slow reader")
+{
+    slow_reader reader;
+    line_sink sink(reader.path);
+    while (sink.queuedLines() < line_sink::kMaxQueuedLines)
+        sink.write(lineOf(0));
+    struct sigaction ignoring {
+    };
+    ignoring.sa_handler = [](int) {
+    };
+    struct sigaction before {
+    };
+    REQUIRE(sigaction(SIGUSR1, &ignoring, &before) == 0);
+    const auto writer = pthread_self();
+    std::thread helper([&] {
+        std::this_thread::sleep_for(50ms);
+        pthread_kill(writer, SIGUSR1);
+        std::this_thread::sleep_for(50ms);
+        for (int part = 0; part < 2000; ++part) {
+            std::ignore = reader.readAll();
+            std::this_thread::sleep_for(1ms);
+        }
+    });
+    CHECK(sink.drain(60s));
+    helper.join();
+    sigaction(SIGUSR1, &before, nullptr);
 }
 
 TEST_CASE("line sink: appends to a file")
