--- a/src/fatal_signal.cpp
+++ b/src/fatal_signal.cpp
@@ -159,7 +159,9 @@
     /// @returns false if the word can't be read.
     [[nodiscard]] bool read(std::uintptr_t address, std::uintptr_t &word) const
     {
-        return m_isOpen && ::write(m_pipe[1], reinterpret_cast<const void *>(address), sizeof(word)) == sizeof(word)
+        const auto *source =
+            reinterpret_cast<const void *>(address); // NOLINT(performance-no-int-to-ptr): of a register
+        return m_isOpen && ::write(m_pipe[1], source, sizeof(word)) == sizeof(word)
             && ::read(m_pipe[0], &word, sizeof(word)) == sizeof(word);
     }
 
@@ -270,7 +272,8 @@
     for (const auto &header : std::span(info->dlpi_phdr, info->dlpi_phnum)) {
         if (header.p_type != PT_NOTE)
             continue;
-        const auto *begin = reinterpret_cast<const unsigned char *>(info->dlpi_addr + header.p_vaddr);
+        const auto address = info->dlpi_addr + header.p_vaddr;
+        const auto *begin = reinterpret_cast<const unsigned char *>(address); // NOLINT(performance-no-int-to-ptr)
         const auto id = buildIdIn({begin, header.p_memsz});
         for (const unsigned char byte : id) {
             static constexpr std::string_view kDigits = "0123456789abcdef";
