Gateway: SIGTERM or SIGINT while the settings are invalid is a planned stop

Cause: the signal ended the 2 s for which invalid settings are read again, and the error of the last read then ended the start with status 3.

--- a/tests/failure_starts.cpp
+++ b/tests/failure_starts.cpp
@@ -38,6 +38,27 @@
     }
 }
 
+TEST_CASE("start: a SIGTERM or SIGINT while the settings are invalid is a planned stop")
+{
+    for (const int number : {SIGTERM, SIGINT}) {
+        gateway_process gateway;
+        gateway.startWithoutSettings();
+        gateway.leaveSettingsEmpty();
+        gateway.runFor(100ms);
+        REQUIRE(gateway.process().isRunning());
+        gateway.signal(number);
+        CHECK(gateway.waitExit() == 0);
+    }
+}
+
+TEST_CASE("start: settings that stay invalid end the process with an error")
+{
+    gateway_process gateway;
+    gateway.startWithoutSettings();
+    gateway.leaveSettingsEmpty();
+    CHECK(gateway.waitExit() == 3);
+}
+
 TEST_CASE("start: a SIGTERM while a port is waited for is a planned stop")
 {
     gateway_process gateway;
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -105,6 +105,15 @@
         ::close(std::exchange(m_settingsPipe, -1));
 }
 
+void gateway_process::leaveSettingsEmpty()
+{
+    // In place of the pipe, which would block the next read.
+    const auto emptyPath = settingsPath() + ".new";
+    REQUIRE(std::ofstream(emptyPath).good());
+    std::filesystem::rename(emptyPath, settingsPath());
+    giveEmptySettings();
+}
+
 void gateway_process::leaveOutputUnread()
 {
     constexpr int kPipeBytes = 4096;
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -28,6 +28,8 @@
     void giveSettings();
     /// After startWithoutSettings(): the program reads an empty file, as while its settings are being replaced.
     void giveEmptySettings();
+    /// After startWithoutSettings(): the program reads an empty file, and again until the settings are given.
+    void leaveSettingsEmpty();
     /// From the next start on, the program's output goes to a pipe that nobody reads.
     void leaveOutputUnread();
     /// Starts the program and waits until it is ready. @returns false on timeout.
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -48,7 +48,8 @@
     return checkGatewaySettings(sections.value());
 }
 
-result<gateway_settings> loadSettings(const command_line &line)
+/// @returns the settings; std::nullopt: a stop was requested before they were valid.
+result<std::optional<gateway_settings>> loadSettings(const command_line &line)
 {
     const char *fromEnvironment =
         std::getenv(kSettingsVariable); // NOLINT(concurrency-mt-unsafe): no other thread runs yet
@@ -61,11 +62,18 @@
         std::this_thread::sleep_for(kSettingsRetryInterval);
         settings = readSettings(path);
     }
-    return settings;
+    if (settings.has_value())
+        return std::optional(std::move(settings.value()));
+    if (s_isStopRequested && !line.checkOnly)
+        return std::optional<gateway_settings>();
+    return settings.error();
 }
 
-exit_code run(const gateway_settings &settings)
+exit_code run(const std::optional<gateway_settings> &loaded)
 {
+    if (!loaded)
+        return exit_code::success;
+    const auto &settings = *loaded;
     const std::array addresses{settings.listen, settings.readiness, settings.metrics, settings.relay, settings.detour};
     const auto isStopped = [] {
         return s_isStopRequested != 0;
