Gateway: a port that is taken again before it is bound is waited for

Cause: waitForPorts() looks at one address after another, and the listeners bind them only after the last one is free. An address in use was then an error like any other.

Change: listening reports an address in use as error_code::unavailable, from bind() or listen(), and run() then closes what listens and tries the start again until it succeeds or a stop is requested. Other errors end the start as before. The port for callers is bound last, so that none of them connects to a start that fails. Signals are given to the event loop once the start has succeeded, as a loop that never runs would lose them. http_server makes its socket itself: evhttp's function may change errno after listen().

--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -158,6 +158,32 @@
     return true;
 }
 
+/// @returns whether both can't be listened on at once.
+bool isSameListener(const http_endpoint &one, const http_endpoint &other)
+{
+    const auto isAny = [](const http_endpoint &endpoint) {
+        return endpoint.address == "0.0.0.0" || endpoint.address == "::";
+    };
+    return one.port != 0 && one.port == other.port && (one.address == other.address || isAny(one) || isAny(other));
+}
+
+/// @returns the key of an address to listen on that conflicts with an earlier one, or an empty text. The process would
+/// wait for itself to free it.
+std::string_view repeatedListener(const gateway_settings &settings)
+{
+    std::vector<std::pair<std::string_view, http_endpoint>> listeners{{"listen", settings.listen},
+                                                                      {"readiness", settings.readiness},
+                                                                      {"metrics", settings.metrics},
+                                                                      {"detour", settings.detour}};
+    if (!settings.relays.empty())
+        listeners.emplace_back("relay", settings.relay);
+    for (auto later = listeners.begin(); later != listeners.end(); ++later)
+        if (std::any_of(listeners.begin(), later,
+                        [&](const auto &earlier) { return isSameListener(earlier.second, later->second); }))
+            return later->first;
+    return {};
+}
+
 } // namespace
 
 std::chrono::milliseconds changeLimitOf(const gateway_settings &settings)
@@ -177,6 +203,8 @@
         if (!text.empty() && !assign(settings, key, text))
             return fieldError(error_code::value_out_of_range, key.name);
     }
+    if (const auto repeated = repeatedListener(settings); !repeated.empty())
+        return fieldError(error_code::conflict, repeated);
     return settings;
 }
 
--- a/src/gateway_task.cpp
+++ b/src/gateway_task.cpp
@@ -3,6 +3,7 @@
 
 #include "fatal_signal_p.h"
 #include "http_status_p.h"
+#include "port_wait_p.h"
 
 #include <arpa/inet.h>
 #include <cmath>
@@ -129,12 +130,13 @@
         if (metrics.has_error())
             return metrics.error();
     }
-    const auto callers = listenForCallers();
-    if (callers.has_error())
-        return callers.error();
     const auto detours = listenForDetours();
     if (detours.has_error())
         return detours.error();
+    // Last, so that no caller connects to a start that fails.
+    const auto callers = listenForCallers();
+    if (callers.has_error())
+        return callers.error();
     m_log.write(
         "start",
         {{"failure_domain", m_settings.failureDomain}, {"build", FOXTAILDYKE_VERSION}, {"build_id", buildId()}});
@@ -183,7 +185,7 @@
 {
     m_listener = listenAt(m_settings.listen, *this);
     if (!m_listener)
-        return error{error_code::io_failure, m_settings.listen.address};
+        return listenError(m_settings.listen);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -314,12 +316,13 @@
 
 void gateway_task::closeListeners()
 {
-    if (!m_listener)
-        return;
+    const bool hasListened = m_listener != nullptr;
     const auto before = m_connections.size();
     closeListener(m_listener, *this);
     closeListener(m_detourListener, m_detourOwner);
-    m_log.write("stop_listening", {{"accepted", m_connections.size() - before}, {"connections", m_connections.size()}});
+    if (hasListened)
+        m_log.write("stop_listening",
+                    {{"accepted", m_connections.size() - before}, {"connections", m_connections.size()}});
 }
 
 std::vector<caller_connection *> gateway_task::openConnections() const
--- a/src/gateway_task_detours.cpp
+++ b/src/gateway_task_detours.cpp
@@ -3,6 +3,7 @@
 #include "gateway_task_p.h"
 
 #include "http_status_p.h"
+#include "port_wait_p.h"
 
 #include <nlohmann/json.hpp>
 
@@ -57,7 +58,7 @@
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     m_detourListener = listenAt(m_settings.detour, m_detourOwner);
     if (!m_detourListener)
-        return error{error_code::io_failure, m_settings.detour.address};
+        return listenError(m_settings.detour);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/gateway_task_p.h
+++ b/src/gateway_task_p.h
@@ -21,7 +21,7 @@
     gateway_task &operator=(const gateway_task &) = delete;
 
     /// Starts listening and subscribes to the feed.
-    /// @returns error_code::io_failure with the address on which listening failed.
+    /// @returns the address on which listening failed, with error_code::unavailable if it is in use.
     [[nodiscard]] result<void> start(fleet_feed &feed);
 
     /// Begins a graceful stop; the loop ends when the last request has completed or the grace period is nearly over.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,13 +1,17 @@
 // Small HTTP server over evhttp; see http_server_p.h.
 #include "http_server_p.h"
 
+#include "port_wait_p.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
+#include <event2/util.h>
 #include <netinet/tcp.h>
+#include <unistd.h>
 
 namespace foxtaildyke
 {
@@ -65,6 +69,36 @@
     event_base_once(evconnlistener_get_base(listener), -1, EV_TIMEOUT, resume, listener, &kPause);
 }
 
+/// Unlike evhttp_bind_socket(), leaves errno as set by the call that failed.
+/// @returns a socket that listens, or -1.
+int makeListeningSocket(const http_endpoint &endpoint)
+{
+    constexpr int kListenBacklog = 128; ///< connections waiting to be accepted
+    sockaddr_storage address{};
+    int size = sizeof(address);
+    if (evutil_parse_sockaddr_port(endpoint.address.c_str(), reinterpret_cast<sockaddr *>(&address), &size) != 0) {
+        errno = EINVAL;
+        return -1;
+    }
+    if (address.ss_family == AF_INET6)
+        reinterpret_cast<sockaddr_in6 &>(address).sin6_port = htons(endpoint.port);
+    else
+        reinterpret_cast<sockaddr_in &>(address).sin_port = htons(endpoint.port);
+    const int socket = ::socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (socket < 0)
+        return -1;
+    const int isOn = 1;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &isOn, sizeof(isOn));
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &isOn, sizeof(isOn));
+    if (::bind(socket, reinterpret_cast<const sockaddr *>(&address), static_cast<socklen_t>(size)) == 0
+        && ::listen(socket, kListenBacklog) == 0)
+        return socket;
+    const int failure = errno;
+    ::close(socket);
+    errno = failure;
+    return -1;
+}
+
 std::string decoded(const char *path)
 {
     std::size_t size = 0;
@@ -211,9 +245,14 @@
 
 result<std::uint16_t> http_server::listen(const http_endpoint &endpoint)
 {
-    auto *socket = evhttp_bind_socket_with_handle(m_server, endpoint.address.c_str(), endpoint.port);
-    if (!socket)
-        return error{error_code::io_failure, endpoint.address + ':' + std::to_string(endpoint.port)};
+    const int listening = makeListeningSocket(endpoint);
+    auto *socket = listening < 0 ? nullptr : evhttp_accept_socket_with_handle(m_server, listening);
+    if (!socket) {
+        const auto failure = listenError(endpoint);
+        if (listening >= 0)
+            ::close(listening);
+        return failure;
+    }
     evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(socket), pauseListener);
     sockaddr_storage bound{};
     socklen_t size = sizeof(bound);
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -60,7 +60,7 @@
     http_server &operator=(const http_server &) = delete;
 
     /// Starts listening; port 0 selects a free port.
-    /// @returns the port.
+    /// @returns the port, or the address, with error_code::unavailable if it is in use.
     [[nodiscard]] result<std::uint16_t> listen(const http_endpoint &endpoint);
 
 private:
--- a/src/port_wait.cpp
+++ b/src/port_wait.cpp
@@ -51,4 +51,10 @@
     });
 }
 
+error listenError(const http_endpoint &endpoint)
+{
+    const auto code = errno == EADDRINUSE ? error_code::unavailable : error_code::io_failure;
+    return {code, endpoint.address + ':' + std::to_string(endpoint.port)};
+}
+
 } // namespace foxtaildyke
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -546,4 +546,14 @@
         REQUIRE(result.has_error());
         CHECK(result.error().field == std::string("gateway/") + key);
     }
+    auto repeated = valid;
+    repeated["relay"] = "10.0.0.1:2"; // not listened on without relays
+    CHECK(checkGatewaySettings({{"gateway", repeated}}).has_value());
+    repeated["relays"] = "10.0.0.1:2";
+    CHECK(checkGatewaySettings({{"gateway", repeated}}).error().field == "gateway/relay");
+    repeated["detour"] = "0.0.0.0:1";
+    const auto conflict = checkGatewaySettings({{"gateway", repeated}});
+    REQUIRE(conflict.has_error());
+    CHECK(conflict.error().code == error_code::conflict);
+    CHECK(conflict.error().field == "gateway/detour");
 }
--- a/tools/gateway_main.cpp
+++ b/tools/gateway_main.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <set>
 #include <thread>
 
 using namespace foxtaildyke;
@@ -17,6 +18,8 @@
 /// Settings that are being replaced are invalid for a moment; they are read again for this time.
 constexpr std::chrono::seconds kSettingsWait{2};
 constexpr std::chrono::milliseconds kSettingsRetryInterval{20};
+/// Time until a start is tried again whose port was taken after it had been found free.
+constexpr std::chrono::milliseconds kStartRetryInterval{100};
 
 /// A stop was requested by a signal before the event loop handles it, or after.
 volatile std::sig_atomic_t s_isStopRequested = 0;
@@ -69,43 +72,62 @@
     return settings.error();
 }
 
-exit_code run(const std::optional<gateway_settings> &loaded)
+bool isStopped()
+{
+    return s_isStopRequested != 0;
+}
+
+/// Serves until a stop.
+/// @returns the error that ended the start, see gateway_task::start(); nothing listens then.
+result<void> serve(const gateway_settings &settings)
 {
-    if (!loaded)
-        return exit_code::success;
-    const auto &settings = *loaded;
-    const std::array addresses{settings.listen, settings.readiness, settings.metrics, settings.relay, settings.detour};
-    const auto isStopped = [] {
-        return s_isStopRequested != 0;
-    };
-    std::ignore = waitForPorts(addresses, isStopped, [](const http_endpoint &address) {
-        std::cerr << program().name << ": waiting for " << address.address << ':' << address.port
-                  << ", which is in use\n";
-    });
-    if (isStopped())
-        return exit_code::success;
     event_loop loop;
     platform::store_feed feed(loop, settings.platform,
                               {settings.configWatch, settings.replicaWatch, changeLimitOf(settings)},
                               {settings.host, settings.relays, settings.relay});
     const auto listening = feed.listen();
-    if (listening.has_error()) {
-        printError(program(), listening.error());
-        return exit_code::failure;
-    }
+    if (listening.has_error())
+        return listening.error();
     gateway_task task(loop, settings, platform::makeHeaderNames(), platform::kReadinessPath);
+    const auto started = task.start(feed);
+    if (started.has_error())
+        return started.error();
+    // Not before: a loop that doesn't run would lose a signal.
     loop.onSignal(SIGTERM, [&task] { task.stop(); });
     loop.onSignal(SIGINT, [&task] { task.stop(); });
     loop.onSignal(SIGHUP, [&task] { task.logReload(); });
-    const auto started = task.start(feed);
-    if (started.has_error()) {
-        printError(program(), started.error());
-        return exit_code::failure;
-    }
     if (isStopped())
         task.stop();
     loop.run();
     task.closeLog();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+exit_code run(const std::optional<gateway_settings> &loaded)
+{
+    if (!loaded)
+        return exit_code::success;
+    const auto &settings = *loaded;
+    const std::array addresses{settings.listen, settings.readiness, settings.metrics, settings.relay, settings.detour};
+    std::set<std::string> reported;
+    const auto reportWait = [&reported](const std::string &address) {
+        if (reported.insert(address).second)
+            std::cerr << program().name << ": waiting for " << address << ", which is in use\n";
+    };
+    const auto onWait = [&reportWait](const http_endpoint &address) {
+        reportWait(address.address + ':' + std::to_string(address.port));
+    };
+    while (waitForPorts(addresses, isStopped, onWait) && !isStopped()) {
+        const auto served = serve(settings);
+        if (served.has_value())
+            return exit_code::success;
+        if (served.error().code != error_code::unavailable) {
+            printError(program(), served.error());
+            return exit_code::failure;
+        }
+        reportWait(served.error().field);
+        std::this_thread::sleep_for(kStartRetryInterval);
+    }
     return exit_code::success;
 }
 
