Detours: a busy host is avoided for 40 ms instead of a second, and requests wait for it

Cause: a refusal as busy was treated as a failure of the host. The host that asked paused it for kFailurePause; the request itself, and all that arrived in the pause, were rejected at once. Requests that arrived in the 40 ms after a refusal as outdated were rejected for the same reason.

Change: busy is followed by kBriefPause, like outdated (pauseAfter). While a host that reaches the service is paused no longer than that (detour_hosts::mayChooseSoon), requests wait kRetryDelay and try again, also those that it hasn't refused: up to ten waits and four refusals, and only with more time left than a wait takes. With no such host they are rejected at once as before. Statements are exchanged with a briefly paused host, so that they don't grow too old to choose it.

--- a/src/detour_hosts.cpp
+++ b/src/detour_hosts.cpp
@@ -48,7 +48,7 @@
 {
     std::vector<http_endpoint> known;
     for (const auto &[host, entry] : m_hosts)
-        if (!isPaused(entry.statement.address, now))
+        if (!isPaused(entry.statement.address, now + kBriefPause)) // a busy host's statement must not grow old
             known.push_back(entry.statement.address);
     std::vector<http_endpoint> contacts;
     const auto most = isCutOff ? kUrgentContacts : std::size_t{1};
@@ -102,6 +102,14 @@
     return least == drawn.end() ? std::nullopt : std::optional((*least)->statement.address);
 }
 
+bool detour_hosts::mayChooseSoon(const std::string &service, instant since, instant now) const
+{
+    return std::ranges::any_of(m_hosts, [&](const auto &entry) {
+        return hasReached(entry.second, service, since, now)
+            && !isPaused(entry.second.statement.address, now + kBriefPause);
+    });
+}
+
 bool detour_hosts::isReachedByOthers(const std::string &service, instant since, instant now) const
 {
     return std::ranges::any_of(m_hosts,
--- a/src/detour_hosts_p.h
+++ b/src/detour_hosts_p.h
@@ -58,6 +58,10 @@
     [[nodiscard]] std::optional<http_endpoint> choose(const std::string &service, instant since,
                                                       const std::set<http_endpoint> &excluded, instant now);
 
+    /// @returns whether some host has reached the service since `since`, and isn't paused or is for kBriefPause at
+    /// most.
+    [[nodiscard]] bool mayChooseSoon(const std::string &service, instant since, instant now) const;
+
     /// @returns whether some host has reached the service since `since`.
     [[nodiscard]] bool isReachedByOthers(const std::string &service, instant since, instant now) const;
 
--- a/src/detour_wire.cpp
+++ b/src/detour_wire.cpp
@@ -97,6 +97,12 @@
 
 } // namespace
 
+std::chrono::milliseconds pauseAfter(detour_refusal refusal)
+{
+    const bool isBrief = refusal == detour_refusal::outdated || refusal == detour_refusal::busy;
+    return isBrief ? detour_hosts::kBriefPause : detour_hosts::kFailurePause;
+}
+
 std::string detourHead(const inbound_request &request, const detour_request &detour, std::chrono::milliseconds timeout,
                        std::optional<std::uint64_t> lastEventId, const header_names &headerNames)
 {
--- a/src/detour_wire_p.h
+++ b/src/detour_wire_p.h
@@ -34,6 +34,9 @@
     static constexpr std::array kNames{"none", "outdated", "cut_off", "busy"};
 };
 
+/// @returns for how long a host isn't chosen that has refused a request, or has failed (`none`).
+[[nodiscard]] std::chrono::milliseconds pauseAfter(detour_refusal refusal);
+
 /// What the host that serves a request tells the one that received it.
 struct detour_response {
     detour_refusal refusal = detour_refusal::none;
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -254,10 +254,8 @@
         return sendDetour(*host);
     const auto now = suspendAwareNow();
     if (m_state.reach.isCutOff(m_service) && !m_state.reach.hasLiveConnections(m_service, now)) {
-        if (mayHostHelpSoon(now)) {
-            m_triedHosts.clear();
-            return m_retryTimer.start(kRetryDelay);
-        }
+        if (tryWaitForHost(now))
+            return;
         if (m_hasStreamStarted)
             return abortResponse(refusal::unreachable);
         return refuse(m_mayHaveRun ? refusal::failed : refusal::unreachable);
--- a/src/gateway_exchange_detour.cpp
+++ b/src/gateway_exchange_detour.cpp
@@ -113,9 +113,7 @@
     m_state.metrics.recordDetour(nameOf(result));
     if (result != attempt_result::answered) {
         clearBody();
-        const bool isBrief = m_detourRefusal == detour_refusal::outdated;
-        m_state.detours.recordFailure(host, suspendAwareNow(),
-                                      isBrief ? detour_hosts::kBriefPause : detour_hosts::kFailurePause);
+        m_state.detours.recordFailure(host, suspendAwareNow(), pauseAfter(m_detourRefusal));
         m_state.log.write("detour_failed",
                           {{"request_id", m_metadata.id},
                            {"host", textOf(host)},
@@ -138,12 +136,18 @@
     passOn("detoured");
 }
 
-bool gateway_exchange::mayHostHelpSoon(instant now) const
+bool gateway_exchange::tryWaitForHost(instant now)
 {
     if (m_servedDetour || m_state.settings.detour.port == 0)
         return false;
-    const bool mayTryAgain = m_detourRefusal == detour_refusal::outdated && m_connectFailures < kMaxConnectFailures;
-    return mayTryAgain || m_state.reach.isNewlyCutOff(m_service, now);
+    const auto since = m_state.reach.failingSince(m_service);
+    const bool mayWait = remainingTime() > kRetryDelay && m_connectFailures < kMaxConnectFailures;
+    const bool isOnePaused = mayWait && since && m_state.detours.mayChooseSoon(m_service, *since, now);
+    if (!m_state.reach.isNewlyCutOff(m_service, now) && !(isOnePaused && m_pauseWaits++ < kMaxPauseWaits))
+        return false;
+    m_triedHosts.clear();
+    m_retryTimer.start(kRetryDelay);
+    return true;
 }
 
 detour_refusal gateway_exchange::checkDetour() const
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -147,8 +147,8 @@
     void onDetourEnd(upstream_end end);
     [[nodiscard]] attempt_result classifyDetour(upstream_end end);
     void forwardDetourResponse();
-    /// @returns whether a host may be able to serve the request in a moment, though none is known to be now.
-    [[nodiscard]] bool mayHostHelpSoon(instant now) const;
+    /// Delays the attempt if a host may be able to serve the request in a moment, though none is known to be now.
+    [[nodiscard]] bool tryWaitForHost(instant now);
     /// @returns why this host doesn't serve a request that another host has received, or none.
     [[nodiscard]] detour_refusal checkDetour() const;
     /// Tells the other host that the request hasn't been tried.
@@ -252,6 +252,7 @@
     std::optional<http_endpoint> m_detour; ///< host to which the current attempt is sent; unset: to a replica
     detour_refusal m_detourRefusal = detour_refusal::none; ///< by the last host
     std::set<http_endpoint> m_triedHosts;
+    std::uint32_t m_pauseWaits = 0; ///< attempts delayed because the hosts that could serve the request were paused
 
     std::set<std::string> m_triedReplicas;
     std::set<std::string> m_respondedReplicas; ///< whose response to an earlier attempt has been received completely
@@ -277,9 +278,11 @@
     static constexpr std::uint32_t kMinEventsForPace = 3;
     /// Number of failed connection attempts that don't count as sends, because the request reached no replica.
     static constexpr std::uint32_t kMaxConnectFailures = 4;
-    /// Delay of attempts while it is open whether this host reaches the service, or which other host does: about the
-    /// time of a round of probes that are refused.
+    /// Delay of attempts while it is open whether this host reaches the service, or which other host does, and while
+    /// hosts that have refused requests are paused: about the time of a round of probes that are refused.
     static constexpr std::chrono::milliseconds kRetryDelay{50};
+    /// Maximum number of such delays for paused hosts. Each refusal renews the pause for all requests that wait.
+    static constexpr std::uint32_t kMaxPauseWaits = 10;
     /// Failed connection attempts from which such a delay is used. After the first one the replica may have ended.
     static constexpr std::uint32_t kFailuresToDelay = 2;
     /// Stream bytes buffered for a slow caller before reading from the replica is paused.
--- a/tests/test_detour_hosts.cpp
+++ b/tests/test_detour_hosts.cpp
@@ -61,6 +61,34 @@
     CHECK_FALSE(hosts.choose("s", kStart, {}, kStart + seconds{1} + detour_hosts::kMaxAge));
 }
 
+TEST_CASE("detour hosts: a host that has refused a request as busy may be chosen again soon, and is still asked")
+{
+    constexpr milliseconds kSoon{50};
+    auto hosts = makeHosts();
+    const auto now = kStart + seconds{1};
+    hosts.record(statementOf(1, milliseconds{1}), now);
+    hosts.recordFailure(addressOf(1), now, pauseAfter(detour_refusal::busy));
+    CHECK_FALSE(hosts.choose("s", kStart, {}, now));
+    CHECK(hosts.choose("s", kStart, {}, now + kSoon) == addressOf(1));
+    CHECK(hosts.mayChooseSoon("s", kStart, now));
+    CHECK_FALSE(hosts.mayChooseSoon("another", kStart, now));
+    CHECK_FALSE(hosts.mayChooseSoon("s", kStart, now + detour_hosts::kMaxAge)); // its statement is too old
+    CHECK(hosts.nextContacts(true, now) == std::vector{addressOf(1)});
+}
+
+TEST_CASE("detour hosts: a host that has failed, or reaches the service no more, is not waited for")
+{
+    for (const auto refusal : {detour_refusal::none, detour_refusal::cut_off}) {
+        auto hosts = makeHosts();
+        const auto now = kStart + seconds{1};
+        hosts.record(statementOf(1, milliseconds{1}), now);
+        hosts.recordFailure(addressOf(1), now, pauseAfter(refusal));
+        CHECK_FALSE(hosts.choose("s", kStart, {}, now + milliseconds{900}));
+        CHECK_FALSE(hosts.mayChooseSoon("s", kStart, now));
+        CHECK(hosts.nextContacts(true, now).empty());
+    }
+}
+
 TEST_CASE("detour hosts: requests are spread, and a busy host gets fewer")
 {
     auto hosts = makeHosts();
