--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,5 @@
-"""A key is taken away; right after the ack the store comes back from an older copy, and one gateway loses the store before the
-operator has written the configuration again."""
+"""The store turns one gateway away for some seconds, while configurations come in quick succession and one of them takes a key away.
+When the gateway reaches the store again, it reads what it missed in several pages."""
 
 import asyncio
 import os
@@ -9,10 +9,10 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins-2"))
 from platform2 import Proxy, REVOKE_S, configuration, is_trouble, route, run_case  # noqa: E402
 
-AWAY_S = 0.3  # "away for a moment"
-COPY_AGE_S = 4.0  # "a copy some seconds old"
-WRITTEN_AGAIN_S = 3.2  # from the ack until the operator has written the configuration again
-CUT_AT_S, CUT_FOR_S = 3.1, 5.5  # the cut of one machine from the store; the site file plays core_cut for 5.5 s
+AWAY_S = 9.0  # the site file plays platform_down "nodes ..." for 9 s
+ROUTES = 350  # and big_config with count 350
+STORM_S, STORM_GAP_S = 2.0, 0.08  # and config_storm with for_s 2 and gap_s 0.08
+CLIENTS = 6
 WITHDRAWN, KEPT = "key-withdrawn", "key-kept"
 
 
@@ -20,67 +20,60 @@
     store, record = fleet.store, fleet.record
     await fleet.start_store()
     routes = [route("status", "/status/", "desk", "safe"), route("filing", "/filing/", "desk", "unsafe")]
-    added = [route("added", "/added/", "desk", "safe")]
-    store.put("config", "main", configuration(7, routes, ["desk"], {"tenant-a": [KEPT, WITHDRAWN]}))
+    routes += [route("more-%03d" % number, "/more-%03d/" % number, "desk", "safe") for number in range(ROUTES)]
+    version = 7
+
+    def publish(keys, more):
+        nonlocal version
+        version += 3
+        added = [route("late-%03d" % number, "/late-%03d/" % number, "desk", "safe") for number in range(more)]
+        store.put("config", "main", configuration(version, routes + added, ["desk"], {"tenant-a": keys}))
+        return record.now()
+
+    publish([KEPT, WITHDRAWN], 0)
     for index in range(3):
         await fleet.add_replica("desk", index)
-    proxies = [Proxy(store.address) for _ in range(fleet.count)]
-    for proxy in proxies:
-        await proxy.start()
-    fleet.make_gateways([proxy.address for proxy in proxies])
+    proxy = Proxy(store.address)
+    await proxy.start()
+    fleet.make_gateways([store.address] * (fleet.count - 1) + [proxy.address])
+    gateway = fleet.gateways[-1]
     await fleet.start_gateways()
+    await asyncio.sleep(3)
 
-    copy = store.copy()
-    record.line("the store is copied")
-    await asyncio.sleep(COPY_AGE_S / 2)
-    store.put("config", "main", configuration(9, routes + added, ["desk"], {"tenant-a": [KEPT, WITHDRAWN]}))
-    record.line("configuration 9 adds a route")
-    await asyncio.sleep(COPY_AGE_S / 2)
-    for gateway in fleet.gateways:
-        answer = await fleet.request(gateway, "GET", "/added/1", WITHDRAWN)
-        if answer.status != 200:
-            raise RuntimeError("configuration 9 isn't in force at " + gateway.name)
-
-    final = configuration(12, routes + added, ["desk"], {"tenant-a": [KEPT]})
-    store.put("config", "main", final)
-    acked = record.now()
-    record.line("configuration 12 takes", WITHDRAWN, "away: acknowledged")
+    cut_at = record.now()
     if is_trouble():
-        store.set_down(True)
-        record.line("the store is away")
-        await asyncio.sleep(AWAY_S)
-        store.restore(copy)
-        store.set_down(False)
-        record.line("the store is back from the older copy, era", store.era)
+        proxy.refuse()
+        record.line("the store turns", gateway.name, "away")
+    added = 0
+    while record.now() < cut_at + 0.1 + STORM_S:
+        added += 1
+        publish([KEPT, WITHDRAWN], added)
+        await asyncio.sleep(STORM_GAP_S)
+    record.line(added, "configurations in quick succession, newest", version)
+    acked = publish([KEPT], added)
+    record.line("configuration", version, "takes", WITHDRAWN, "away: acknowledged")
 
-    async def cut():
-        await asyncio.sleep(acked + CUT_AT_S - record.now())
-        if is_trouble():
-            proxies[0].cut()
-            record.line(fleet.gateways[0].name, "is cut off from the store")
+    sent = {}
 
-    async def write_again():
-        await asyncio.sleep(acked + WRITTEN_AGAIN_S - record.now())
-        store.put("config", "main", final)
-        record.line("the operator has written configuration 12 again")
+    async def client(number):
+        while record.now() < cut_at + AWAY_S + 3:
+            path = "/filing/%d" % number if number % 2 else "/status/%d" % number
+            answer = await fleet.request(gateway, "GET", path, WITHDRAWN)
+            sent[answer.id] = (answer.sent_at, answer.status)
+            await asyncio.sleep(0.02)
 
-    tasks = [asyncio.create_task(cut()), asyncio.create_task(write_again())]
-    sent = {}
-    while record.now() < acked + CUT_AT_S + CUT_FOR_S:
-        for gateway in fleet.gateways:
-            for path in ("/status/1", "/filing/1"):
-                answer = await fleet.request(gateway, "GET", path, WITHDRAWN)
-                sent[answer.id] = (answer.sent_at, gateway.name, answer.status)
-        await asyncio.sleep(0.1)
-    await asyncio.gather(*tasks)
-    proxies[0].heal()
-    record.line("the cut has ended")
+    await asyncio.sleep(cut_at + AWAY_S - 0.5 - record.now())
+    clients = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
+    await asyncio.sleep(cut_at + AWAY_S - record.now())
+    proxy.heal()
+    record.line("the store serves", gateway.name, "again")
+    await asyncio.gather(*clients)
     for replica in fleet.replicas:
         for _, identity, _, _ in replica.runs:
             if identity in sent and sent[identity][0] > acked + REVOKE_S:
-                at, name, status = sent[identity]
-                fleet.report("request %s with the withdrawn key, sent %.3f s after the ack, ran; %s answered %s"
-                             % (identity, at - acked, name, status))
+                at, status = sent[identity]
+                fleet.report("request %s with the withdrawn key, sent %.3f s after the ack, ran; answered %s"
+                             % (identity, at - acked, status))
 
 
-run_case(HERE, case)
+run_case(HERE, case, count=4)
--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -18,6 +18,7 @@
 BOUNDS = {"settle_window_ms": 3000, "drain_ms": 2000, "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2000,
           "revoke_ms": 5000, "retry_ratio": 0.9, "retry_window_s": 10, "retry_slack": 52, "canary_share": 0.15,
           "canary_slack": 30}
+PAGE_BYTES = 1 << 20  # of a list or of the events of a watch, "about 500 or 1 MB at most"; the bench's store cuts both
 PROMISES = (408, 421, 429, 503)  # a response with such a status promises that the request has not run and never will
 
 
@@ -217,10 +218,16 @@
         while True:
             if era != self.era or since < self.floor or since > self.revision:
                 return 410, {}
-            events = [event for revision, of, event in self.log if of == kind and revision > since]
+            events = [(revision, event) for revision, of, event in self.log if of == kind and revision > since]
             left = end - time.monotonic()
             if events or left <= 0:
-                return 200, {"events": events, "at": self.revision}
+                page, size = [], 0
+                for revision, event in events:
+                    size += len(json.dumps(event))
+                    if page and size > PAGE_BYTES:
+                        return 200, {"events": [event for _, event in page], "at": page[-1][0], "truncated": True}
+                    page.append((revision, event))
+                return 200, {"events": [event for _, event in page], "at": self.revision}
             changed = self.changed
             try:
                 await asyncio.wait_for(changed.wait(), left)
@@ -236,6 +243,8 @@
         self.is_open = asyncio.Event()
         self.is_open.set()
         self.server = None
+        self.is_refusing = False
+        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
@@ -248,11 +257,21 @@
     def cut(self):
         self.is_open.clear()
 
+    def refuse(self):
+        """Resets all connections, and new ones as soon as they are accepted."""
+        self.is_refusing = True
+        for writer in list(self.writers):
+            hard_close(writer)
+
     def heal(self):
+        self.is_refusing = False
         self.is_open.set()
 
     async def serve(self, reader, writer):
+        if self.is_refusing:
+            return hard_close(writer)
         target = None
+        self.writers.add(writer)
         try:
             await self.is_open.wait()
             host, port = self.target.split(":")
@@ -265,6 +284,7 @@
         except OSError:
             pass
         finally:
+            self.writers.discard(writer)
             for side in (writer, target):
                 if side:
                     hard_close(side)
