--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -91,12 +91,19 @@
         self.writers = set()
         self.server = None
         self.is_down = False  # connections are reset, new ones too
-        self.calls = []
+        self.views = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    async def start_view(self, addresses):
+        """Serves one gateway whose way to the replicas leads over proxies: `addresses` maps a replica's address to that of its
+        proxy. Returns the address of this view."""
+        server = await asyncio.start_server(lambda reader, writer: self.serve(reader, writer, addresses), self.host, 0)
+        self.views.append(server)
+        return "%s:%d" % (self.host, server.sockets[0].getsockname()[1])
+
     @property
     def address(self):
         return "%s:%d" % (self.host, self.port)
@@ -149,7 +156,7 @@
             for writer in list(self.writers):
                 hard_close(writer)
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, addresses=None):
         if self.is_down:
             return hard_close(writer)
         self.writers.add(writer)
@@ -163,7 +170,10 @@
                 status, answer = await self.handle(method, target, body)
                 if self.is_down:
                     break
-                text = json.dumps(answer).encode()
+                text = json.dumps(answer)
+                for address, proxy in (addresses or {}).items():
+                    text = text.replace(json.dumps(address), json.dumps(proxy))
+                text = text.encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
                              % (status, self.era, len(text)) + text)
                 await writer.drain()
