Store calls: names are encoded in every path and query

Change: http_request has a request_target in place of a string. It is made of constants, and encodes each segment and parameter that is added (RFC 3986), so no caller can write a name in another way. The object store client's encoding moved there. The stand-in of the store rejects targets that RFC 3986 doesn't allow and splits paths before it decodes them.

The list was not read to its end because a wrong name was sent; the name that is sent now is the one that the store gave, which the tests compare.

--- a/cmake/base.cmake
+++ b/cmake/base.cmake
@@ -9,6 +9,7 @@
     src/log_output.cpp
     src/process_settings.cpp
     src/port_wait.cpp
+    src/request_target.cpp
     src/socket_options.cpp)
 target_include_directories(foxtaildyke-base PUBLIC include src)
 target_link_libraries(foxtaildyke-base PUBLIC PkgConfig::EVENT PkgConfig::EVHTP PkgConfig::INIH PkgConfig::LOG4CXX
--- a/src/gateway_exchange_detour.cpp
+++ b/src/gateway_exchange_detour.cpp
@@ -20,11 +20,6 @@
 /// Time by which the deadline of the serving host is earlier, so that its answer arrives in time.
 constexpr std::chrono::milliseconds kDetourMargin{10};
 
-std::string textOf(const http_endpoint &endpoint)
-{
-    return endpoint.address + ':' + std::to_string(endpoint.port);
-}
-
 } // namespace
 
 std::optional<http_endpoint> gateway_exchange::chooseDetour()
--- a/src/gateway_task_detours.cpp
+++ b/src/gateway_task_detours.cpp
@@ -181,7 +181,7 @@
         http_request call;
         call.endpoint = contact;
         call.method = http_method::post;
-        call.path = kStatementsPath;
+        call.target = kStatementsPath;
         call.timeout = kExchangeTimeout;
         call.body = encodeStatements(ownStatement(now), m_state.detours.sample({}, now));
         http_handlers handlers;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -77,6 +77,11 @@
     return endpoint;
 }
 
+std::string textOf(const http_endpoint &endpoint)
+{
+    return endpoint.address + ':' + std::to_string(endpoint.port);
+}
+
 struct http_client::call {
     call(http_client &owner, std::uint64_t number)
         : client(owner)
@@ -247,14 +252,14 @@
     evhttp_connection_set_max_body_size(open.connection, static_cast<ev_ssize_t>(open.request.maxBodyBytes));
     auto *headers = evhttp_request_get_output_headers(request);
     const auto &endpoint = open.request.endpoint;
-    evhttp_add_header(headers, "Host", (endpoint.address + ':' + std::to_string(endpoint.port)).c_str());
+    evhttp_add_header(headers, "Host", textOf(endpoint).c_str());
     for (const auto &[name, value] : open.request.headers)
         evhttp_add_header(headers, name.c_str(), value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(request), open.request.body.data(), open.request.body.size());
     const auto method = kMethods[static_cast<std::size_t>(open.request.method)];
     const auto id = open.id;
-    const auto path = open.request.path;
-    const bool isStarted = evhttp_make_request(open.connection, request, method, path.c_str()) == 0;
+    const auto target = open.request.target.text();
+    const bool isStarted = evhttp_make_request(open.connection, request, method, target.c_str()) == 0;
     // If evhttp has called onDone already, the call has ended and must not be reported again.
     return isStarted || !m_calls.contains(id);
 }
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "event_loop_p.h"
+#include "request_target_p.h"
 
 #include <map>
 #include <string>
@@ -23,6 +24,9 @@
 /// Parses "IP:port"; an IPv6 address is written in brackets.
 [[nodiscard]] std::optional<http_endpoint> parseEndpoint(std::string_view text);
 
+/// @returns "address:port".
+[[nodiscard]] std::string textOf(const http_endpoint &endpoint);
+
 enum class http_method : std::uint8_t { get, post, put, remove, count };
 
 using http_headers = std::vector<std::pair<std::string, std::string>>;
@@ -30,7 +34,7 @@
 struct http_request {
     http_endpoint endpoint;
     http_method method = http_method::get;
-    std::string path; ///< including the query
+    request_target target;
     http_headers headers;
     std::string body;
     std::chrono::milliseconds timeout{5000}; ///< for the whole call
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -115,6 +115,7 @@
     , m_request(request)
 {
     disableNagle(evhttp_request_get_connection(request));
+    target = evhttp_request_get_uri(request);
     const auto *uri = evhttp_request_get_evhttp_uri(request);
     path = decoded(evhttp_uri_get_path(uri));
     query = queryOf(uri);
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -19,6 +19,7 @@
     http_exchange &operator=(const http_exchange &) = delete;
 
     http_method method = http_method::get;
+    std::string target; ///< path and query as received
     std::string path; ///< percent-decoded, without the query
     std::map<std::string, std::string> query;
     std::string body;
--- a/src/load_poller.cpp
+++ b/src/load_poller.cpp
@@ -85,7 +85,7 @@
             continue;
         http_request request;
         request.endpoint = {info.address, info.port};
-        request.path = "/load";
+        request.target = "/load";
         request.timeout = kLoadTimeout;
         http_handlers handlers;
         handlers.onDone = [this, name = info.name, startedAt = event_loop::now()](const http_response &response) {
--- a/src/object_store_http.cpp
+++ b/src/object_store_http.cpp
@@ -2,8 +2,6 @@
 #include "object_store_http_p.h"
 
 #include <charconv>
-#include <cstdlib>
-#include <event2/http.h>
 #include <nlohmann/json.hpp>
 
 namespace foxtaildyke
@@ -12,6 +10,8 @@
 namespace
 {
 
+constexpr const char *kObjectsPath = "/objects";
+
 struct status_error {
     int status;
     error_code code;
@@ -54,12 +54,9 @@
     return {"If-Match", '"' + std::to_string(expected) + '"'};
 }
 
-std::string encodeComponent(std::string_view text)
+request_target objectTarget(const std::string &key)
 {
-    char *encoded = evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
-    std::string copy(encoded);
-    std::free(encoded); // NOLINT: libevent allocates it with malloc
-    return copy;
+    return request_target(kObjectsPath).addSegments(key);
 }
 
 result<std::vector<std::string>> parseKeys(const std::string &body)
@@ -79,14 +76,6 @@
 
 } // namespace
 
-std::string encodePath(std::string_view text)
-{
-    const auto slash = text.find('/');
-    if (slash == std::string_view::npos)
-        return encodeComponent(text);
-    return encodeComponent(text.substr(0, slash)) + '/' + encodePath(text.substr(slash + 1));
-}
-
 std::optional<error> platformError(const http_response &response, const std::string &field)
 {
     constexpr int kFirstError = 300;
@@ -113,12 +102,12 @@
 {
 }
 
-http_request object_store_http::request(http_method method, std::string path) const
+http_request object_store_http::request(http_method method, request_target target) const
 {
     http_request request;
     request.endpoint = m_platform;
     request.method = method;
-    request.path = std::move(path);
+    request.target = std::move(target);
     request.timeout = m_timeout;
     return request;
 }
@@ -137,7 +126,7 @@
 
 void object_store_http::read(const std::string &key, read_done done)
 {
-    auto call = request(http_method::get, "/objects/" + encodePath(key));
+    auto call = request(http_method::get, objectTarget(key));
     start("read", std::move(call), [key, done = std::move(done)](const http_response &response) {
         if (auto failure = platformError(response, key))
             return done(*failure);
@@ -150,7 +139,7 @@
 
 void object_store_http::write(const std::string &key, std::string body, object_version expected, write_done done)
 {
-    auto call = request(http_method::put, "/objects/" + encodePath(key));
+    auto call = request(http_method::put, objectTarget(key));
     call.headers.push_back(conditionHeader(expected));
     call.body = std::move(body);
     start("write", std::move(call), [key, done = std::move(done)](const http_response &response) {
@@ -166,7 +155,7 @@
 
 void object_store_http::remove(const std::string &key, object_version expected, remove_done done)
 {
-    auto call = request(http_method::remove, "/objects/" + encodePath(key));
+    auto call = request(http_method::remove, objectTarget(key));
     call.headers.push_back(conditionHeader(expected));
     start("remove", std::move(call), [key, done = std::move(done)](const http_response &response) {
         if (auto failure = platformError(response, key))
@@ -177,9 +166,10 @@
 
 void object_store_http::list(const std::string &prefix, const std::string &after, std::size_t limit, list_done done)
 {
-    auto call = request(http_method::get,
-                        "/objects?prefix=" + encodeComponent(prefix) + "&after=" + encodeComponent(after)
-                            + "&limit=" + std::to_string(limit));
+    auto call = request(http_method::get, kObjectsPath);
+    call.target.addParameter("prefix", prefix)
+        .addParameter("after", after)
+        .addParameter("limit", std::to_string(limit));
     start("list", std::move(call), [prefix, done = std::move(done)](const http_response &response) {
         if (auto failure = platformError(response, prefix))
             return done(*failure);
--- a/src/object_store_http_p.h
+++ b/src/object_store_http_p.h
@@ -24,7 +24,7 @@
     void list(const std::string &prefix, const std::string &after, std::size_t limit, list_done done) override;
 
 private:
-    [[nodiscard]] http_request request(http_method method, std::string path) const;
+    [[nodiscard]] http_request request(http_method method, request_target target) const;
     void start(const char *name, http_request request, std::function<void(const http_response &)> done);
 
     http_client &m_client;
@@ -36,7 +36,4 @@
 /// @returns the error for a response of the platform, or nullopt if the call succeeded.
 [[nodiscard]] std::optional<error> platformError(const http_response &response, const std::string &field);
 
-/// Percent-encodes all characters except unreserved ones and "/".
-[[nodiscard]] std::string encodePath(std::string_view text);
-
 } // namespace foxtaildyke
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -85,7 +85,7 @@
 {
     http_request request;
     request.method = http_method::post;
-    request.path = path;
+    request.target = path;
     request.body = std::move(body);
     start(std::move(request), std::move(done));
 }
@@ -93,7 +93,7 @@
 void platform_client::hosts(std::optional<std::uint64_t> knownVersion, hosts_done done)
 {
     http_request request;
-    request.path = "/hosts";
+    request.target = "/hosts";
     if (knownVersion)
         request.headers.emplace_back("If-None-Match", '"' + std::to_string(*knownVersion) + '"');
     start(std::move(request), [done = std::move(done)](const http_response &response) {
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -106,7 +106,7 @@
     http_request request;
     request.endpoint = {attempt.address, attempt.port};
     request.method = http_method::post;
-    request.path = "/v1/completions";
+    request.target = "/v1/completions";
     request.headers = {{kAttemptHeader, state->id}, {"Content-Type", "application/json"}};
     request.body = encodeRequest(attempt);
     request.timeout = attempt.timeout;
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -212,7 +212,7 @@
     std::optional<http_response> response;
     http_request request;
     request.endpoint = {"127.0.0.1", port};
-    request.path = path;
+    request.target = request_target::fromEncoded(path);
     http_handlers handlers;
     handlers.onDone = [&response](const http_response &received) {
         response = received;
--- a/tests/standin_store.cpp
+++ b/tests/standin_store.cpp
@@ -3,7 +3,10 @@
 
 #include "http_status_p.h"
 
+#include <cstdlib>
 #include <doctest/doctest.h>
+#include <event2/http.h>
+#include <regex>
 
 namespace foxtaildyke
 {
@@ -21,12 +24,25 @@
     return found == query.end() ? 0 : std::stoull(found->second);
 }
 
-std::vector<std::string> splitPath(const std::string &path)
+/// @returns whether a target holds only characters that may occur in one, and whole escapes (RFC 3986). evhttp's server
+/// accepts others and guesses at their meaning.
+bool isProperTarget(const std::string &target)
+{
+    static const std::regex s_proper(R"((?:[A-Za-z0-9._~:/?@!$&'()*+,;=\[\]-]|%[0-9A-Fa-f]{2})+)");
+    return std::regex_match(target, s_proper);
+}
+
+/// @returns the decoded segments after the prefix; an encoded slash belongs to a segment.
+std::vector<std::string> segmentsOf(const std::string &target)
 {
     std::vector<std::string> parts;
-    std::istringstream text(path.substr(std::string_view(kPrefix).size()));
-    for (std::string part; std::getline(text, part, '/');)
-        parts.push_back(part);
+    std::istringstream text(target.substr(0, target.find('?')).substr(std::string_view(kPrefix).size()));
+    for (std::string part; std::getline(text, part, '/');) {
+        std::size_t size = 0;
+        char *decoded = evhttp_uridecode(part.c_str(), 0, &size);
+        parts.emplace_back(decoded, size);
+        std::free(decoded); // NOLINT: libevent allocates it with malloc
+    }
     return parts;
 }
 
@@ -168,9 +184,11 @@
     ++calls;
     if (handleFailureState(exchange))
         return;
-    if (!exchange->path.starts_with(kPrefix))
+    if (!isProperTarget(exchange->target))
+        return respond(exchange, http_status::kBadRequest, {});
+    if (!exchange->target.starts_with(kPrefix))
         return respond(exchange, http_status::kNotFound, {});
-    const auto parts = splitPath(exchange->path);
+    const auto parts = segmentsOf(exchange->target);
     const bool isStatus = parts.size() == 3 && parts[2] == "status";
     if (exchange->method == http_method::put && parts.size() >= 2)
         return serveWrite(parts[0], parts[1], isStatus, exchange);
@@ -207,6 +225,8 @@
 {
     ++lists;
     const auto after = exchange->query.find("after");
+    if (after != exchange->query.end())
+        continuations.insert(after->second);
     json items = json::array();
     bool isTruncated = false;
     for (const auto &[name, object] : m_content.objects[kind]) {
--- a/tests/standin_store.h
+++ b/tests/standin_store.h
@@ -62,6 +62,7 @@
     std::size_t pageItems = 500; ///< objects in one page of a list
     std::uint64_t lists = 0; ///< calls that listed a kind
     std::uint64_t calls = 0;
+    std::set<std::string> continuations; ///< names with which lists were continued
     std::uint64_t goneResponses = 0; ///< watches that got 410
     std::uint64_t era = 1; ///< stated in all responses
 
--- a/tests/test_caller_api.cpp
+++ b/tests/test_caller_api.cpp
@@ -48,7 +48,7 @@
         http_request request;
         request.endpoint = endpoint;
         request.method = http_method::post;
-        request.path = "/v1/answers";
+        request.target = "/v1/answers";
         request.headers = {{"Authorization", "Bearer key"}};
         request.body = std::move(body);
         return request;
@@ -169,7 +169,7 @@
     wrongMethod.method = http_method::get;
     CHECK(test.call(wrongMethod).status == 405);
     auto wrongPath = test.request(kBody);
-    wrongPath.path = "/v1/other";
+    wrongPath.target = "/v1/other";
     CHECK(test.call(wrongPath).status == 404);
     CHECK(test.requests.empty());
     CHECK(test.api.isIdle());
@@ -207,7 +207,7 @@
     harness test;
     auto health = test.request("");
     health.method = http_method::get;
-    health.path = "/healthz";
+    health.target = "/healthz";
     CHECK(test.call(health).status == 200);
     test.onRequest = [&](const caller_request &request) {
         test.api.chunk({request.request, "first "});
--- a/tests/test_endless_responses.cpp
+++ b/tests/test_endless_responses.cpp
@@ -83,7 +83,7 @@
         http_client client(endless.loop);
         http_request call;
         call.endpoint = endless.replica.entry("s").address;
-        call.path = "/load";
+        call.target = "/load";
         call.timeout = std::chrono::seconds{15};
         std::optional<http_end> end;
         client.start(call, {[&end](const http_response &response) { end = response.end; }, {}});
--- a/tests/test_feed_relay.cpp
+++ b/tests/test_feed_relay.cpp
@@ -344,8 +344,10 @@
         http_request call;
         call.endpoint = net.address;
         call.method = http_method::post;
-        call.path = std::string(platform::kFeedPath) + "?host=old&wait_ms=" + std::to_string(waitMs) + "&config=" + text
-            + "&servers=" + text + "&rollouts=" + text;
+        call.target = platform::kFeedPath;
+        call.target.addParameter("host", "old").addParameter("wait_ms", std::to_string(waitMs));
+        for (const auto *kind : {"config", "servers", "rollouts"})
+            call.target.addParameter(kind, text);
         http_handlers handlers;
         handlers.onDone = [&response](const http_response &received) {
             response = received;
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -14,7 +14,7 @@
     http_client client(net.loop, std::chrono::milliseconds(40));
     http_request request;
     request.endpoint = net.endpoint;
-    request.path = "/";
+    request.target = "/";
     std::size_t idleAfterResponse = 0;
     client.start(request,
                  {[&](const http_response &) {
@@ -35,7 +35,7 @@
     };
     http_request request;
     request.endpoint = net.endpoint;
-    request.path = "/";
+    request.target = "/";
     // The call whose data arrives first cancels the other one; the order does not matter.
     std::array<http_call_id, 2> calls{};
     int parts = 0;
@@ -81,7 +81,7 @@
         http_client client(net.loop);
         http_request request;
         request.endpoint = server.entry("").address;
-        request.path = "/";
+        request.target = "/";
         request.timeout = 2s;
         request.stallTimeout = 400ms;
         std::optional<http_response> response;
@@ -108,7 +108,7 @@
     };
     http_request request;
     request.endpoint = link.address();
-    request.path = "/";
+    request.target = "/";
     request.timeout = std::chrono::milliseconds(300);
     std::vector<http_end> ends;
     http_handlers handlers;
--- a/tests/test_relay_fleet.cpp
+++ b/tests/test_relay_fleet.cpp
@@ -311,7 +311,7 @@
     http_request query;
     query.endpoint = net.addresses[kLeaving];
     query.method = http_method::post;
-    query.path = std::string(platform::kFeedPath) + "?host=other";
+    query.target = request_target(platform::kFeedPath).addParameter("host", "other");
     query.timeout = 400ms;
     http_handlers handlers;
     handlers.onDone = [](const http_response &) {
--- a/tools/control_process.cpp
+++ b/tools/control_process.cpp
@@ -61,7 +61,7 @@
     http_request request;
     request.endpoint = {order.target.address, order.target.port};
     request.method = http_method::post;
-    request.path = "/orders";
+    request.target = "/orders";
     request.headers = {{"Content-Type", "application/json"}};
     request.body = body.dump();
     http_handlers handlers;
--- a/tools/ctl_call.cpp
+++ b/tools/ctl_call.cpp
@@ -22,7 +22,7 @@
     http_request request;
     request.endpoint = options.server;
     request.method = method;
-    request.path = path;
+    request.target = request_target::fromEncoded(path);
     request.headers = {{"Authorization", "Bearer " + options.key}, {"Content-Type", "application/json"}};
     request.body = body;
     request.timeout = kResponseTimeout + options.wait;
--- a/tools/load_http.cpp
+++ b/tools/load_http.cpp
@@ -107,7 +107,7 @@
                                   {"stream", false}};
         m_client.start({.endpoint = m_routers[router],
                         .method = http_method::post,
-                        .path = "/v1/answers",
+                        .target = "/v1/answers",
                         .headers = headersOf(planned, source),
                         .body = body.dump(),
                         .timeout = timeoutOf(source) + kResponseGrace},
--- a/tools/standin_upstream_control.cpp
+++ b/tools/standin_upstream_control.cpp
@@ -140,7 +140,7 @@
     http_request request;
     request.endpoint = *m_options.platform;
     request.method = http_method::post;
-    request.path = "/hosts";
+    request.target = "/hosts";
     request.body = hostEntry().dump();
     http_handlers handlers;
     handlers.onDone = [this, isSuperseded = m_isRegistrationSuperseded](const http_response &response) {
