--- a/src/header_text.cpp
+++ b/src/header_text.cpp
@@ -9,6 +9,11 @@
 namespace foxtaildyke
 {
 
+bool isAlphanumeric(char letter)
+{
+    return (letter >= '0' && letter <= '9') || (letter >= 'A' && letter <= 'Z') || (letter >= 'a' && letter <= 'z');
+}
+
 bool isSameHeader(std::string_view left, std::string_view right)
 {
     return std::ranges::equal(left, right,
--- a/src/header_text_p.h
+++ b/src/header_text_p.h
@@ -10,6 +10,9 @@
 namespace foxtaildyke
 {
 
+/// @returns whether a character is an ASCII letter or digit, in any locale.
+[[nodiscard]] bool isAlphanumeric(char letter);
+
 /// @returns whether two header names or tokens are equal, ignoring ASCII case.
 [[nodiscard]] bool isSameHeader(std::string_view left, std::string_view right);
 
--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -19,11 +19,6 @@
     return *static_cast<message_head *>(htparser_get_userdata(parser));
 }
 
-bool isAlphanumeric(char letter)
-{
-    return (letter >= '0' && letter <= '9') || (letter >= 'A' && letter <= 'Z') || (letter >= 'a' && letter <= 'z');
-}
-
 bool hasToken(std::string_view list, std::string_view token)
 {
     return std::ranges::any_of(splitList(list),
--- a/tests/test_store_names.cpp
+++ b/tests/test_store_names.cpp
@@ -70,6 +70,30 @@
     }
 }
 
+// Guards against requests to an entry that another writer made of a replica's, and against its name in their heads.
+TEST_CASE("store names: an entry whose name can't be a replica's id is no replica, whatever it states")
+{
+    for (const auto &odd : kOddCharacters) {
+        if (odd == "..")
+            continue; // may be part of an id
+        CAPTURE(odd);
+        feed_with_store net;
+        auto ids = net.putReplicas();
+        net.store.put("servers", "i1" + odd, replicaSpec(1));
+        net.store.put("servers", odd, replicaSpec(2));
+        net.feed.start(net.recorder);
+        REQUIRE(net.runUntil([&] { return !net.recorder.replicas.empty(); }));
+        CHECK(net.recorder.replicas == ids);
+        CHECK(net.recorder.hasEvent("replica_unusable i1" + odd));
+        net.store.put("servers", "i2" + odd, replicaSpec(2));
+        ids.emplace_back("i8");
+        net.store.put("servers", ids.back(), replicaSpec(8));
+        REQUIRE(net.runUntil(
+            [&] { return std::ranges::find(net.recorder.replicas, "i8") != net.recorder.replicas.end(); }));
+        CHECK(net.recorder.replicas == ids);
+    }
+}
+
 // Guards against a watch that loses the replicas while such an entry comes and goes.
 TEST_CASE("store names: an entry whose name holds any characters comes and goes, and the replicas hold")
 {
