Responses: a line that is no status line begins no answer

What callers saw: a response with the status 000, 001 or 099 was skipped like an interim one, but its body was kept: with a proper response behind it on the connection, the caller got both bodies joined (000 with "ab", then 200 with "cd": "abcd"). 600, 999, HTTP/2.0, HTTP/1.2, two blanks before the status and control bytes in the reason were passed on as answers.

Cause: for responses the status line was left to libevhtp's parser, which takes any digits and any version; the gateway took each status up to 199 for interim. The body of a skipped head went to the request's listener.

Change: the parser reads the status line itself, once for all responses (RFC 9112, 4): HTTP/1.0 or HTTP/1.1, one blank, three digits from 100 to 599, a reason without control bytes. Anything else is malformed, as other bytes that are no response. 1xx of either version ends with its head. The ranges are named in http_status_p.h.

Lone responses with the status 000 reached no caller before either.

--- a/src/header_text.cpp
+++ b/src/header_text.cpp
@@ -14,6 +14,14 @@
     return (letter >= '0' && letter <= '9') || (letter >= 'A' && letter <= 'Z') || (letter >= 'a' && letter <= 'z');
 }
 
+bool isToken(std::string_view text)
+{
+    static constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::ranges::all_of(text, [](char letter) {
+        return isAlphanumeric(letter) || kSymbols.find(letter) != std::string_view::npos;
+    });
+}
+
 bool isSameHeader(std::string_view left, std::string_view right)
 {
     return std::ranges::equal(left, right,
--- a/src/header_text_p.h
+++ b/src/header_text_p.h
@@ -13,6 +13,9 @@
 /// @returns whether a character is an ASCII letter or digit, in any locale.
 [[nodiscard]] bool isAlphanumeric(char letter);
 
+/// @returns whether a text consists of at least one character of a method or header name (RFC 9110, 5.6.2).
+[[nodiscard]] bool isToken(std::string_view text);
+
 /// @returns whether two header names or tokens are equal, ignoring ASCII case.
 [[nodiscard]] bool isSameHeader(std::string_view left, std::string_view right);
 
--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -35,21 +35,27 @@
     return line.substr(start + 1, line.find(' ', start + 1) - start - 1);
 }
 
-/// @returns whether a text consists of at least one character of a method or header name (RFC 9110, 5.6.2).
-bool isToken(std::string_view text)
+/// @returns whether a text consists of characters that may occur in a request target (RFC 3986, 2).
+bool isTarget(std::string_view text)
 {
-    static constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+    static constexpr std::string_view kSymbols = "-._~:/?[]@!$&'()*+,;=%";
     return !text.empty() && std::ranges::all_of(text, [](char letter) {
         return isAlphanumeric(letter) || kSymbols.find(letter) != std::string_view::npos;
     });
 }
 
-/// @returns whether a text consists of characters that may occur in a request target (RFC 3986, 2).
-bool isTarget(std::string_view text)
+bool isVersion(std::string_view text)
 {
-    static constexpr std::string_view kSymbols = "-._~:/?[]@!$&'()*+,;=%";
-    return !text.empty() && std::ranges::all_of(text, [](char letter) {
-        return isAlphanumeric(letter) || kSymbols.find(letter) != std::string_view::npos;
+    return text == "HTTP/1.1" || text == "HTTP/1.0";
+}
+
+/// @returns whether a text holds no control characters other than tabs.
+bool isFieldContent(std::string_view text)
+{
+    constexpr char kDelete = 0x7f;
+    return std::ranges::none_of(text, [](char letter) {
+        const bool isControl = (letter >= 0 && letter < ' ' && letter != '\t') || letter == kDelete;
+        return isControl;
     });
 }
 
@@ -59,21 +65,33 @@
     const auto targetEnd = line.rfind(' ');
     if (methodEnd == std::string_view::npos || targetEnd == methodEnd)
         return false;
-    const auto version = line.substr(targetEnd + 1);
     return isToken(line.substr(0, methodEnd)) && isTarget(line.substr(methodEnd + 1, targetEnd - methodEnd - 1))
-        && (version == "HTTP/1.1" || version == "HTTP/1.0");
+        && isVersion(line.substr(targetEnd + 1));
+}
+
+constexpr std::size_t kStatusAt = 9; ///< of a status line, after the version
+constexpr std::size_t kStatusSize = 3;
+
+/// @returns the status in a status line (RFC 9112, 4), or nothing if the line is none. The reason may be missing.
+std::optional<int> statusOf(std::string_view line)
+{
+    if (line.size() < kStatusAt + kStatusSize || !isVersion(line.substr(0, kStatusAt - 1))
+        || line[kStatusAt - 1] != ' ')
+        return std::nullopt;
+    const auto status = parseNumber(line.substr(kStatusAt, kStatusSize)).value_or(0);
+    const auto rest = line.substr(kStatusAt + kStatusSize);
+    const bool isKnown =
+        http_status::isInterim(static_cast<int>(status)) || http_status::isFinal(static_cast<int>(status));
+    if (!isKnown || !(rest.empty() || rest.front() == ' ') || !isFieldContent(rest))
+        return std::nullopt;
+    return static_cast<int>(status);
 }
 
 /// @returns whether a line is one header without obsolete line folding, and without control characters.
 bool isHeaderLine(std::string_view line)
 {
-    constexpr char kDelete = 0x7f;
     const auto colon = line.find(':');
-    return colon != std::string_view::npos && isToken(line.substr(0, colon))
-        && std::ranges::none_of(line, [](char letter) {
-               const bool isControl = (letter >= 0 && letter < ' ' && letter != '\t') || letter == kDelete;
-               return isControl;
-           });
+    return colon != std::string_view::npos && isToken(line.substr(0, colon)) && isFieldContent(line);
 }
 
 /// @returns whether the head of a request is written in such a way that no other recipient can read more or fewer lines
@@ -91,18 +109,6 @@
     return true;
 }
 
-/// @returns the status if the head is that of an interim response, which libevhtp's parser doesn't support.
-std::optional<int> interimStatus(std::string_view head)
-{
-    constexpr std::string_view kPrefix = "HTTP/1.1 1";
-    constexpr std::size_t kStatusAt = 9;
-    constexpr std::size_t kStatusSize = 3;
-    if (!head.starts_with(kPrefix) || head.find_first_of(" \r", kStatusAt) != kStatusAt + kStatusSize)
-        return std::nullopt;
-    const auto status = parseNumber(head.substr(kStatusAt, kStatusSize));
-    return status ? std::optional(static_cast<int>(*status)) : std::nullopt;
-}
-
 } // namespace
 
 std::string_view message_head::header(std::string_view name) const
@@ -186,13 +192,16 @@
 
 void http_parser::parseHead()
 {
-    if (const auto interim = interimStatus(m_headBytes); interim && m_type == message_type::response) {
-        m_head.status = *interim;
-        m_state = parse_state::complete;
+    if (m_type == message_type::response)
+        m_head.status = statusOf(std::string_view(m_headBytes).substr(0, m_headBytes.find("\r\n"))).value_or(0);
+    const bool isMessage = m_type == message_type::request ? isUnambiguousRequestHead(m_headBytes) : m_head.status != 0;
+    if (!isMessage) {
+        m_state = parse_state::malformed;
         return;
     }
-    if (m_type == message_type::request && !isUnambiguousRequestHead(m_headBytes)) {
-        m_state = parse_state::malformed;
+    // libevhtp's parser doesn't support interim responses, which end with their head.
+    if (http_status::isInterim(m_head.status)) {
+        m_state = parse_state::complete;
         return;
     }
     auto table = hooks();
@@ -213,7 +222,6 @@
         m_state = parse_state::malformed;
         return;
     }
-    m_head.status = m_type == message_type::response ? static_cast<int>(htparser_get_status(m_parser.get())) : 0;
     m_head.keepAlive = htparser_get_minor(m_parser.get()) >= 1 ? !hasToken(m_head.header("Connection"), "close")
                                                                : hasToken(m_head.header("Connection"), "keep-alive");
     const bool hasNoBody = m_head.status == http_status::kNoContent || m_head.status == http_status::kNotModified;
--- a/src/http_status_p.h
+++ b/src/http_status_p.h
@@ -18,6 +18,20 @@
 inline constexpr int kHeadersTooLarge = 431;
 inline constexpr int kServiceUnavailable = 503;
 
+/// @returns whether a status is that of a response which another one follows (RFC 9110, 15.2).
+[[nodiscard]] constexpr bool isInterim(int status)
+{
+    constexpr int kFirst = 100;
+    return status >= kFirst && status < kOk;
+}
+
+/// @returns whether a status is that of a final response (RFC 9110, 15).
+[[nodiscard]] constexpr bool isFinal(int status)
+{
+    constexpr int kLast = 599;
+    return status >= kOk && status <= kLast;
+}
+
 [[nodiscard]] constexpr bool isSuccess(int status)
 {
     constexpr int kFirstRedirect = 300;
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -1,6 +1,8 @@
 // One request to a replica over persistent connections; see upstream_exchange_p.h.
 #include "upstream_exchange_p.h"
 
+#include "http_status_p.h"
+
 #include <charconv>
 
 namespace foxtaildyke
@@ -9,8 +11,6 @@
 namespace
 {
 
-constexpr int kLastInformational = 199;
-
 /// @returns the value of "timeout=SECONDS" in a Keep-Alive header, or 0 if it is absent.
 std::chrono::milliseconds keepAliveTimeout(std::string_view value)
 {
@@ -136,7 +136,7 @@
     const auto &head = m_parser.head();
     const auto echoed = head.header(m_pool.requestIdHeader());
     m_isForeignResponse = !echoed.empty() && echoed != m_request.requestId;
-    if (m_isForeignResponse || head.status <= kLastInformational) {
+    if (m_isForeignResponse || http_status::isInterim(head.status)) {
         m_skippedBytes += kSkippedHeadBytes;
         return;
     }
--- /dev/null
+++ b/tests/test_odd_responses.cpp
@@ -0,0 +1,140 @@
+// Responses of replicas that aren't HTTP, or not whole: none of them may reach a caller as an answer.
+#include "gateway_harness.h"
+
+#include <array>
+
+using namespace foxtaildyke;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+parse_state stateAfter(const std::string &text, std::size_t chunkSize)
+{
+    http_parser parser(message_type::response);
+    std::string_view rest = text;
+    while (!rest.empty() && (parser.state() == parse_state::head || parser.state() == parse_state::body)) {
+        const auto used = parser.feed(rest.substr(0, chunkSize), [](std::string_view) {});
+        if (used == 0)
+            break;
+        rest.remove_prefix(used);
+    }
+    return parser.state();
+}
+
+/// Checks a head that arrives at once, and a byte at a time.
+void checkHead(const std::string &text, bool isValid)
+{
+    CAPTURE(text);
+    const auto expected = isValid ? parse_state::complete : parse_state::malformed;
+    CHECK(stateAfter(text, text.size()) == expected);
+    CHECK(stateAfter(text, 1) == expected);
+}
+
+std::string headWith(const std::string &statusLine, const std::string &header = "A: b")
+{
+    return statusLine + "\r\nContent-Length: 0\r\n" + header + "\r\n\r\n";
+}
+
+/// Lines that are no status line (RFC 9112, 4).
+constexpr std::array kOddStatusLines{
+    "HTTP/1.1 000 OK",  "HTTP/1.1 000",        "HTTP/1.1 001 OK",   "HTTP/1.1 099 OK",  "HTTP/1.1 600 OK",
+    "HTTP/1.1 999 OK",  "HTTP/1.1 20 OK",      "HTTP/1.1 2000 OK",  "HTTP/1.1 0200 OK", "HTTP/1.1 +20 OK",
+    "HTTP/1.1 -20 OK",  "HTTP/1.1 2x0 OK",     "HTTP/1.1 200OK",    "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",
+    "HTTP/1.1 OK",      "HTTP/1.1 ",           "HTTP/1.1",          "HTTP/2.0 200 OK",  "HTTP/1.2 200 OK",
+    "HTTP/0.9 200 OK",  "HTTP/11 200 OK",      "http/1.1 200 OK",   "XTTP/1.1 200 OK",  " HTTP/1.1 200 OK",
+    "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\nK", "HTTP/1.1 100\x01", "HTTP/1.1 1x0 OK"};
+
+/// A gateway with two replicas: the first that gets a request sends the odd response, the other one a proper one.
+struct odd_replica_net : gateway_harness {
+    explicit odd_replica_net(std::string odd)
+        : oddResponse(std::move(odd))
+    {
+        publish(makeConfig());
+        publishReplicas({one.entry("s"), two.entry("s")});
+    }
+
+    replica_script respond(const received_request &request)
+    {
+        const std::string id(request.head.header("Foxtaildyke-Request-Id"));
+        if (++attempts == 1)
+            return {.bytes = oddResponse, .closes = true};
+        return {responseText(200, id, "proper")};
+    }
+
+    const received_response &request(const std::string &path)
+    {
+        caller.send(requestText("POST", path, "id1"));
+        REQUIRE(runUntil(
+            [this] { return caller.isClosed || (!caller.responses.empty() && caller.responses[0].isComplete); }));
+        REQUIRE_FALSE(caller.responses.empty());
+        return caller.responses[0];
+    }
+
+    std::string oddResponse;
+    int attempts = 0;
+    scripted_replica one{loop, "r1", [this](const received_request &request) {
+                             return respond(request);
+                         }};
+    scripted_replica two{loop, "r2", [this](const received_request &request) {
+                             return respond(request);
+                         }};
+    scripted_caller caller{loop, task.callerPort()};
+};
+
+/// Checks that a response reaches no caller: a request that may run again is served by the other replica, another one
+/// fails.
+void checkNoAnswer(const std::string &response)
+{
+    CAPTURE(response);
+    odd_replica_net safe(response);
+    const auto &served = safe.request("/safe/x");
+    CHECK(served.head.status == 200);
+    CHECK(served.body == "proper");
+    odd_replica_net once(response);
+    const auto &failed = once.request("/once/x");
+    CHECK(failed.head.status == 502);
+    CHECK(failed.head.header("Foxtaildyke-Server-Stamp").empty());
+    CHECK(once.attempts == 1);
+}
+
+std::string responseWith(const std::string &statusLine, const std::string &header)
+{
+    return statusLine + "\r\nFoxtaildyke-Request-Id: id1\r\nFoxtaildyke-Server-Stamp: s\r\n" + header + "\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE("odd responses: lines that are a status line, and lines that are none")
+{
+    for (const auto *line : {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.1 599 X",
+                             "HTTP/1.1 404 \xc3\xa9", "HTTP/1.1 100 Continue", "HTTP/1.1 503 a\tb"})
+        checkHead(headWith(line), true);
+    for (const auto *line : kOddStatusLines)
+        checkHead(headWith(line), false);
+}
+
+TEST_CASE("odd responses: a response whose status is none reaches no caller")
+{
+    for (const auto *line : kOddStatusLines)
+        checkNoAnswer(responseWith(line, "Content-Length: 2") + "ab");
+    checkNoAnswer(responseWith("HTTP/1.1 000 OK", "Transfer-Encoding: chunked") + "2\r\nab\r\n0\r\n\r\n");
+    checkNoAnswer(responseWith("HTTP/1.1 000 OK", "A: b") + "ab");
+}
+
+TEST_CASE("odd responses: a response that follows one whose status is none reaches no caller, nor do both joined")
+{
+    for (const auto *line : {"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 099 OK"}) {
+        checkNoAnswer(responseWith(line, "Content-Length: 2") + "ab" + responseText(200, "id1", "cd"));
+        checkNoAnswer(responseWith(line, "A: b") + responseText(200, "id1", "cd"));
+    }
+}
+
+TEST_CASE("odd responses: interim responses of either version are skipped, also one that announces a body")
+{
+    for (const auto *line : {"HTTP/1.1 100 Continue", "HTTP/1.0 100 Continue", "HTTP/1.1 103 Early Hints"}) {
+        CAPTURE(line);
+        odd_replica_net net(responseWith(line, "Content-Length: 0") + responseText(200, "id1", "cd"));
+        CHECK(net.request("/once/x").body == "cd");
+    }
+}
