Responses: a header line without a proper name begins no answer

What callers saw: a response whose head has a folded line, a control byte in a name or value, a bare CR or LF, or bytes that no name holds was passed on with that line; "Transfer-Encoding\v: chunked" or "\tContent-Length: 2" changed where its body ended, so that the caller got another body than the replica's.

Cause: only the heads of requests were checked line by line (isUnambiguousRequestHead()); libevhtp's parser accepts most bytes in a response's names, and readFraming() looked for blanks only.

Change: one check for all heads, isUnambiguousHead(), before anything is read from them; interim responses included. The check of names in readFraming() is part of it.

Names with a blank before the colon were rejected before.

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -94,15 +94,18 @@
     return colon != std::string_view::npos && isToken(line.substr(0, colon)) && isFieldContent(line);
 }
 
-/// @returns whether the head of a request is written in such a way that no other recipient can read more or fewer lines
-/// from it: a bare CR or LF, or an unexpected character, would be forwarded as it is.
-bool isUnambiguousRequestHead(std::string_view head)
+/// @returns whether a head is written in such a way that no other recipient can read more or fewer lines from it: a
+/// bare CR or LF, or an unexpected character, would be forwarded as it is.
+bool isUnambiguousHead(message_type type, std::string_view head)
 {
     constexpr std::string_view kLineEnd = "\r\n";
     auto rest = head.substr(0, head.size() - kLineEnd.size()); // without the empty line
+    const auto isStartLine = [type](std::string_view line) {
+        return type == message_type::request ? isRequestLine(line) : statusOf(line).has_value();
+    };
     for (bool isFirst = true; !rest.empty(); isFirst = false) {
         const auto line = rest.substr(0, rest.find(kLineEnd));
-        if (!(isFirst ? isRequestLine(line) : isHeaderLine(line)))
+        if (!(isFirst ? isStartLine(line) : isHeaderLine(line)))
             return false;
         rest.remove_prefix(line.size() + kLineEnd.size());
     }
@@ -192,13 +195,12 @@
 
 void http_parser::parseHead()
 {
-    if (m_type == message_type::response)
-        m_head.status = statusOf(std::string_view(m_headBytes).substr(0, m_headBytes.find("\r\n"))).value_or(0);
-    const bool isMessage = m_type == message_type::request ? isUnambiguousRequestHead(m_headBytes) : m_head.status != 0;
-    if (!isMessage) {
+    if (!isUnambiguousHead(m_type, m_headBytes)) {
         m_state = parse_state::malformed;
         return;
     }
+    if (m_type == message_type::response)
+        m_head.status = statusOf(std::string_view(m_headBytes).substr(0, m_headBytes.find("\r\n"))).value_or(0);
     // libevhtp's parser doesn't support interim responses, which end with their head.
     if (http_status::isInterim(m_head.status)) {
         m_state = parse_state::complete;
@@ -240,8 +242,6 @@
 bool http_parser::readFraming()
 {
     for (const auto &[name, value] : m_head.headers) {
-        if (name.empty() || name.find_first_of(" \t") != std::string::npos)
-            return false;
         if (isSameHeader(name, "Content-Length")) {
             const auto length = parseNumber(value);
             if (!length || m_head.length)
--- a/tests/test_odd_responses.cpp
+++ b/tests/test_odd_responses.cpp
@@ -45,6 +45,29 @@
     "HTTP/0.9 200 OK",  "HTTP/11 200 OK",      "http/1.1 200 OK",   "XTTP/1.1 200 OK",  " HTTP/1.1 200 OK",
     "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\nK", "HTTP/1.1 100\x01", "HTTP/1.1 1x0 OK"};
 
+/// Header lines whose name holds a blank, a control byte or another byte that no name holds.
+const std::vector<std::string> kOddHeaderLines{"Content-Length : 2",
+                                               "Content-Length\t: 2",
+                                               "Content Length: 2",
+                                               " Content-Length: 2",
+                                               "\tContent-Length: 2",
+                                               "Content-Length\x01: 2",
+                                               "\x01Set-Thing: a",
+                                               "Set\x7fThing: a",
+                                               "Set Thing: a",
+                                               "Transfer-Encoding : chunked",
+                                               "Transfer-Encoding\x0b: chunked",
+                                               "\x0cTransfer-Encoding: chunked",
+                                               "Set-Thing",
+                                               ": a",
+                                               "Set-Thing: a\nX: b",
+                                               "Set-Thing: a\rX: b",
+                                               "Set-\xc3\xa9: a",
+                                               "Set(Thing): a",
+                                               "Set-Thing: a\x01",
+                                               "Foxtaildyke-Not-Executed : 1",
+                                               "Server-Leaving\x01: 1"};
+
 /// A gateway with two replicas: the first that gets a request sends the odd response, the other one a proper one.
 struct odd_replica_net : gateway_harness {
     explicit odd_replica_net(std::string odd)
@@ -114,6 +137,14 @@
         checkHead(headWith(line), false);
 }
 
+TEST_CASE("odd responses: header lines that have no proper name")
+{
+    for (const auto &line : kOddHeaderLines) {
+        checkHead(headWith("HTTP/1.1 200 OK", line), false);
+        checkHead(headWith("HTTP/1.1 102 Processing", line), false);
+    }
+}
+
 TEST_CASE("odd responses: a response whose status is none reaches no caller")
 {
     for (const auto *line : kOddStatusLines)
@@ -138,3 +169,11 @@
         CHECK(net.request("/once/x").body == "cd");
     }
 }
+
+TEST_CASE("odd responses: a response with a header line that has no proper name reaches no caller")
+{
+    for (const auto &line : kOddHeaderLines) {
+        checkNoAnswer(responseWith("HTTP/1.1 200 OK", line) + "ab");
+        checkNoAnswer(responseWith("HTTP/1.1 200 OK", line + "\r\nContent-Length: 4") + "abcd");
+    }
+}
