Responses without a length: an end that comes before the request was sent is confirmed

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body and closed its socket with nothing unread, while the rest of the upload was still to come. The caller got the part as a complete answer.

Cause: such a close ends the replica's side in order, and its kernel resets the connection only when more of the request arrives. The gateway took the orderly end for the end of the body. Resets at once and closes with unread bytes were noticed before, by the read or the write that fails first.

Change: upstream_exchange::confirmEnd(), through which all bodies that end with the connection pass. While bytes of the request are unsent or unacknowledged (stream_socket::writeProgress(): output buffer, SIOCOUTQ, SO_ERROR), the response waits; a reset meanwhile makes it broken. A replica that ends its side and reads on is waited for, no longer than the attempt may last. A request that was sent before the response ended, as nearly all are, costs two system calls and no time.

"early response: ..." checks that a whole one still arrives; it failed before in that the connection was closed with the request unsent.

--- a/src/stream_socket.cpp
+++ b/src/stream_socket.cpp
@@ -8,6 +8,8 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace foxtaildyke
 {
@@ -118,6 +120,21 @@
     return evbuffer_get_length(bufferevent_get_output(m_stream));
 }
 
+write_progress stream_socket::writeProgress()
+{
+    const auto socket = bufferevent_getfd(m_stream);
+    int failure = 0;
+    socklen_t size = sizeof(failure);
+    if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &failure, &size) == 0 && failure != 0)
+        m_hasWriteFailed = true; // reading the error clears it
+    if (m_hasWriteFailed)
+        return write_progress::failed;
+    int unacknowledged = 0;
+    const bool isKnown = ::ioctl(socket, SIOCOUTQ, &unacknowledged) == 0;
+    const bool isPending = pendingBytes() > 0 || (isKnown && unacknowledged > 0);
+    return isPending ? write_progress::pending : write_progress::acknowledged;
+}
+
 void stream_socket::setReading(bool isOn)
 {
     if (isOn)
--- a/src/stream_socket_p.h
+++ b/src/stream_socket_p.h
@@ -21,6 +21,14 @@
     count
 };
 
+/// What has become of the bytes written to a connection.
+enum class write_progress : std::uint8_t {
+    pending, ///< some are not acknowledged by the peer's kernel
+    acknowledged, ///< all are
+    failed, ///< the connection was reset or timed out
+    count
+};
+
 class stream_socket
 {
 public:
@@ -65,6 +73,9 @@
     /// @returns the number of bytes not yet handed to the kernel.
     [[nodiscard]] std::size_t pendingBytes() const;
 
+    /// @returns the progress of what has been written, also after the peer has closed its side.
+    [[nodiscard]] write_progress writeProgress();
+
     /// Stops or resumes reading, for back-pressure on a fast peer.
     void setReading(bool isOn);
 
--- a/src/upstream_exchange.cpp
+++ b/src/upstream_exchange.cpp
@@ -86,6 +86,7 @@
     , m_request(std::move(request))
     , m_listener(listener)
     , m_connectTimer(pool.loop(), [this] { finish(upstream_end::not_connected); })
+    , m_endTimer(pool.loop(), [this] { confirmEnd(); })
 {
     const stream_socket::handlers handlers{.onConnected =
                                                [this] {
@@ -196,13 +197,27 @@
 {
     if (!m_isConnected)
         return finish(upstream_end::not_connected);
-    const bool isComplete = end == socket_end::closed && m_hasHead && m_parser.finishAtClose();
+    if (end == socket_end::closed && m_hasHead && m_parser.isDelimitedByClose())
+        return confirmEnd();
+    finish(upstream_end::broken);
+}
+
+/// Ends a response that extends to the end of the connection. A replica that closes its socket before it has received
+/// the whole request ends its side in order, and its kernel resets the connection when the rest arrives: such an end
+/// doesn't show that the response is whole.
+void upstream_exchange::confirmEnd()
+{
+    const auto progress = m_socket->writeProgress();
+    if (progress == write_progress::pending)
+        return m_endTimer.start(kEndCheckPeriod);
+    const bool isComplete = progress == write_progress::acknowledged && m_parser.finishAtClose();
     finish(isComplete ? upstream_end::complete : upstream_end::broken);
 }
 
 void upstream_exchange::finish(upstream_end end)
 {
     m_connectTimer.stop();
+    m_endTimer.stop();
     auto socket = std::move(m_socket);
     const auto &head = m_parser.head();
     // A connection is not reusable while its request is still being written, because the next request would follow an
--- a/src/upstream_exchange_p.h
+++ b/src/upstream_exchange_p.h
@@ -69,6 +69,7 @@
     void send();
     void onReadable();
     void onSocketEnd(socket_end end);
+    void confirmEnd();
     void handleHead();
     [[nodiscard]] bool acceptBody(std::string_view bytes);
     void finish(upstream_end end);
@@ -79,6 +80,7 @@
     std::unique_ptr<stream_socket> m_socket;
     http_parser m_parser{message_type::response};
     loop_timer m_connectTimer;
+    loop_timer m_endTimer; ///< checks the end of a response again
     bool m_isConnected = false;
     bool m_isReused = false; ///< other requests have been sent on the connection before
     bool m_hasHead = false; ///< the head of this request's response has been passed to the listener
@@ -88,6 +90,8 @@
     std::size_t m_skippedBytes = 0; ///< of foreign and interim responses
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 
+    /// Time between two checks of a response that has ended before its request was sent.
+    static constexpr std::chrono::milliseconds kEndCheckPeriod{2};
     /// Bytes of foreign and interim responses at which the exchange ends: a replica may send them without end.
     static constexpr std::size_t kMaxSkippedBytes = 1U << 20U;
     /// Bytes that each skipped head counts for, at least.
--- a/tests/test_connection_races.cpp
+++ b/tests/test_connection_races.cpp
@@ -219,6 +219,89 @@
     CHECK(net.caller.text.starts_with("HTTP/1.1 502"));
 }
 
+/// How a replica ends a connection on which a request is still being sent.
+enum class replica_close : std::uint8_t {
+    reset, ///< at once
+    unread, ///< closes while bytes wait to be read, so that its kernel resets the connection
+    drained, ///< closes with nothing to read; its kernel resets the connection when more of the request arrives
+    count
+};
+
+struct early_response {
+    std::size_t uploadBytes;
+    std::size_t responseBytes;
+    std::chrono::milliseconds pause; ///< before the end, in which the gateway runs
+};
+
+std::vector<early_response> earlyResponses()
+{
+    std::vector<early_response> samples;
+    for (const std::size_t uploadBytes : {std::size_t{1} << 20U, std::size_t{6} << 20U, kLongBody})
+        for (const std::size_t responseBytes : {std::size_t{5}, kLongResponse})
+            for (const auto pause : {0ms, 1ms, 20ms})
+                samples.push_back({uploadBytes, responseBytes, pause});
+    return samples;
+}
+
+/// Sends a long request, and a response without a length to it once it has begun to arrive.
+plain_connection *respondEarly(kept_connections &net, const early_response &sample)
+{
+    net.caller.sendWhile(net, requestText("POST", "/once/x", "id-1", "", std::string(sample.uploadBytes, 'b')));
+    plain_connection *connection = nullptr;
+    REQUIRE(net.runUntil([&] { return (connection = net.replica.takeHead("id-1")) != nullptr; }));
+    connection->sendWhile(net,
+                          "HTTP/1.1 200 OK\r\nFoxtaildyke-Request-Id: id-1\r\nFoxtaildyke-Server-Stamp: s\r\n\r\n"
+                              + std::string(sample.responseBytes, 'x'));
+    net.runFor(sample.pause);
+    return connection;
+}
+
+// Guards against a part of a response that is taken for all of it, whichever end of the connection is noticed first.
+TEST_CASE("reset by a replica: no part of a response without a length is complete at any moment of a long upload")
+{
+    for (std::uint8_t end = 0; end < static_cast<std::uint8_t>(replica_close::count); ++end)
+        for (const auto &sample : earlyResponses()) {
+            CAPTURE(static_cast<int>(end));
+            CAPTURE(sample.uploadBytes);
+            CAPTURE(sample.responseBytes);
+            CAPTURE(sample.pause.count());
+            kept_connections net;
+            auto *connection = respondEarly(net, sample);
+            if (static_cast<replica_close>(end) == replica_close::drained)
+                connection->receive();
+            if (connection->text.size() >= sample.uploadBytes)
+                continue; // nothing is left that could arrive after the end
+            if (static_cast<replica_close>(end) == replica_close::reset)
+                connection->reset();
+            else
+                connection->close();
+            net.runUntil([&] { return net.caller.receive().find("\r\n\r\n") != std::string::npos; });
+            CAPTURE(net.caller.text.substr(0, 200));
+            CHECK(net.caller.text.starts_with("HTTP/1.1 502"));
+        }
+}
+
+// Guards against a whole response that is taken for a part because it ended before the request.
+TEST_CASE("early response: one without a length is complete if its replica ends it in order and reads on")
+{
+    for (const auto &sample : earlyResponses()) {
+        CAPTURE(sample.uploadBytes);
+        CAPTURE(sample.responseBytes);
+        CAPTURE(sample.pause.count());
+        kept_connections net;
+        auto *connection = respondEarly(net, sample);
+        REQUIRE(::shutdown(connection->socket, SHUT_WR) == 0);
+        REQUIRE(net.runUntil([&] {
+            connection->receive();
+            return net.caller.receive().find("\r\n\r\n") != std::string::npos;
+        }));
+        CAPTURE(net.caller.text.substr(0, 200));
+        CHECK(net.caller.text.starts_with("HTTP/1.1 200"));
+        CHECK(net.runUntil([&] { return net.caller.receive().ends_with(std::string(sample.responseBytes, 'x')); }));
+        CHECK(connection->text.size() > sample.uploadBytes);
+    }
+}
+
 TEST_CASE("reset by a replica: a whole response that came before it is passed on")
 {
     kept_connections net;
