Store entries: numbers that no field can hold

What callers saw: nothing directly. An entry of another writer with batch_slots or 1e300 was a replica with no slots, one with cold_remaining_ms or duration_s 1e19 got times before the beginning of time.

Cause: numbers were read as double and cast to the field's type, which is undefined where the type can't hold them (x86-64 and arm64 differ); get<std::uint32_t>() checked the sign only.

--- a/tests/test_store_names.cpp
+++ b/tests/test_store_names.cpp
@@ -110,6 +110,37 @@
     CHECK(net.recorder.replicas.size() == ids.size() + 1);
 }
 
+// Guards against numbers that are converted to what the entry doesn't state, such as a replica with no slots.
+TEST_CASE("store names: numbers that no field can hold are bounded, or make an entry unusable")
+{
+    for (const auto number : {4294967296.0, 1e19, 1e300, -1.0, 0.0, 0.5}) {
+        CAPTURE(number);
+        platform::stored_item item;
+        item.name = "i1";
+        item.spec = replicaSpec(1);
+        item.spec["batch_slots"] = number;
+        CHECK(platform::decodeReplica(item).has_error());
+    }
+    for (const auto number : {1e19, 1e300, -1e300, 9e18}) {
+        CAPTURE(number);
+        platform::stored_item item;
+        item.name = "s";
+        item.spec = replicaSpec(1);
+        item.spec["cold_remaining_ms"] = number;
+        item.spec["born"] = number;
+        const auto replica = platform::decodeReplica(item);
+        REQUIRE(replica.has_value());
+        CHECK(replica.value().coldRemaining <= 24h);
+        CHECK(replica.value().coldRemaining >= 0h);
+        CHECK(replica.value().startedAtMs >= 0);
+        item.spec = {{"service", "s"}, {"target", "v2"}, {"duration_s", std::abs(number)}};
+        const auto order = platform::decodeRollout(item);
+        REQUIRE(order.has_value());
+        CHECK(order.value().duration > 0ms);
+        CHECK(order.value().duration <= 24h);
+    }
+}
+
 // Guards against a write or a removal that meets another entry than the one named.
 TEST_CASE("store names: a call for one entry means that entry, whatever its name holds")
 {
