Store entries: only the object "main" is the configuration

What callers saw: one entry of another writer in the kind of the configuration, with a version above the operator's, was adopted by all hosts; its routes replaced the real ones, and every later configuration of the operator counted as outdated.

Cause: applyConfig() took each object of the kind, whatever its name.

--- a/tests/test_store_names.cpp
+++ b/tests/test_store_names.cpp
@@ -110,6 +110,23 @@
     CHECK(net.recorder.replicas.size() == ids.size() + 1);
 }
 
+// Guards against an entry of another writer that replaces the configuration of all hosts.
+TEST_CASE("store names: only the entry of the operator's name is the configuration")
+{
+    feed_with_store net;
+    net.store.put("config", "main", {{"version", 7}});
+    net.store.put("config", "a copy", {{"version", 9000}});
+    net.store.put("config", "zz", {{"version", 9001}});
+    net.feed.start(net.recorder);
+    REQUIRE(net.runUntil([&] { return !net.recorder.configs.empty(); }));
+    net.store.put("config", "main&", {{"version", 9002}});
+    net.store.put("config", "main", {{"version", 8}});
+    REQUIRE(net.runUntil([&] { return net.recorder.configs.size() >= 2; }));
+    CHECK(net.recorder.configs[0]->version == 7);
+    CHECK(net.recorder.configs[1]->version == 8);
+    CHECK(net.recorder.hasEvent("config_unusable zz"));
+}
+
 // Guards against numbers that are converted to what the entry doesn't state, such as a replica with no slots.
 TEST_CASE("store names: numbers that no field can hold are bounded, or make an entry unusable")
 {
