--- a/tests/test_store_names.cpp
+++ b/tests/test_store_names.cpp
@@ -127,6 +127,20 @@
     CHECK(net.recorder.hasEvent("config_unusable zz"));
 }
 
+// Guards against an entry of another writer that competes with the operator's order for a service.
+TEST_CASE("store names: an entry that states another service than its name orders no roll-out")
+{
+    feed_with_store net;
+    net.store.put("rollouts", "s", {{"service", "s"}, {"target", "v2"}, {"duration_s", 12}});
+    for (const auto *name : {"a", "s&", "t"})
+        net.store.put("rollouts", name, {{"service", "s"}, {"target", "v9"}, {"duration_s", 12}});
+    net.feed.start(net.recorder);
+    REQUIRE(net.runUntil([&] { return !net.recorder.orders.empty(); }));
+    REQUIRE(net.recorder.orders.size() == 1);
+    CHECK(net.recorder.orders.front().target == "v2");
+    CHECK(net.recorder.hasEvent("rollout_unusable s&"));
+}
+
 // Guards against numbers that are converted to what the entry doesn't state, such as a replica with no slots.
 TEST_CASE("store names: numbers that no field can hold are bounded, or make an entry unusable")
 {
