Store ledger: a pin that can't be read ends no router

What callers saw: foxtaildyke-router with a store of its own ended by an exception when a session's pin held versions that are no list of names, again for each request of that session.

Cause: readPin() converted the field without a check of its type; the exception left the event loop.

Change: such a pin is answered as unavailable, as one without versions. The check is the ledger codec's, now in json_shape_p.h.

Evidence: "store ledger: a pin that can't be read is no pin ..." threw before, and holds now. Bills that can't be read held.

--- a/src/ledger_codec.cpp
+++ b/src/ledger_codec.cpp
@@ -1,8 +1,7 @@
 // JSON encoding of ledger records, batches and snapshot heads; see ledger_p.h and ledger_index_p.h.
+#include "json_shape_p.h"
 #include "ledger_index_p.h"
 
-#include <nlohmann/json.hpp>
-
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -26,11 +25,6 @@
     return {error_code::protocol_violation, std::move(field)};
 }
 
-bool isStringList(const json &value)
-{
-    return value.is_array() && std::ranges::all_of(value, [](const json &entry) { return entry.is_string(); });
-}
-
 /// Field types of a record, which is encoded as an array: s string, n number, l list of strings.
 constexpr std::string_view kRecordShape = "nsssnssnnnsl";
 static_assert(kRecordShape.size() == kRecordFields);
--- a/src/store_ports.cpp
+++ b/src/store_ports.cpp
@@ -1,7 +1,7 @@
 // Ports implemented directly on the object store; see store_ports_p.h.
 #include "store_ports_p.h"
 
-#include <nlohmann/json.hpp>
+#include "json_shape_p.h"
 
 namespace foxtaildyke
 {
@@ -151,7 +151,7 @@
         if (object.has_error())
             return respond({request, ledger_step::pin, ledger_status::unavailable, {}, {}});
         const auto body = nlohmann::json::parse(object.value().body, nullptr, false);
-        if (!body.is_object() || !body.contains("versions"))
+        if (!body.is_object() || !body.contains("versions") || !isStringList(body["versions"]))
             return respond({request, ledger_step::pin, ledger_status::unavailable, {}, {}});
         respond({request,
                  ledger_step::pin,
