--- a/tests/test_odd_responses.cpp
+++ b/tests/test_odd_responses.cpp
@@ -204,11 +204,11 @@
     for (const auto &line : kOddHeaderLines)
         if (!isRepairedByEvhttp(line))
             samples.push_back({headWith("HTTP/1.1 200 OK", line)});
-    for (const auto &[bytes, resets] : samples) {
-        CAPTURE(bytes);
+    for (const auto &entry : samples) {
+        CAPTURE(entry.bytes);
         test_loop net;
         scripted_replica server(net.loop, "server", [&](const received_request &) {
-            return replica_script{.bytes = bytes, .closes = !resets, .resets = resets};
+            return replica_script{.bytes = entry.bytes, .closes = !entry.resets, .resets = entry.resets};
         });
         http_client client(net.loop);
         std::optional<http_response> response;
