Bodies in chunks: a size that no type holds doesn't make a body whole

What callers saw: a response in chunks whose size line is counted as one with a chunk of 5 bytes: these were a complete answer.

Cause: libevhtp's parser shifts the digits of a size into 64 bits without a check.

Change: http_parser reads the size lines itself (hexadecimal digits and CRLF, at most 64 bytes, at most 2^40) and passes size lines and chunks to libevhtp's parser one by one; requests too. Chunk extensions were rejected before and still are.

Evidence: "http parser: sizes of chunks, and what follows them" failed before for 6 of 21 bodies (36 of 168 checks), and holds now.

--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -3,6 +3,7 @@
 
 #include "http_status_p.h"
 
+#include <charconv>
 #include <cstdlib>
 
 namespace foxtaildyke
@@ -13,6 +14,9 @@
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr int kStopParsing = -1;
+/// Bounds of a chunk: far above any body's limit, and far below the range of sizes.
+constexpr std::uint64_t kMaxChunkBytes = std::uint64_t{1} << 40U;
+constexpr std::size_t kMaxChunkLineBytes = 64;
 
 message_head &headOf(htparser *parser)
 {
@@ -123,6 +127,9 @@
     htparser_init(m_parser.get(), m_type == message_type::request ? htp_type_request : htp_type_response);
     m_state = parse_state::head;
     m_isDone = false;
+    m_chunkLine.clear();
+    m_chunkLeft = 0;
+    m_isLastChunk = false;
     m_headBytes.clear();
     m_head = {};
 }
@@ -253,6 +260,56 @@
         onBody(bytes);
         return bytes.size();
     }
+    if (!m_head.isChunked)
+        return parseBody(bytes, onBody);
+    std::size_t consumed = 0;
+    while (m_state == parse_state::body && consumed < bytes.size()) {
+        const auto part = nextChunkPart(bytes.substr(consumed));
+        if (part)
+            consumed += parseBody(*part, onBody);
+        else
+            m_state = parse_state::malformed;
+    }
+    return consumed;
+}
+
+/// @returns the bytes up to the end of the present chunk or size line, or nothing if the size is invalid. libevhtp's
+/// parser loses the leading digits of a size that its type can't hold, and takes what follows for the rest of the
+/// message.
+std::optional<std::string_view> http_parser::nextChunkPart(std::string_view bytes)
+{
+    constexpr int kBase = 16;
+    constexpr std::string_view kLineEnd = "\r\n";
+    if (m_isLastChunk)
+        return bytes;
+    if (m_chunkLeft > 0) {
+        const auto size = std::min<std::uint64_t>(m_chunkLeft, bytes.size());
+        m_chunkLeft -= size;
+        return bytes.substr(0, size);
+    }
+    const auto end = bytes.find('\n');
+    const auto part = bytes.substr(0, end == std::string_view::npos ? end : end + 1);
+    m_chunkLine.append(part);
+    if (m_chunkLine.size() > kMaxChunkLineBytes)
+        return std::nullopt;
+    if (end == std::string_view::npos)
+        return part;
+    const std::string_view line = std::string_view(m_chunkLine).substr(0, m_chunkLine.size() - 1);
+    std::uint64_t size = 0;
+    const auto digits = line.substr(0, line.find('\r'));
+    const auto [rest, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), size, kBase);
+    if (failure != std::errc{} || rest != digits.data() + digits.size() || digits.size() + 1 != line.size()
+        || size > kMaxChunkBytes)
+        return std::nullopt;
+    m_isLastChunk = size == 0;
+    m_chunkLeft = size == 0 ? 0 : size + kLineEnd.size();
+    m_chunkLine.clear();
+    return part;
+}
+
+/// Passes a part of a body, other than one delimited by close, to libevhtp's parser.
+std::size_t http_parser::parseBody(std::string_view bytes, const body_sink &onBody)
+{
     auto table = hooks();
     table.hdr_key = [](htparser *, const char *, std::size_t) {
         return 0;
--- a/src/http_parser_p.h
+++ b/src/http_parser_p.h
@@ -85,6 +85,8 @@
     void parseHead();
     bool readFraming();
     std::size_t consumeBody(std::string_view bytes, const body_sink &onBody);
+    std::size_t parseBody(std::string_view bytes, const body_sink &onBody);
+    [[nodiscard]] std::optional<std::string_view> nextChunkPart(std::string_view bytes);
     static htparse_hooks hooks();
 
     message_type m_type;
@@ -95,6 +97,9 @@
     std::string m_headBytes;
     message_head m_head;
     const body_sink *m_onBody = nullptr; ///< valid only during feed()
+    std::string m_chunkLine; ///< the part received of a line with a chunk's size
+    std::uint64_t m_chunkLeft = 0; ///< bytes of the present chunk, with its line end, that aren't consumed
+    bool m_isLastChunk = false; ///< trailers follow
 };
 
 } // namespace foxtaildyke
--- a/tests/test_http_parser.cpp
+++ b/tests/test_http_parser.cpp
@@ -90,6 +90,45 @@
     }
 }
 
+TEST_CASE("http parser: sizes of chunks, and what follows them")
+{
+    struct sample {
+        std::string body; ///< in chunked encoding
+        parse_state state = parse_state::malformed;
+    };
+    const std::array samples{sample{"5\r\nabcde\r\n0\r\n\r\n", parse_state::complete},
+                             sample{"0000000000000005\r\nabcde\r\n00\r\n\r\n", parse_state::complete},
+                             sample{"5\r\nabcde\r\n0\r\nA: b\r\n\r\n", parse_state::complete},
+                             sample{"5\r\nabcde\r\n", parse_state::body},
+                             sample{"5\r\nabcde\r\n0\r\n", parse_state::body},
+                             sample{"10000000000000005\r\nabcde\r\n0\r\n\r\n"},
+                             sample{"100000000000000005\r\nabcde\r\n0\r\n\r\n"},
+                             sample{"ffffffffffffffff5\r\nabcde\r\n0\r\n\r\n"},
+                             sample{"ffffffffffffffff\r\nabcde\r\n0\r\n\r\n"},
+                             sample{"10000000000000000\r\n\r\n"},
+                             sample{"-5\r\nabcde\r\n0\r\n\r\n"},
+                             sample{"+5\r\nabcde\r\n0\r\n\r\n"},
+                             sample{"0x5\r\nabcde\r\n0\r\n\r\n"},
+                             sample{" 5\r\nabcde\r\n0\r\n\r\n"},
+                             sample{"5 \r\nabcde\r\n0\r\n\r\n"},
+                             sample{"5\n\nabcde\r\n0\r\n\r\n"},
+                             sample{"5\x01\r\nabcde\r\n0\r\n\r\n"},
+                             sample{"\r\nabcde\r\n0\r\n\r\n"},
+                             sample{std::string(100, '0') + "5\r\nabcde\r\n0\r\n\r\n"},
+                             sample{"5\r\nabcdefg\r\n0\r\n\r\n"},
+                             sample{"5\r\nabcde0\r\n\r\n"}};
+    for (const auto &entry : samples)
+        for (const std::size_t chunkSize : {1U, 3U, 7U, 1000U}) {
+            CAPTURE(entry.body);
+            CAPTURE(chunkSize);
+            http_parser parser(message_type::response);
+            const auto result =
+                parse(parser, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + entry.body, chunkSize);
+            CHECK(result.state == entry.state);
+            CHECK((result.state == parse_state::malformed || result.body == "abcde"));
+        }
+}
+
 TEST_CASE("http parser: a header line without a name doesn't crash the parser")
 {
     for (const std::string text : {"HTTP/1.1 200 OK\r\n: value\r\n\r\n", "HTTP/1.1 200 OK\r\n:\r\n\r\n",
