--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# A short seeded soak of six gateway processes (tests/soak/soak.py): restarts, kills, freezes, outages of the store, changes.
+# Short seeded soaks of six gateway processes: restarts, kills, freezes, outages of the store, changes (tests/soak/soak.py);
+# entries of other writers and odd responses of replicas (tests/soak/odd_entries.py).
 # Guards against processes that end by themselves, requests that run twice, answers that are lost, mixed or untrue.
-# Longer runs: tests/soak/soak.py --help.
+# Longer runs: --help of each.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-python3 tests/soak/soak.py --untimed --gateways 6 --seconds 20 --seed 1 --seeds 3
+python3 tests/soak/soak.py --untimed --gateways 6 --seconds 20 --seed 1 --seeds 3 &&
+    python3 tests/soak/odd_entries.py --untimed --gateways 6 --seconds 15 --seed 501 --seeds 2
--- a/tests/soak/config_soak.py
+++ b/tests/soak/config_soak.py
@@ -14,12 +14,14 @@
 import soak
 from soak import standins
 
-PAGE_ITEMS, READS_PER_S, KEPT_CHANGES, RELAYS = 50, 6000, 400, 3
+READS_PER_S, KEPT_CHANGES, RELAYS = 6000, 400, 3
 standins.BOUNDS.update(config_apply_ms=3000, settle_window_ms=4000, drain_ms=3000)
 soak.SETTLE_S, soak.DRAIN_S, soak.CONFIG_S = 4.0, 3.0, 3.0
 
 
-class PagedStore(standins.Store):
+class PagedStore(soak.PagedStore):
+    PAGE_ITEMS = 50
+
     def __init__(self, record):
         super().__init__(record)
         self.calls, self.refused, self.second = 0, 0, 0
@@ -33,12 +35,6 @@
             return 429, b""
         return await super().handle(method, target, body)
 
-    def list(self, kind, query):
-        names = sorted(name for of, name in self.objects if of == kind and name > query.get("after", ""))
-        items = b",".join(self.encode_object(kind, name, self.objects[kind, name]) for name in names[:PAGE_ITEMS])
-        truncated = b"true" if len(names) > PAGE_ITEMS else b"false"
-        return 200, b'{"items":[' + items + b'],"truncated":' + truncated + b',"at":%d}' % self.revision
-
     async def watch(self, kind, query):
         era = self.era
         if self.changes and int(query["watch"]) < self.changes[0][0] - 1:
--- a/tests/soak/connections.py
+++ b/tests/soak/connections.py
@@ -10,6 +10,10 @@
 IDLE_S = 1.0  # idle timeout of the configuration while these callers play
 
 
+def reset_on_close(writer):
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 class Replica(standins.Replica):
     """Ends a part of its responses and connections in other ways than a plain replica."""
 
@@ -54,7 +58,7 @@
     async def send_reset_when_idle(self, writer, response):
         await self.send_plain(writer, response)
         await asyncio.sleep(random.uniform(0.01, 0.05))
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset_on_close(writer)
         return False
 
     async def send_no_length(self, writer, response):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -47,7 +47,19 @@
         return all(last < begin - SETTLE_S or first > end for first, last in self.spans)
 
 
+class PagedStore(standins.Store):
+    """Lists in pages of PAGE_ITEMS objects."""
+
+    def list(self, kind, query):
+        names = sorted(name for of, name in self.objects if of == kind and name > query.get("after", ""))
+        items = b",".join(self.encode_object(kind, name, self.objects[kind, name]) for name in names[:self.PAGE_ITEMS])
+        truncated = b"true" if len(names) > self.PAGE_ITEMS else b"false"
+        return 200, b'{"items":[' + items + b'],"truncated":' + truncated + b',"at":%d}' % self.revision
+
+
 class Soak:
+    STORE = standins.Store
+
     def __init__(self, record, store, fleet, options):
         self.record, self.store, self.fleet, self.options = record, store, fleet, options
         self.random = random.Random(options.seed)
@@ -68,9 +80,11 @@
         self.broken.append(text)
         self.record.line("BROKEN:", text)
 
+    def replica_kind(self):
+        return connections.Replica if self.options.connections else standins.Replica
+
     async def add_replica(self, service):
-        kind = connections.Replica if self.options.connections else standins.Replica
-        replica = kind(self.store, self.record, service, *self.fleet.replica_address(self.next_port))
+        replica = self.replica_kind()(self.store, self.record, service, *self.fleet.replica_address(self.next_port))
         self.next_port += 1
         await replica.start()
         self.replicas.append(replica)
@@ -269,6 +283,16 @@
                         and self.store_trouble.is_calm(acknowledged, at):
                     self.report(f"DRAIN: {request} reached {replica.id} {at - acknowledged:.1f} s after it was draining")
 
+    def troubles(self):
+        """Returns the troubles to draw from, each with its mean interval in seconds."""
+        per_gateway = 60 / self.fleet.count  # between troubles of one gateway
+        return [(self.stop_one, per_gateway), (self.kill_some, per_gateway), (self.hang_up, per_gateway / 2),
+                (self.freeze, per_gateway), (self.fail_store, 12), (self.drain_replica, 6), (self.move_route, 3),
+                (self.add_route, 4)]
+
+    def callers(self):
+        return [self.keep_connection] * self.options.kept + [self.connect_anew] * self.options.new
+
     async def run(self):
         self.put_config()
         for service in (OLD, NEW):
@@ -281,16 +305,11 @@
         if self.broken:
             return self.broken
         until = self.record.now() + self.options.seconds
-        per_gateway = 60 / self.fleet.count  # seconds between troubles of one gateway, on average
-        callers = [asyncio.create_task(caller(until)) for caller in
-                   [self.keep_connection] * self.options.kept + [self.connect_anew] * self.options.new]
+        callers = [asyncio.create_task(caller(until)) for caller in self.callers()]
         others = connections.Callers(self)
         callers += [asyncio.create_task(others.play(way, until))
                     for way in others.WAYS * self.options.connections]
-        troubles = [(self.stop_one, per_gateway), (self.kill_some, per_gateway), (self.hang_up, per_gateway / 2),
-                    (self.freeze, per_gateway), (self.fail_store, 12), (self.drain_replica, 6), (self.move_route, 3),
-                    (self.add_route, 4)]
-        chosen = [each for each in troubles if self.random.random() < 0.7]
+        chosen = [each for each in self.troubles() if self.random.random() < 0.7]
         self.record.line("troubles:", *(trouble.__name__ for trouble, _ in chosen))
         await asyncio.gather(*(self.play(trouble, mean, until) for trouble, mean in chosen), *callers)
         for index in self.fleet.check_running():
@@ -316,7 +335,7 @@
 async def play(options, directory, kind=Soak):
     record = standins.Record(os.path.join(options.records or directory, f"seed-{options.seed}.txt"))
     random.seed(options.seed)
-    store = standins.Store(record)
+    store = kind.STORE(record)
     fleet = standins.Fleet(record, store, options.gateways)
     try:
         await fleet.start_store()
@@ -334,6 +353,8 @@
     parser.add_argument("--work-tree", help="project whose target/ holds the gateway; default: build/ of this one")
     parser.add_argument("--untimed", action="store_true", help="check only what no busy machine can break")
     parser.add_argument("--records", help="folder that keeps the records")
+    parser.add_argument("--kept", type=int, default=20, help="callers that keep their connections")
+    parser.add_argument("--new", type=int, default=5, help="callers that open a connection for each request")
     return parser
 
 
@@ -356,8 +377,6 @@
 
 def main():
     parser = make_parser(__doc__)
-    parser.add_argument("--kept", type=int, default=20, help="callers that keep their connections")
-    parser.add_argument("--new", type=int, default=5, help="callers that open a connection for each request")
     parser.add_argument("--connections", type=int, default=0,
                         help="callers of each kind in connections.py; with its replicas instead of plain ones")
     return run_plays(parser.parse_args(), Soak)
