A request that may run once isn't escalated, and goes to the largest model at once

Cause: only the decision at the end of an attempt asked whether the request may run once more. The escalation at the head of a response drops a run for another one without asking, and the choice of the first model counts on that.

Change: mayRunAgain() in attempt_rules is the one question for a retry, an escalation, a resumed stream and a detour after an attempt, all with the same record (run_history). The choice of the first model asks it as of after the run. Such a request takes the largest model and gets the response of its run.

The set-up of two unit tests of the cascade names the fields that the record has now; their checks are as before.

--- a/src/attempt_rules.cpp
+++ b/src/attempt_rules.cpp
@@ -4,22 +4,17 @@
 namespace foxtaildyke
 {
 
-namespace
+bool mayRunAgain(const run_history &history)
 {
-
-bool canRetry(const attempt_outcome &outcome)
-{
-    const bool isAllowed = outcome.mayRetry || !outcome.mayHaveRun;
-    return isAllowed && outcome.sends < outcome.maxSends && outcome.remaining >= kMinRetryTime;
+    const bool isRepeatable = history.mayRetry || !history.mayHaveRun;
+    return isRepeatable && history.sends < history.maxSends && history.remaining >= kMinRetryTime;
 }
 
-} // namespace
-
 next_step nextStepAfter(const attempt_outcome &outcome)
 {
     if (outcome.result == attempt_result::answered)
         return next_step::pass_on;
-    if (canRetry(outcome))
+    if (mayRunAgain(outcome))
         return next_step::retry;
     if (outcome.hasResponseStarted)
         return next_step::cut_off;
--- a/src/attempt_rules_p.h
+++ b/src/attempt_rules_p.h
@@ -33,16 +33,27 @@
         || result == attempt_result::not_connected;
 }
 
-struct attempt_outcome {
-    attempt_result result = attempt_result::broken;
+/// What has happened to a request so far.
+struct run_history {
     bool mayRetry = false; ///< requests of this kind may run more than once
-    bool mayHaveRun = false; ///< this attempt or an earlier one may have run
+    bool mayHaveRun = false; ///< an attempt may have run
     bool hasResponseStarted = false; ///< part of the response was sent to the caller
     std::uint32_t sends = 0; ///< replicas to which the request was sent
     std::uint32_t maxSends = 1;
     std::chrono::milliseconds remaining{}; ///< until the deadline
 };
 
+/// No retry is sent with less time left than this: about the fastest non-streamed response plus one round trip.
+inline constexpr std::chrono::milliseconds kMinRetryTime{20};
+
+/// @returns whether the request may be sent to a replica once more, whatever for: a retry, an escalation, which drops
+/// the response of the run before, a resumed stream, or a detour after an attempt. Doesn't ask the retry budget.
+[[nodiscard]] bool mayRunAgain(const run_history &history);
+
+struct attempt_outcome : run_history {
+    attempt_result result = attempt_result::broken;
+};
+
 enum class next_step : std::uint8_t {
     pass_on, ///< pass the replica's response on to the caller
     retry, ///< if the retry budget allows it; if not, decide again with `sends` at its maximum
@@ -57,9 +68,6 @@
     static constexpr std::array kNames{"pass_on", "try_again", "refuse", "fail", "cut_off"};
 };
 
-/// No retry is sent with less time left than this: about the fastest non-streamed response plus one round trip.
-inline constexpr std::chrono::milliseconds kMinRetryTime{20};
-
 [[nodiscard]] next_step nextStepAfter(const attempt_outcome &outcome);
 
 } // namespace foxtaildyke
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -148,14 +148,24 @@
         m_model = std::min(*m_servedDetour->model, m_route->models.size() - 1);
         return;
     }
-    cascade_step step;
+    cascade_step step{runHistory()};
     step.models = m_route->models.size();
-    step.sends = m_sends;
-    step.maxSends = m_route->maxAttempts;
     step.isEscalationAllowed = m_state.budget.allowsRetry(m_service, retry_reason::escalation, suspendAwareNow());
     m_model = firstModel(m_state.cascade, step);
 }
 
+run_history gateway_exchange::runHistory() const
+{
+    run_history history;
+    history.mayRetry = m_route->mayRetry();
+    history.mayHaveRun = m_mayHaveRun;
+    history.hasResponseStarted = m_hasStreamStarted;
+    history.sends = m_sends;
+    history.maxSends = m_route->maxAttempts;
+    history.remaining = remainingTime();
+    return history;
+}
+
 std::chrono::milliseconds gateway_exchange::remainingTime() const
 {
     const auto remaining = m_deadline - suspendAwareNow();
--- a/src/gateway_exchange_p.h
+++ b/src/gateway_exchange_p.h
@@ -209,6 +209,7 @@
     void onDeadline();
     void finish(int status, std::string_view reason);
 
+    [[nodiscard]] run_history runHistory() const;
     [[nodiscard]] std::chrono::milliseconds remainingTime() const;
     [[nodiscard]] prompt_work promptWork() const;
     [[nodiscard]] std::uint32_t enginePriority() const;
--- a/src/gateway_exchange_responses.cpp
+++ b/src/gateway_exchange_responses.cpp
@@ -116,13 +116,11 @@
 std::optional<std::size_t> gateway_exchange::escalation()
 {
     const bool hasFixedModel = m_servedDetour && m_servedDetour->model;
-    if (m_route->models.empty() || hasFixedModel || m_hasStreamStarted || !mayUseKey())
+    if (m_route->models.empty() || hasFixedModel || !mayUseKey())
         return std::nullopt;
-    cascade_step step;
+    cascade_step step{runHistory()};
     step.models = m_route->models.size();
     step.current = m_model;
-    step.sends = m_sends;
-    step.maxSends = m_route->maxAttempts;
     step.confidence = m_statement.confidence;
     step.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(suspendAwareNow() - m_request->readAt);
     step.objective = m_route->objective;
@@ -319,16 +317,10 @@
 
 void gateway_exchange::handleAttemptResult(attempt_result result)
 {
-    attempt_outcome outcome;
-    outcome.result = result;
-    outcome.mayRetry = m_route->mayRetry();
-    outcome.mayHaveRun = m_mayHaveRun;
-    outcome.hasResponseStarted = m_hasStreamStarted;
-    outcome.maxSends = m_route->maxAttempts;
-    outcome.remaining = remainingTime();
     if (result == attempt_result::not_connected && ++m_connectFailures <= kMaxConnectFailures)
         --m_sends; // no replica has received the request
-    outcome.sends = m_sends;
+    attempt_outcome outcome{runHistory()};
+    outcome.result = result;
     retryOrFinish(result, outcome);
 }
 
--- a/src/model_cascade.cpp
+++ b/src/model_cascade.cpp
@@ -7,14 +7,21 @@
 std::size_t firstModel(const cascade_settings &settings, const cascade_step &step)
 {
     // Where escalation is impossible, the request goes to the largest model at once.
-    const bool canEscalate = step.sends + 1 < step.maxSends && step.isEscalationAllowed;
+    run_history afterRun = step;
+    ++afterRun.sends;
+    afterRun.mayHaveRun = true;
+    const bool canEscalate = mayRunAgain(afterRun) && step.isEscalationAllowed;
     return settings.startsSmall && canEscalate ? 0 : step.models - 1;
 }
 
 std::optional<std::size_t> nextModel(const cascade_settings &settings, const cascade_step &step)
 {
     const bool isLargest = step.current + 1 >= step.models;
-    if (isLargest || step.sends >= step.maxSends || !step.confidence)
+    if (isLargest || !step.confidence)
+        return std::nullopt;
+    run_history afterRun = step;
+    afterRun.mayHaveRun = true; // its response has begun
+    if (step.hasResponseStarted || !mayRunAgain(afterRun))
         return std::nullopt;
     if (*step.confidence >= settings.confidenceToKeep)
         return std::nullopt;
--- a/src/model_cascade_p.h
+++ b/src/model_cascade_p.h
@@ -3,7 +3,7 @@
 // and the largest model takes ten times as long as the smallest.
 #pragma once
 
-#include "foxtaildyke/foxtaildyke.h"
+#include "attempt_rules_p.h"
 
 namespace foxtaildyke
 {
@@ -20,11 +20,9 @@
 };
 
 /// State of a request in the cascade.
-struct cascade_step {
+struct cascade_step : run_history {
     std::size_t models = 1; ///< of the route, smallest first
     std::size_t current = 0;
-    std::uint32_t sends = 0; ///< replicas to which the request was sent so far
-    std::uint32_t maxSends = 1;
     std::optional<std::uint64_t> confidence; ///< of the response that has begun, in percent; empty: not stated
     std::chrono::milliseconds elapsed{}; ///< since the request was read
     std::chrono::milliseconds objective{}; ///< latency objective of the route
@@ -33,7 +31,8 @@
     bool isEscalationAllowed = true;
 };
 
-/// @returns index of the model to start with, also for a retry before anything was delivered to the caller.
+/// @returns index of the model to start with, also for a retry before anything was delivered to the caller: the largest
+/// if the request may not run once more after that.
 [[nodiscard]] std::size_t firstModel(const cascade_settings &settings, const cascade_step &step);
 
 /// @returns index of the model to escalate to, or nothing if the response that has begun is to be kept.
--- a/tests/test_cascade_budget.cpp
+++ b/tests/test_cascade_budget.cpp
@@ -71,7 +71,8 @@
     void serve(retry_budget &budget, instant now)
     {
         budget.recordRequest("s", now);
-        cascade_step step{.models = 3, .maxSends = kMaxSends, .objective = 1s};
+        cascade_step step{{.mayRetry = true, .maxSends = kMaxSends, .remaining = 1s}, 3};
+        step.objective = 1s;
         step.current = chooseFirst(budget, step, now);
         const bool isHard = draw(m_load.hardShare);
         const bool isFailing = now >= m_load.failuresFrom && now < m_load.failuresTo;
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -321,6 +321,8 @@
     const cascade_settings settings;
     cascade_step step;
     step.models = 3;
+    step.mayRetry = true;
+    step.remaining = 1s;
     step.maxSends = 3;
     step.objective = 1000ms;
     CHECK(firstModel(settings, step) == 0);
@@ -341,6 +343,37 @@
     CHECK(firstModel(settings, step) == 2);
 }
 
+// Guards against a second run of a request that may run once, and of one that has no run left.
+TEST_CASE("model cascade: asks the same question as a retry whether another run is allowed")
+{
+    const cascade_settings settings;
+    cascade_step step;
+    step.models = 3;
+    step.maxSends = 3;
+    step.objective = 1000ms;
+    step.remaining = 1s;
+    for (const bool mayRetry : {false, true}) {
+        step.mayRetry = mayRetry;
+        step.sends = 0;
+        CHECK(firstModel(settings, step) == (mayRetry ? 0 : 2));
+        step.sends = 1;
+        step.confidence = 0;
+        CHECK(nextModel(settings, step).has_value() == mayRetry);
+        for (const bool mayHaveRun : {false, true}) {
+            run_history history = step;
+            history.mayHaveRun = mayHaveRun;
+            CHECK(mayRunAgain(history) == (mayRetry || !mayHaveRun));
+        }
+    }
+    step.hasResponseStarted = true; // events of the smaller model
+    CHECK_FALSE(nextModel(settings, step));
+    CHECK(mayRunAgain(step));
+    step.hasResponseStarted = false;
+    step.remaining = kMinRetryTime - 1ms;
+    CHECK_FALSE(nextModel(settings, step));
+    CHECK(firstModel(settings, step) == 2);
+}
+
 TEST_CASE("replica table: outstanding requests of other hosts count until their report is too old")
 {
     replica_table table("d1", 1);
--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -358,6 +358,65 @@
     CHECK(replica.requests[4].head.header("Foxtaildyke-Model") == "large");
 }
 
+// Guards against requests that run twice because the first response is dropped for its low confidence.
+TEST_CASE("gateway: a request that may run once starts with the largest model and keeps its response")
+{
+    for (const auto &[rule, isResumable] : {std::pair{retry_rule::at_most_once, false}, {retry_rule::stream, false}}) {
+        for (const bool isWhole : {true, false}) {
+            gateway_harness harness;
+            scripted_replica replica(harness.loop, "r1", [isWhole](const received_request &) {
+                auto bytes = streamText("id1", 1, 2, isWhole, "Foxtaildyke-Confidence: 0\r\n");
+                return replica_script{.bytes = std::move(bytes), .resets = !isWhole};
+            });
+            auto config = gateway_harness::makeConfig();
+            auto &route = config->routes.back(); // with three models
+            route.retryRule = rule;
+            route.isResumable = isResumable;
+            route.models = {"small", "large"};
+            harness.publish(config);
+            harness.publishReplicas({replica.entry("s")});
+            scripted_caller caller(harness.loop, harness.task.callerPort());
+            caller.send(requestText("POST", "/sized/x", "id1"));
+            REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, 1) || caller.isClosed; }));
+            REQUIRE(replica.requests.size() == 1);
+            CHECK(replica.requests[0].head.header("Foxtaildyke-Model") == "large");
+            REQUIRE(caller.responses.size() == 1);
+            const bool isAnswered = caller.responses[0].isComplete && caller.responses[0].head.status == 200;
+            CHECK(isAnswered == isWhole);
+            if (isWhole)
+                CHECK(caller.responses[0].body == eventsText(1, 2));
+        }
+    }
+}
+
+// Guards against a change of the configuration or a retry that lets such a request start with a smaller model.
+TEST_CASE("gateway: a request that may run once is retried with the largest model where its first attempt hasn't run")
+{
+    gateway_harness harness;
+    scripted_replica full(harness.loop, "r1", [](const received_request &) {
+        return replica_script{.bytes = responseText(503, "id1", "", "Foxtaildyke-Not-Executed: 1\r\n")};
+    });
+    scripted_replica replica(harness.loop, "r2", [](const received_request &) {
+        return replica_script{.bytes = streamText("id1", 1, 2, true, "Foxtaildyke-Confidence: 0\r\n")};
+    });
+    auto config = gateway_harness::makeConfig();
+    config->routes.back().isResumable = false;
+    harness.publish(config);
+    harness.publishReplicas({full.entry("s"), replica.entry("s")});
+    scripted_caller caller(harness.loop, harness.task.callerPort());
+    for (std::size_t i = 1; i <= 6; ++i) {
+        caller.send(requestText("POST", "/sized/x", "id1"));
+        REQUIRE(harness.runUntil([&] { return hasCompleteResponses(caller, i); }));
+        CHECK(caller.responses.back().body == eventsText(1, 2));
+    }
+    CHECK(replica.requests.size() == 6);
+    const auto isLargest = [](const received_request &request) {
+        return request.head.header("Foxtaildyke-Model") == "large";
+    };
+    CHECK(std::ranges::all_of(replica.requests, isLargest));
+    CHECK(std::ranges::all_of(full.requests, isLargest));
+}
+
 TEST_CASE("gateway: a request starts with the largest model if the retry budget leaves no escalation")
 {
     auto settings = gateway_harness::makeSettings();
