A stream without event ids that has begun isn't continued by another replica

Cause: whether a run may follow looked at the route only, not at whether there is a last event to continue after.

Change: run_history says whether there is one, and mayRunAgain() asks for it once the response has begun. Such a stream is cut off, as incomplete.

The platform's replicas number their events, so nothing changes for them.

--- a/src/attempt_rules.cpp
+++ b/src/attempt_rules.cpp
@@ -7,7 +7,8 @@
 bool mayRunAgain(const run_history &history)
 {
     const bool isRepeatable = history.mayRetry || !history.mayHaveRun;
-    return isRepeatable && history.sends < history.maxSends && history.remaining >= kMinRetryTime;
+    const bool isContinuable = !history.hasResponseStarted || history.hasResumePoint;
+    return isRepeatable && isContinuable && history.sends < history.maxSends && history.remaining >= kMinRetryTime;
 }
 
 next_step nextStepAfter(const attempt_outcome &outcome)
--- a/src/attempt_rules_p.h
+++ b/src/attempt_rules_p.h
@@ -38,6 +38,7 @@
     bool mayRetry = false; ///< requests of this kind may run more than once
     bool mayHaveRun = false; ///< an attempt may have run
     bool hasResponseStarted = false; ///< part of the response was sent to the caller
+    bool hasResumePoint = true; ///< if so, a replica can continue after the last event that was sent
     std::uint32_t sends = 0; ///< replicas to which the request was sent
     std::uint32_t maxSends = 1;
     std::chrono::milliseconds remaining{}; ///< until the deadline
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -160,6 +160,7 @@
     history.mayRetry = m_route->mayRetry();
     history.mayHaveRun = m_mayHaveRun;
     history.hasResponseStarted = m_hasStreamStarted;
+    history.hasResumePoint = m_lastEventId.has_value();
     history.sends = m_sends;
     history.maxSends = m_route->maxAttempts;
     history.remaining = remainingTime();
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -368,6 +368,8 @@
     step.hasResponseStarted = true; // events of the smaller model
     CHECK_FALSE(nextModel(settings, step));
     CHECK(mayRunAgain(step));
+    step.hasResumePoint = false;
+    CHECK_FALSE(mayRunAgain(step));
     step.hasResponseStarted = false;
     step.remaining = kMinRetryTime - 1ms;
     CHECK_FALSE(nextModel(settings, step));
--- a/tests/test_gateway_path.cpp
+++ b/tests/test_gateway_path.cpp
@@ -417,6 +417,28 @@
     CHECK(std::ranges::all_of(full.requests, isLargest));
 }
 
+// Guards against a caller that gets the beginning of a stream twice.
+TEST_CASE("gateway: a stream whose events have no ids isn't continued by another replica")
+{
+    gateway_harness harness;
+    scripted_replica replica(harness.loop, "r1", [](const received_request &) {
+        return replica_script{.bytes = "HTTP/1.1 200 OK\r\nFoxtaildyke-Request-Id: id1\r\n"
+                                       "Foxtaildyke-Server-Stamp: stamp\r\nContent-Type: text/event-stream\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n"
+                                  + chunkText("data: piece\n\n"),
+                              .resets = true};
+    });
+    harness.publish(gateway_harness::makeConfig());
+    harness.publishReplicas({replica.entry("s")});
+    scripted_caller caller(harness.loop, harness.task.callerPort());
+    caller.send(requestText("POST", "/stream/x", "id1"));
+    REQUIRE(harness.runUntil([&] { return caller.isClosed; }));
+    CHECK(replica.requests.size() == 1);
+    REQUIRE(caller.responses.size() == 1);
+    CHECK(caller.responses[0].body == "data: piece\n\n");
+    CHECK_FALSE(caller.responses[0].isComplete);
+}
+
 TEST_CASE("gateway: a request starts with the largest model if the retry budget leaves no escalation")
 {
     auto settings = gateway_harness::makeSettings();
