One place says what confirms the configuration in force; pages of changes don't

Cause: any answer to a call for the configuration renewed the key lease. The store ends a page of changes at about 1 MB and needn't say so, so no such page shows that nothing newer exists. The same line confirmed too much in four more cases: content dropped as outdated, a list of several pages (as of its last call), a watch that ended early (as of an instant in the future), a relay that knows of a newer version than it serves.

Change: config_confirmation decides, from the last page, the newest known version, the era and the instant of the call, for hosts that read the store and for those that follow a relay. It also says how long the next watch may wait, or that the list is due, so that a host in touch keeps its lease while changes arrive all the time.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -13,6 +13,7 @@
     src/bounded_json.cpp
     src/brittle_replicas.cpp
     src/caller_connection.cpp
+    src/config_confirmation.cpp
     src/crash_detector.cpp
     src/crash_evidence.cpp
     src/crash_registry.cpp
--- a/tests/feed_recorder.h
+++ b/tests/feed_recorder.h
@@ -9,6 +9,7 @@
 struct feed_recorder : fleet_listener {
     std::vector<gateway_config_ptr> configs;
     int confirmations = 0;
+    std::vector<instant> confirmedAt; ///< instants of these
     std::vector<std::string> replicas; ///< ids of the current replicas
     std::vector<rollout_order> orders;
     std::vector<rollout_report> evidence; ///< to be relayed, set by the test
@@ -27,7 +28,11 @@
     std::vector<std::string> subset; ///< replicas whose loads other hosts need, set by the test; empty: all
 
     void onConfig(gateway_config_ptr config) override { configs.push_back(std::move(config)); }
-    void onConfigConfirmed(instant) override { ++confirmations; }
+    void onConfigConfirmed(instant at) override
+    {
+        ++confirmations;
+        confirmedAt.push_back(at);
+    }
     void onReplicaList(std::vector<replica_entry> list) override
     {
         replicas.clear();
--- a/tests/soak/config_soak.py
+++ b/tests/soak/config_soak.py
@@ -1,5 +1,6 @@
-"""Soak of configuration changes in a large fleet, whose hosts follow relays; see soak.py. The store pages its lists, limits
-its calls, forgets its history, comes back from an older copy, and turns away some hosts."""
+"""Soak of configuration changes in a large fleet, whose hosts follow relays; see soak.py. The store pages its lists and
+watches, limits its calls, forgets its history, comes back from an older copy, and turns away some hosts. A withdrawn key that
+runs later than revoke_ms breaks its rule on every host, in trouble or not."""
 
 import argparse
 import asyncio
@@ -15,12 +16,14 @@
 from soak import standins
 
 READS_PER_S, KEPT_CHANGES, RELAYS = 6000, 400, 3
+STORM_VERSIONS, STORM_GAP_S, MAX_AWAY_S = 26, 0.08, 9.0
+REVOKE_S = standins.BOUNDS["revoke_ms"] / 1000
 standins.BOUNDS.update(config_apply_ms=3000, settle_window_ms=4000, drain_ms=3000)
 soak.SETTLE_S, soak.DRAIN_S, soak.CONFIG_S = 4.0, 3.0, 3.0
 
 
 class PagedStore(soak.PagedStore):
-    PAGE_ITEMS = 50
+    PAGE_ITEMS, PAGE_CHANGES = 50, 6
 
     def __init__(self, record):
         super().__init__(record)
@@ -37,8 +40,14 @@
 
     async def watch(self, kind, query):
         era = self.era
-        if self.changes and int(query["watch"]) < self.changes[0][0] - 1:
+        since = int(query["watch"])
+        if self.changes and since < self.changes[0][0] - 1:
             return 410, b""
+        missed = [(revision, event) for revision, of, event in self.changes if of == kind and revision > since]
+        if len(missed) > self.PAGE_CHANGES:
+            await asyncio.sleep(0.1)
+            page = missed[:self.PAGE_CHANGES]
+            return 200, b'{"events":[' + b",".join(event for _, event in page) + b'],"at":%d}' % page[-1][0]
         status, body = await super().watch(kind, query)
         return (status, body) if era == self.era else (410, b"")
 
@@ -81,6 +90,44 @@
             key = self.keys.pop()
             self.revoked.append((self.publish(), key))
 
+    async def catch_up(self):
+        """The store turns some hosts away while versions follow each other quickly and one withdraws a key; the hosts are
+        asked with that key while they read what they missed."""
+        if len(self.keys) < 2:
+            return
+        relays = list(range(RELAYS))
+        some = self.random.sample(range(self.fleet.count), max(1, self.fleet.count // 6))
+        chosen = [index for index in self.random.choice((relays, relays[:1], some)) if index not in self.busy]
+        kind = self.random.choice(("silent", "refuse"))
+        spans = [(index, self.trouble[index].begin()) for index in chosen]
+        self.record.line("the store:", kind, "for", chosen, "in a series of versions")
+        for index in chosen:
+            self.store.faults[index] = lambda method, target: kind
+        for _ in range(self.random.randint(2, STORM_VERSIONS)):
+            self.publish()
+            await asyncio.sleep(STORM_GAP_S)
+        await self.revoke()
+        at, key = self.revoked[-1]
+        await asyncio.sleep(self.random.uniform(REVOKE_S, MAX_AWAY_S))
+        for index in chosen:
+            self.store.faults.pop(index, None)
+        until = self.record.now() + 2
+        await asyncio.gather(*(self.ask_with(index, at, key, until) for index in chosen))
+        for index, span in spans:
+            self.trouble[index].end(span)
+
+    async def ask_with(self, index, at, key, until):
+        while self.record.now() < until and index not in self.busy:
+            await self.ask_revoked(index, at, key)
+            await asyncio.sleep(0.02)
+
+    async def ask_revoked(self, index, at, key):
+        answer = await self.fleet.request(index, "/safe/x", "GET", headers={"Authorization": f"Bearer {key}"})
+        calm = self.trouble[index].is_calm(answer.sent, answer.done) and self.store_trouble.is_calm(at, answer.done)
+        limit = soak.CONFIG_S if calm and not self.options.untimed else REVOKE_S
+        if answer.status == 200 and answer.sent > at + limit:
+            self.report(f"REVOKED: edge-{index + 1} serves {key}, {answer.sent - at:.1f} s after its revocation")
+
     async def trouble_relay(self):
         kind = self.random.choice((signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP, signal.SIGSTOP))
         count = self.random.choice((1, 1, 2, RELAYS))
@@ -149,11 +196,7 @@
             if index in self.busy:
                 continue
             if self.revoked and self.random.random() < 0.2:
-                at, key = self.random.choice(self.revoked)
-                answer = await self.fleet.request(index, "/safe/x", "GET", headers={"Authorization": f"Bearer {key}"})
-                calm = self.trouble[index].is_calm(answer.sent, answer.done) and self.store_trouble.is_calm(at, answer.done)
-                if answer.status == 200 and answer.sent > at + soak.CONFIG_S and calm:
-                    self.report(f"REVOKED: edge-{index + 1} serves {key}, {answer.sent - at:.1f} s after its revocation")
+                await self.ask_revoked(index, *self.random.choice(self.revoked))
                 continue
             path = self.random.choice(["/safe/x", "/idle3/x"] + [each + "x" for _, each in self.added[-25:]])
             answer = await self.fleet.request(index, path, "GET")
@@ -169,7 +212,8 @@
             trouble.end(span)
         until = self.record.now() + self.options.seconds
         troubles = [(self.trouble_relay, 5), (self.turn_away, 9), (self.rewind, 15), (self.restart_all, 25),
-                    (self.kill_some, 15), (self.move_route, 3), (self.add_route, 4), (self.add_many, 9), (self.revoke, 3)]
+                    (self.kill_some, 15), (self.move_route, 3), (self.add_route, 4), (self.add_many, 9), (self.revoke, 3),
+                    (self.catch_up, 4)]
         chosen = [each for each in troubles if self.random.random() < 0.75]
         if self.options.troubles:
             chosen = [each for each in troubles if each[0].__name__ in self.options.troubles.split(",")]
@@ -212,9 +256,9 @@
     parser.add_argument("--troubles", help="names, separated by commas; default: drawn from the seed")
     parser.add_argument("--work-tree", help="project whose target/ holds the gateway; default: build/ of this one")
     parser.add_argument("--records", help="folder that keeps the records and logs")
+    parser.add_argument("--untimed", action="store_true", help="check only what no busy machine can break")
     parser.set_defaults(connections=0)  # of soak.py
     options = parser.parse_args()
-    options.untimed = False
     directory = tempfile.mkdtemp(prefix="foxtaildyke-soak-")
     standins.ROOT = soak.make_root(directory, options.work_tree)
     try:
--- a/tests/test_store_feed.cpp
+++ b/tests/test_store_feed.cpp
@@ -234,6 +234,143 @@
     REQUIRE(store.runUntil([&] { return store.recorder.replicas == std::vector<std::string>{"i2", "i3"}; }));
 }
 
+namespace
+{
+
+std::string configObject(int version)
+{
+    return object("main", R"({"version":)" + std::to_string(version) + "}");
+}
+
+std::string configChange(int version)
+{
+    return R"({"removed":false,"object":)" + configObject(version) + "}";
+}
+
+/// Responds to a watch without changes when its wait has ended.
+void endLater(event_loop &loop, const http_exchange_ptr &exchange)
+{
+    const std::chrono::milliseconds wait{std::stoi(exchange->query["wait_ms"])};
+    loop.after(wait + 5ms, [exchange] { exchange->respond(200, eventsOf("", 20)); });
+}
+
+} // namespace
+
+// Guards against a withdrawn key that is accepted while a host catches up with the store after an outage.
+TEST_CASE("store feed: a page of changes confirms nothing, whether or not it says that more follow")
+{
+    for (const auto *const more : {"", R"(,"truncated":true)"}) {
+        CAPTURE(more);
+        scripted_store store;
+        store.lists["config"] = listOf(configObject(9));
+        instant lastPageAt{};
+        store.onWatch = [&](const std::string &kind, const http_exchange_ptr &exchange) {
+            if (kind != "config")
+                return store.waiting.push_back(exchange);
+            if (exchange->query["watch"] == "10") { // the first page of what was missed
+                store.lists["config"] = R"({"items":[)" + configObject(12) + R"(],"truncated":false,"at":20})";
+                return exchange->respond(200, R"({"events":[)" + configChange(10) + R"(],"at":11)" + more + "}");
+            }
+            if (exchange->query["watch"] == "11") {
+                lastPageAt = suspendAwareNow();
+                return exchange->respond(200, eventsOf(configChange(12), 20));
+            }
+            endLater(store.loop, exchange);
+        };
+        store.feed.start(store.recorder);
+        REQUIRE(store.runUntil([&] {
+            const auto isCatchingUp = !store.recorder.configs.empty() && store.recorder.configs.back()->version == 10;
+            CHECK((!isCatchingUp || store.recorder.confirmations == 1));
+            return store.recorder.confirmations >= 3;
+        }));
+        CHECK(store.recorder.configs.back()->version == 12);
+        CHECK(store.recorder.confirmedAt[1] >= lastPageAt);
+    }
+}
+
+// Guards against a host in touch with the store that refuses keys because changes arrive all the time.
+TEST_CASE("store feed: while each watch returns a change, the list confirms the configuration")
+{
+    scripted_store store;
+    store.lists["config"] = listOf(configObject(9));
+    int version = 9;
+    store.onWatch = [&](const std::string &kind, const http_exchange_ptr &exchange) {
+        if (kind != "config")
+            return store.waiting.push_back(exchange);
+        store.lists["config"] = listOf(configObject(++version));
+        exchange->respond(200, eventsOf(configChange(version), version + 10));
+    };
+    store.feed.start(store.recorder);
+    CHECK(store.runUntil([&] { return store.recorder.confirmations >= 4; }));
+    CHECK(version < 9 + 4 * 6); // changes are still read in batches
+}
+
+// Guards against a key that was withdrawn while the later pages of a list were read.
+TEST_CASE("store feed: a list of several pages confirms the configuration as of its first page")
+{
+    scripted_store store;
+    store.lists["config"] = listOf(object("another", "{}"), true);
+    store.lists["config after"] = listOf(configObject(9));
+    std::optional<instant> firstPageAt;
+    store.serve = [&store, &firstPageAt, respond = store.serve](const http_exchange_ptr &exchange) {
+        if (!firstPageAt && exchange->path.ends_with("/config"))
+            firstPageAt = suspendAwareNow();
+        respond(exchange);
+    };
+    store.feed.start(store.recorder);
+    REQUIRE(store.runUntil([&] { return store.recorder.confirmations >= 1; }));
+    CHECK(store.recorder.configs.size() == 1);
+    CHECK(store.recorder.confirmedAt.front() <= *firstPageAt);
+}
+
+// Guards against a lease that counts from an instant in the future.
+TEST_CASE("store feed: a watch that ends early without changes confirms no more than it can know")
+{
+    scripted_store store;
+    store.lists["config"] = listOf(configObject(9));
+    store.onWatch = [&](const std::string &kind, const http_exchange_ptr &exchange) {
+        if (kind != "config")
+            return store.waiting.push_back(exchange);
+        store.loop.after(20ms, [exchange] { exchange->respond(200, eventsOf("", 10)); });
+    };
+    store.feed.start(store.recorder);
+    REQUIRE(store.runUntil([&] {
+        const auto now = suspendAwareNow();
+        CHECK(std::ranges::all_of(store.recorder.confirmedAt, [now](auto at) { return at <= now; }));
+        return store.recorder.confirmations >= 3;
+    }));
+}
+
+// Guards against a withdrawn key that is accepted again, and for as long as the store shows an older copy.
+TEST_CASE(
+    "store feed: a store that came back from an older copy confirms nothing until it shows the newest configuration")
+{
+    test_loop loop;
+    standin_store store{loop.loop};
+    store.put("config", "main", {{"version", 1}});
+    store.takeCopy();
+    store.put("config", "main", {{"version", 2}});
+    feed_recorder recorder;
+    platform::store_feed feed{loop.loop, store.endpoint, {100ms, 100ms}, {"host-1", {}, {}}};
+    feed.start(recorder);
+    REQUIRE(loop.runUntil([&] { return recorder.confirmations >= 3; }));
+    store.rewind();
+    REQUIRE(loop.runUntil([&] { return recorder.hasEvent("config_outdated main"); }));
+    const auto before = recorder.confirmations;
+    const auto calls = recorder.storeCallsByKind;
+    loop.runFor(500ms);
+    CHECK(recorder.confirmations == before);
+    CHECK(recorder.hasEvent("config_behind config"));
+    std::size_t configCalls = 0;
+    for (const auto &[call, count] : recorder.storeCallsByKind)
+        if (call.first == "config")
+            configCalls += count - (calls.contains(call) ? calls.at(call) : 0);
+    CHECK(configCalls <= 6); // the waits of the watches are as long as before
+    store.put("config", "main", {{"version", 2}});
+    CHECK(loop.runUntil([&] { return recorder.confirmations > before; }));
+    CHECK(recorder.configs.back()->version == 2);
+}
+
 TEST_CASE("store feed: when the history is gone, the list is read again")
 {
     scripted_store store;
