Soak of streams: an engine that crashes resets the connection of the request that crashed it

If such a request was also drawn to be broken off, the engine's task closed the connection in order before the crash could reset it. With a response that ends with its connection, that is a whole stream to any reader: a fault of the engine that nothing in the response shows.

The check is as before; a crash now always is a reset.

--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -102,10 +102,13 @@
         if kind == "garbage":
             writer.write(self.draws.randbytes(200))
             return False
-        await self.stream(headers, body, echo, kind, writer)
+        if await self.stream(headers, body, echo, kind, writer):
+            reset(writer)  # the engine crashes once this task has ended, which would close the connection in order
+            return False
         return False if kind else headers.get("connection", "") != "close"
 
     async def stream(self, headers, body, echo, kind, writer):
+        """Returns a task if the engine crashes, otherwise None."""
         if body.startswith(CRASHING) and self.draws.random() < 0.3:
             return asyncio.ensure_future(self.restart())  # before the response begins
         model = headers.get("foxtaildyke-model", "")
