--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -568,10 +568,15 @@
     state.deliverOutcomes();
 }
 
+void ledger_segment::advance(instant now)
+{
+    m_impl->m_now = now;
+}
+
 void ledger_segment::tick(instant now, std::int64_t unixSeconds)
 {
     auto &state = *m_impl;
-    state.m_now = now;
+    advance(now);
     state.m_unixSeconds = unixSeconds;
     state.m_index.dropExpired(unixSeconds);
     state.expire();
--- a/src/ledger_p.h
+++ b/src/ledger_p.h
@@ -87,10 +87,13 @@
     ledger_segment &operator=(const ledger_segment &) = delete;
 
     /// Appends a record, or completes it from the index if its key already has one of this type.
-    /// @remarks Time limits are measured from the last tick().
+    /// @remarks Time limits are measured from the time last set by advance() or tick().
     void append(ledger_record record, append_done done);
 
-    /// Starts due batches and retries, and expires records.
+    /// Sets the time of the calls that follow, without starting what is due.
+    void advance(instant now);
+
+    /// Sets the time, starts due batches and retries, and expires records.
     /// @param unixSeconds wall clock, used to remove entries older than the retention period.
     void tick(instant now, std::int64_t unixSeconds);
 
--- a/src/ledger_routing.cpp
+++ b/src/ledger_routing.cpp
@@ -310,10 +310,17 @@
     m_impl->appendLocally({std::move(record), std::move(done), false});
 }
 
-void ledger_router::tick(instant now, std::int64_t unixSeconds)
+void ledger_router::advance(instant now, std::int64_t unixSeconds)
 {
     m_impl->m_now = now;
     m_impl->m_unixSeconds = unixSeconds;
+    for (const auto &[number, segment] : m_impl->m_segments)
+        segment->advance(now);
+}
+
+void ledger_router::tick(instant now, std::int64_t unixSeconds)
+{
+    advance(now, unixSeconds);
     m_impl->m_hosts.tick(now);
     for (const auto &[number, segment] : m_impl->m_segments)
         segment->tick(now, unixSeconds);
--- a/src/ledger_routing_p.h
+++ b/src/ledger_routing_p.h
@@ -63,6 +63,9 @@
     /// Appends a record through this host's own writer of the segment.
     void appendLocally(ledger_record record, append_done done);
 
+    /// Sets the time of the calls that follow, without starting what is due.
+    void advance(instant now, std::int64_t unixSeconds);
+
     void tick(instant now, std::int64_t unixSeconds);
     [[nodiscard]] std::optional<instant> nextTick() const;
 
--- a/src/ledger_service.cpp
+++ b/src/ledger_service.cpp
@@ -332,11 +332,17 @@
     return m_impl->acceptCopies(host, std::move(records.value().records));
 }
 
+void ledger_service::advance(instant now, std::int64_t unixSeconds)
+{
+    m_impl->m_now = now;
+    m_impl->m_unixSeconds = unixSeconds;
+    m_impl->m_router.advance(now, unixSeconds);
+}
+
 void ledger_service::tick(instant now, std::int64_t unixSeconds)
 {
     auto &state = *m_impl;
-    state.m_now = now;
-    state.m_unixSeconds = unixSeconds;
+    advance(now, unixSeconds);
     state.m_router.tick(now, unixSeconds);
     state.tickBills();
     state.tickCopies();
--- a/src/ledger_service_p.h
+++ b/src/ledger_service_p.h
@@ -69,7 +69,12 @@
     /// Serves the CopyBills call of another host. @returns whether the copies were stored.
     bool serveCopies(const std::string &host, std::string_view batch, const std::vector<std::string> &release);
 
+    /// Sets the time of the calls that follow, without starting what is due. Called before each of them: an idle host
+    /// ticks rarely, and time limits counted from its last tick would be over at once.
     /// @param unixSeconds wall clock, for records and retention.
+    void advance(instant now, std::int64_t unixSeconds);
+
+    /// Sets the time and starts what is due.
     void tick(instant now, std::int64_t unixSeconds);
     [[nodiscard]] std::optional<instant> nextTick() const;
 
--- a/src/relay_ledger.cpp
+++ b/src/relay_ledger.cpp
@@ -66,7 +66,7 @@
 {
     return {.append =
                 [this](const append_request &request, const peer_responder<append_response> &respond) {
-                    m_service.serveAppend(request.segment(), request.batch(),
+                    service().serveAppend(request.segment(), request.batch(),
                                           [respond](const result<std::vector<append_outcome>> &results) {
                                               respond(encodeResponse(results));
                                           });
@@ -76,7 +76,7 @@
                 [this](const copy_bills_request &request, const peer_responder<copy_bills_reply> &respond) {
                     const std::vector<std::string> release(request.release().begin(), request.release().end());
                     copy_bills_reply response;
-                    response.set_kept(m_service.serveCopies(request.host(), request.batch(), release));
+                    response.set_kept(service().serveCopies(request.host(), request.batch(), release));
                     respond(response);
                     schedule();
                 }};
@@ -97,19 +97,19 @@
 
 void relay_ledger::claim(const write_claim &record)
 {
-    m_service.claim(record, makeResponseHandler(record.request, ledger_step::claim));
+    service().claim(record, makeResponseHandler(record.request, ledger_step::claim));
     schedule();
 }
 
 void relay_ledger::pin(const write_pin &record)
 {
-    m_service.pin(record, makeResponseHandler(record.request, ledger_step::pin));
+    service().pin(record, makeResponseHandler(record.request, ledger_step::pin));
     schedule();
 }
 
 void relay_ledger::bill(const write_bill &record)
 {
-    m_service.bill(record, makeResponseHandler(record.request, ledger_step::bill));
+    service().bill(record, makeResponseHandler(record.request, ledger_step::bill));
     schedule();
 }
 
@@ -133,7 +133,7 @@
 
 void relay_ledger::onDrain()
 {
-    m_service.drain();
+    service().drain();
     schedule();
 }
 
@@ -162,6 +162,7 @@
     request.set_batch(std::move(batch));
     m_relay->peers().append(*endpoint, std::move(request), kAppendTimeout,
                             [this, done = std::move(done)](const result<append_response> &response) {
+                                advance();
                                 if (response.has_error())
                                     done(response.error());
                                 else
@@ -183,6 +184,7 @@
         request.add_release(std::move(writer));
     m_relay->peers().copyBills(*endpoint, std::move(request), kCopyTimeout,
                                [this, done = std::move(done)](const result<copy_bills_reply> &response) {
+                                   advance();
                                    if (response.has_error())
                                        done(response.error());
                                    else
@@ -191,6 +193,17 @@
                                });
 }
 
+ledger_service &relay_ledger::service()
+{
+    advance();
+    return m_service;
+}
+
+void relay_ledger::advance()
+{
+    m_service.advance(event_loop::now(), unixSeconds());
+}
+
 void relay_ledger::drive()
 {
     m_nextTickAt.reset();
--- a/src/relay_ledger_p.h
+++ b/src/relay_ledger_p.h
@@ -31,6 +31,9 @@
     [[nodiscard]] relay_task::ledger_handlers makeHandlers();
     [[nodiscard]] append_done makeResponseHandler(request_token request, ledger_step step);
     void updateNotLiveHosts();
+    /// @returns the service, advanced to the present. Every call that records a time goes through it.
+    [[nodiscard]] ledger_service &service();
+    void advance();
     void drive();
     void schedule();
 
--- a/tests/failure_platform.cpp
+++ b/tests/failure_platform.cpp
@@ -167,6 +167,9 @@
                || bodyOf(response).value("outcome", "") == "not_run"));
         fleet.setFaults(fleet.platformPort, {{"lose_answers", 0}});
         const auto retry = fleet.call(static_cast<std::size_t>(i + 1) % 3, request);
+        CAPTURE(i);
+        CAPTURE(response.body);
+        CAPTURE(retry.body);
         CHECK(retry.status != 0);
         CHECK(fleet.runsOf(request.requestId) <= 1);
         if (response.status == 200) {
--- a/tests/test_ledger_service.cpp
+++ b/tests/test_ledger_service.cpp
@@ -208,6 +208,36 @@
     host_table hosts;
 };
 
+/// A store without objects that never responds to a write.
+class silent_store : public object_store
+{
+public:
+    void read(const std::string &key, read_done done) override { done(error{error_code::not_found, key}); }
+    void write(const std::string & /*key*/, std::string /*body*/, object_version /*expected*/,
+               write_done /*done*/) override
+    {
+    }
+    void remove(const std::string & /*key*/, object_version /*expected*/, remove_done /*done*/) override { }
+    void list(const std::string & /*prefix*/, const std::string & /*after*/, std::size_t /*limit*/,
+              list_done /*done*/) override
+    {
+    }
+};
+
+/// Counts the copies that are sent; no call gets a response.
+struct silent_peers : ledger_peers {
+    void append(const std::string & /*host*/, std::uint32_t /*segment*/, std::string /*batch*/,
+                append_batch_done /*done*/) override
+    {
+    }
+    void copyBills(const std::string & /*host*/, std::string /*batch*/, std::vector<std::string> /*release*/,
+                   copy_done /*done*/) override
+    {
+        ++copies;
+    }
+    int copies = 0;
+};
+
 /// If every claim of a host for a key failed with `unavailable`, the log must contain none of them.
 void checkRefusals(const std::vector<std::shared_ptr<sent_call>> &calls, const effective_writers &log)
 {
@@ -335,6 +365,26 @@
     CHECK(cluster.host(4 - holder).service.storedCopies() == 0);
 }
 
+// Guards against time limits that count from the last tick: an idle host copied a bill at once, and responded before
+// the bill was in the log.
+TEST_CASE("a bill of a host that was idle isn't copied before its time")
+{
+    silent_store store;
+    silent_peers peers;
+    const auto timing = ledger_host::timing();
+    ledger_service service("host0", "run1", store, peers, timing);
+    service.configure(makeConfig(2));
+    service.tick(0us, kUnixSeconds);
+    constexpr instant kBilledAt = 100ms;
+    REQUIRE(kBilledAt > timing.copyAfter);
+    service.advance(kBilledAt, kUnixSeconds);
+    service.bill({{}, "studio-legale", "b", "grand", "grand-2", 1, 2, 3, {}}, [](const append_outcome &) {});
+    service.tick(kBilledAt + timing.copyAfter - 1us, kUnixSeconds);
+    CHECK(peers.copies == 0);
+    service.tick(kBilledAt + timing.copyAfter, kUnixSeconds);
+    CHECK(peers.copies == 1);
+}
+
 TEST_CASE("an owner that has loaded the log creates pins during an outage and writes them afterwards")
 {
     ledger_cluster cluster(3, 3);
