Ledger: a claim waits for the bill of its key that is in the same queue

A retry whose key has an open claim was refused as duplicate_in_progress although the bill with its response was in the same queue, so the caller of a request that had run got a 409 instead of the response of that run.

Change: fillBatch() leaves claims of an open key in the queue while the bill of that key is queued; they are completed when the batch is in the log. If the store refuses the batch they are refused as before (second test).

--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -363,15 +363,34 @@
         return isNeeded;
     }
 
+    /// @returns the keys, without their types, of the queued bills.
+    [[nodiscard]] std::set<std::pair<std::string, std::string>> queuedBills() const
+    {
+        std::set<std::pair<std::string, std::string>> keys;
+        for (const auto &waiting : m_queue) {
+            if (waiting.record.type == record_type::bill)
+                keys.emplace(waiting.record.account, waiting.record.id);
+        }
+        return keys;
+    }
+
     /// Moves as many records as fit from the queue to the batch. Records whose key is already in the index are
-    /// completed from it. A second record with a key of the batch stays queued until the first is in the log.
+    /// completed from it, except claims of an open key whose bill is queued: these wait for the bill, to get its
+    /// response. A second record with a key of the batch stays queued until the first is in the log.
     void fillBatch()
     {
+        const auto bills = queuedBills();
         std::set<std::tuple<record_type, std::string, std::string>> keys;
         std::deque<waiting_record> remaining;
+        std::vector<waiting_record> awaitingBill;
         std::size_t bytes = 0;
         for (auto &waiting : m_queue) {
             if (const auto outcome = m_index.find(waiting.record)) {
+                if (outcome->status == ledger_status::exists_open
+                    && bills.contains({waiting.record.account, waiting.record.id})) {
+                    awaitingBill.push_back(std::move(waiting));
+                    continue;
+                }
                 respond(waiting, *outcome);
                 if (!m_index.needsRenewal(waiting.record, m_unixSeconds))
                     continue;
@@ -387,6 +406,7 @@
             bytes += waiting.encoded.size() + 1;
             m_batch.push_back(std::move(waiting));
         }
+        std::ranges::move(awaitingBill, std::back_inserter(remaining));
         m_queue = std::move(remaining);
     }
 
--- a/tests/test_ledger_segment.cpp
+++ b/tests/test_ledger_segment.cpp
@@ -400,3 +400,53 @@
     REQUIRE(stale.outcome.has_value());
     CHECK(stale.outcome->status == ledger_status::unknown);
 }
+
+// Guards against a refused retry of a request whose bill is in the same queue: the caller then has no way to its
+// response.
+TEST_CASE("a claim that is queued with the bill of its key gets the stored response")
+{
+    scripted_store store;
+    ledger_segment segment(store, 0, "owner", 1h);
+    const auto append = [&](const ledger_record &record) {
+        auto outcome = std::make_shared<std::optional<append_outcome>>();
+        segment.append(record, [outcome](append_outcome received) { *outcome = std::move(received); });
+        return outcome;
+    };
+    segment.tick(0us, kUnixSeconds);
+    segment.load();
+    const auto first = append(makeRecord(record_type::claim, "a", "w1"));
+    segment.tick(10ms, kUnixSeconds);
+    REQUIRE((*first)->status == ledger_status::written);
+    const auto retry = append(makeRecord(record_type::claim, "a", "w2"));
+    const auto other = append(makeRecord(record_type::claim, "b", "w3"));
+    const auto bill = makeRecord(record_type::bill, "a", "w1");
+    const auto billed = append(bill);
+    segment.tick(20ms, kUnixSeconds);
+    segment.tick(30ms, kUnixSeconds);
+    REQUIRE(billed->has_value());
+    CHECK((*billed)->status == ledger_status::written);
+    REQUIRE(retry->has_value());
+    CHECK((*retry)->status == ledger_status::exists_billed);
+    CHECK((*retry)->response == bill.response);
+    REQUIRE(other->has_value());
+    CHECK((*other)->status == ledger_status::written);
+}
+
+// Guards against a retry that waits for a bill that can't be written: it is refused at once, as without the bill.
+TEST_CASE("a claim that is queued with the bill of its key is refused when the store refuses the bill")
+{
+    stale_segment owner;
+    owner.append(makeRecord(record_type::claim, "a", "w1"));
+    REQUIRE(owner.outcome->status == ledger_status::written);
+    owner.outcome.reset();
+    owner.store.store.isDown = true;
+    std::optional<append_outcome> billed;
+    owner.segment.append(makeRecord(record_type::bill, "a", "w1"),
+                         [&](append_outcome received) { billed = std::move(received); });
+    owner.append(makeRecord(record_type::claim, "a", "w2"));
+    owner.segment.tick(20ms, kUnixSeconds);
+    REQUIRE(billed.has_value());
+    CHECK(billed->status == ledger_status::unavailable);
+    REQUIRE(owner.outcome.has_value());
+    CHECK(owner.outcome->status == ledger_status::exists_open);
+}
