--- a/tests/test_odd_responses.cpp
+++ b/tests/test_odd_responses.cpp
@@ -1,36 +1,16 @@
 // Responses of replicas that aren't HTTP, or not whole: none of them may reach a caller as an answer.
 #include "gateway_harness.h"
+#include "head_checks.h"
 
 #include <array>
 
 using namespace foxtaildyke;
+using namespace foxtaildyke::testing;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-parse_state stateAfter(const std::string &text, std::size_t chunkSize)
-{
-    http_parser parser(message_type::response);
-    std::string_view rest = text;
-    while (!rest.empty() && (parser.state() == parse_state::head || parser.state() == parse_state::body)) {
-        const auto used = parser.feed(rest.substr(0, chunkSize), [](std::string_view) {});
-        if (used == 0)
-            break;
-        rest.remove_prefix(used);
-    }
-    return parser.state();
-}
-
-/// Checks a head that arrives at once, and a byte at a time.
-void checkHead(const std::string &text, bool isValid)
-{
-    CAPTURE(text);
-    const auto expected = isValid ? parse_state::complete : parse_state::malformed;
-    CHECK(stateAfter(text, text.size()) == expected);
-    CHECK(stateAfter(text, 1) == expected);
-}
-
 std::string headWith(const std::string &statusLine, const std::string &header = "A: b")
 {
     return statusLine + "\r\nContent-Length: 0\r\n" + header + "\r\n\r\n";
@@ -141,16 +121,16 @@
 {
     for (const auto *line : {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.1 599 X",
                              "HTTP/1.1 404 \xc3\xa9", "HTTP/1.1 100 Continue", "HTTP/1.1 503 a\tb"})
-        checkHead(headWith(line), true);
+        checkHead(message_type::response, headWith(line), true);
     for (const auto *line : kOddStatusLines)
-        checkHead(headWith(line), false);
+        checkHead(message_type::response, headWith(line), false);
 }
 
 TEST_CASE("odd responses: header lines that have no proper name")
 {
     for (const auto &line : kOddHeaderLines) {
-        checkHead(headWith("HTTP/1.1 200 OK", line), false);
-        checkHead(headWith("HTTP/1.1 102 Processing", line), false);
+        checkHead(message_type::response, headWith("HTTP/1.1 200 OK", line), false);
+        checkHead(message_type::response, headWith("HTTP/1.1 102 Processing", line), false);
     }
 }
 
--- a/tests/test_request_heads.cpp
+++ b/tests/test_request_heads.cpp
@@ -1,36 +1,16 @@
 // Heads of requests that a recipient may read in more than one way: the gateway must reject what it can't forward with
 // the same meaning (RFC 9112 and RFC 3986).
 #include "gateway_harness.h"
+#include "head_checks.h"
 
 #include <array>
 
 using namespace foxtaildyke;
+using namespace foxtaildyke::testing;
 
 namespace
 {
 
-parse_state stateAfter(const std::string &text, std::size_t chunkSize)
-{
-    http_parser parser(message_type::request);
-    std::string_view rest = text;
-    while (!rest.empty() && (parser.state() == parse_state::head || parser.state() == parse_state::body)) {
-        const auto used = parser.feed(rest.substr(0, chunkSize), [](std::string_view) {});
-        if (used == 0)
-            break;
-        rest.remove_prefix(used);
-    }
-    return parser.state();
-}
-
-/// Checks a head that arrives at once, and a byte at a time.
-void checkHead(const std::string &text, bool isValid)
-{
-    CAPTURE(text);
-    const auto expected = isValid ? parse_state::complete : parse_state::malformed;
-    CHECK(stateAfter(text, text.size()) == expected);
-    CHECK(stateAfter(text, 1) == expected);
-}
-
 std::string headWith(const std::string &method, const std::string &target, const std::string &header)
 {
     return method + ' ' + target + " HTTP/1.1\r\nHost: h.example\r\n" + header + "\r\n\r\n";
@@ -59,10 +39,10 @@
         const bool isValue = byte == '\t' || (byte >= ' ' && byte != 0x7f);
         // libevhtp's parser knows no methods with other token characters.
         if (!isToken || (byte >= 'A' && byte <= 'Z'))
-            checkHead(headWith("PO" + text + "ST", "/a", "A: b"), isToken);
-        checkHead(headWith("POST", "/a" + text + "b", "A: b"), isTarget);
-        checkHead(headWith("POST", "/a", "A" + text + "x: b"), isToken || byte == ':');
-        checkHead(headWith("POST", "/a", "A: b" + text + "c"), isValue);
+            checkHead(message_type::request, headWith("PO" + text + "ST", "/a", "A: b"), isToken);
+        checkHead(message_type::request, headWith("POST", "/a" + text + "b", "A: b"), isTarget);
+        checkHead(message_type::request, headWith("POST", "/a", "A" + text + "x: b"), isToken || byte == ':');
+        checkHead(message_type::request, headWith("POST", "/a", "A: b" + text + "c"), isValue);
     }
 }
 
@@ -98,7 +78,7 @@
         sample{"GET /a HTTP/1.1\r\n: h\r\n\r\n"},
     };
     for (const auto &entry : samples)
-        checkHead(entry.text, entry.isValid);
+        checkHead(message_type::request, entry.text, entry.isValid);
 }
 
 TEST_CASE("request heads: a line feed in the request line brings no header of the system's to a replica")
