--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -5,6 +5,7 @@
     platform/feed_relay.cpp
     platform/kind_mirror.cpp
     platform/store_feed.cpp
+    platform/store_feed_config.cpp
     platform/store_feed_relayed.cpp
     platform/store_feed_writes.cpp
     platform/wire_names.cpp
