Tests: properties whose result was dropped are checked, with a fixed seed

Neither could fail: with an RC_ASSERT(false) in it, the second one passed (trial).

propertyHolds() in tests/seeded_property.h sets the seed; both tests check its result, and the two other files that had such a function of their own use it (the settings' properties run 300 times now, they ran 200 times).

--- a/tests/test_control_property.cpp
+++ b/tests/test_control_property.cpp
@@ -2,26 +2,19 @@
 // change is made at most once and its outcome is reported correctly, a withdrawal is final, and two processes never act
 // at the same time.
 #include "control_fakes_p.h"
+#include "seeded_property.h"
 #include "shuffled_store_p.h"
 
-#include <cstdlib>
 #include <doctest/doctest.h>
-#include <rapidcheck.h>
 
 using namespace foxtaildyke;
+using foxtaildyke::testing::propertyHolds;
 
 namespace
 {
 
 using std::chrono::milliseconds;
 
-template <typename property>
-bool holds(property &&checked)
-{
-    setenv("RC_PARAMS", "seed=20261203 max_success=300", 0);
-    return rc::check(std::forward<property>(checked));
-}
-
 /// An operator's change and its outcome.
 struct attempted_change {
     change_request request;
@@ -154,7 +147,7 @@
     std::size_t published = 0;
     std::size_t conflicts = 0;
     std::size_t inDoubt = 0;
-    CHECK(holds([&] {
+    CHECK(propertyHolds([&] {
         operators_simulation simulation(*rc::gen::arbitrary<std::uint32_t>());
         simulation.run(600, *rc::gen::inRange(0U, 40U));
         simulation.settle();
@@ -180,7 +173,7 @@
 TEST_CASE("property: two control processes never act at the same time, and each new holder has a higher token")
 {
     std::size_t terms = 0;
-    CHECK(holds([&] {
+    CHECK(propertyHolds([&] {
         const auto seed = *rc::gen::arbitrary<std::uint32_t>();
         shuffled_store store(seed);
         store.lossPercent = *rc::gen::inRange(0U, 40U);
--- a/tests/test_replica_gate.cpp
+++ b/tests/test_replica_gate.cpp
@@ -2,11 +2,12 @@
 #include "decode_response.h"
 #include "replica_gate_p.h"
 #include "replica_statement_rule.h"
+#include "seeded_property.h"
 
 #include <doctest/doctest.h>
-#include <rapidcheck.h>
 
 using namespace foxtaildyke;
+using foxtaildyke::testing::propertyHolds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -103,7 +104,7 @@
 
 TEST_CASE("replica statement: any text in the headers is decoded to a bounded value or none (property)")
 {
-    rc::check([](const std::string &text, const std::string &digits, int status) {
+    CHECK(propertyHolds([](const std::string &text, const std::string &digits, int status) {
         std::string fraction = digits;
         fraction.append(".").append(digits);
         for (const auto &value : {text, digits, fraction, "-" + digits}) {
@@ -123,7 +124,7 @@
                       <= replica_gate::kMaxPause + replica_gate::kMaxPauseSpread);
             RC_ASSERT(gate.returnDelay("s", send_exclusion::paused, kStart) >= replica_gate::kMinReturnDelay);
         }
-    });
+    }));
 }
 
 TEST_CASE("replica notices: they belong to one run of a replica")
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -1,15 +1,15 @@
 // Settings: every typed error of the parser and the checks, and round trips of text, edits and JSON. An invalid
 // document that passes the checks would be published to all hosts.
+#include "seeded_property.h"
 #include "settings_p.h"
 
 #include <doctest/doctest.h>
 
-#include <cstdlib>
 #include <fstream>
-#include <rapidcheck.h>
 #include <sstream>
 
 using namespace foxtaildyke;
+using foxtaildyke::testing::propertyHolds;
 
 namespace
 {
@@ -289,14 +289,6 @@
 namespace
 {
 
-/// Checks a property with a fixed seed, so that a failure can be reproduced.
-template <typename property>
-bool propertyHolds(property &&checked)
-{
-    setenv("RC_PARAMS", "seed=20261203 max_success=200", 0);
-    return rc::check(std::forward<property>(checked));
-}
-
 std::string arbitraryWord()
 {
     const auto letter = rc::gen::element('a', 'b', 'z', '0', '-', '=', ':', '[', ']', '"', '\\');
