Soak: a replica's connection is framed in one place

The replicas of connections.py, odd_entries.py and streams.py each counted an open connection, took its end for no error and closed it; open_in() does that. Two functions reset a connection so that its peer can't take it for an orderly end; one is left. config_soak.py sets and clears the store's faults and the hosts' trouble in context managers. The order of random draws is unchanged.

--- a/tests/soak/config_soak.py
+++ b/tests/soak/config_soak.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import copy
 import random
 import shutil
@@ -90,6 +91,22 @@
             key = self.keys.pop()
             self.revoked.append((self.publish(), key))
 
+    @contextlib.contextmanager
+    def in_trouble(self, chosen):
+        spans = [(index, self.trouble[index].begin()) for index in chosen]
+        yield
+        for index, span in spans:
+            self.trouble[index].end(span)
+
+    @contextlib.contextmanager
+    def turned_away(self, chosen, kind):
+        """Within it the store doesn't serve these hosts."""
+        for index in chosen:
+            self.store.faults[index] = lambda method, target: kind
+        yield
+        for index in chosen:
+            self.store.faults.pop(index, None)
+
     async def catch_up(self):
         """The store turns some hosts away while versions follow each other quickly and one withdraws a key; the hosts are
         asked with that key while they read what they missed."""
@@ -99,22 +116,17 @@
         some = self.random.sample(range(self.fleet.count), max(1, self.fleet.count // 6))
         chosen = [index for index in self.random.choice((relays, relays[:1], some)) if index not in self.busy]
         kind = self.random.choice(("silent", "refuse"))
-        spans = [(index, self.trouble[index].begin()) for index in chosen]
         self.record.line("the store:", kind, "for", chosen, "in a series of versions")
-        for index in chosen:
-            self.store.faults[index] = lambda method, target: kind
-        for _ in range(self.random.randint(2, STORM_VERSIONS)):
-            self.publish()
-            await asyncio.sleep(STORM_GAP_S)
-        await self.revoke()
-        at, key = self.revoked[-1]
-        await asyncio.sleep(self.random.uniform(REVOKE_S, MAX_AWAY_S))
-        for index in chosen:
-            self.store.faults.pop(index, None)
-        until = self.record.now() + 2
-        await asyncio.gather(*(self.ask_with(index, at, key, until) for index in chosen))
-        for index, span in spans:
-            self.trouble[index].end(span)
+        with self.in_trouble(chosen):
+            with self.turned_away(chosen, kind):
+                for _ in range(self.random.randint(2, STORM_VERSIONS)):
+                    self.publish()
+                    await asyncio.sleep(STORM_GAP_S)
+                await self.revoke()
+                at, key = self.revoked[-1]
+                await asyncio.sleep(self.random.uniform(REVOKE_S, MAX_AWAY_S))
+            until = self.record.now() + 2
+            await asyncio.gather(*(self.ask_with(index, at, key, until) for index in chosen))
 
     async def ask_with(self, index, at, key, until):
         while self.record.now() < until and index not in self.busy:
@@ -156,14 +168,9 @@
         relays = list(range(RELAYS))
         some = self.random.sample(range(self.fleet.count), self.fleet.count // 3)
         chosen = self.random.choice((relays, relays[:1], some))
-        spans = [(index, self.trouble[index].begin()) for index in chosen]
         self.record.line("the store:", kind, "for", chosen)
-        for index in chosen:
-            self.store.faults[index] = lambda method, target: kind
-        await asyncio.sleep(self.random.uniform(0.5, 6))
-        for index, span in spans:
-            self.store.faults.pop(index, None)
-            self.trouble[index].end(span)
+        with self.in_trouble(chosen), self.turned_away(chosen, kind):
+            await asyncio.sleep(self.random.uniform(0.5, 6))
 
     async def rewind(self):
         content = self.store.copy_content()
--- a/tests/soak/connections.py
+++ b/tests/soak/connections.py
@@ -1,6 +1,7 @@
 """Replicas and callers that use connections in the less usual ways that HTTP/1.1 allows; used by soak.py."""
 
 import asyncio
+import contextlib
 import random
 import socket
 import struct
@@ -14,16 +15,31 @@
     writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
+def reset(writer):
+    """Closes a connection so that its peer can't take it for an orderly end."""
+    with contextlib.suppress(OSError):  # it is closed already
+        reset_on_close(writer)
+    writer.transport.abort()
+
+
+@contextlib.contextmanager
+def open_in(replica, writer):
+    """A connection is open in a replica until its end by either side, which is no error."""
+    replica.writers.add(writer)
+    try:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            yield
+    finally:
+        replica.writers.discard(writer)
+        writer.close()
+
+
 class Replica(standins.Replica):
     """Ends a part of its responses and connections in other ways than a plain replica."""
 
     async def serve(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            while True:
-                head = await standins.read_head(reader)
-                if head is None:
-                    break
+        with open_in(self, writer):
+            while head := await standins.read_head(reader):
                 is_early = random.random() < 0.05
                 body = b"" if is_early else await standins.read_body(reader, head[1])
                 response = await self.answer(head, body)
@@ -32,11 +48,6 @@
                     break
                 if is_early:
                     await standins.read_body(reader, head[1])
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
 
     KINDS = ("plain",) * 12 + ("interim", "unannounced_close", "reset_when_idle", "no_length", "split")
 
--- a/tests/soak/odd_entries.py
+++ b/tests/soak/odd_entries.py
@@ -39,21 +39,13 @@
     async def serve(self, reader, writer):
         if random.random() < 0.5:
             return await super().serve(reader, writer)
-        self.writers.add(writer)
-        try:
-            head = await standins.read_head(reader)
-            while head is not None:
+        with connections.open_in(self, writer):
+            while head := await standins.read_head(reader):
                 if int(head[1].get("content-length", 0)) == len(LONG_BODY):
                     await self.send_part(reader, writer, await self.answer(head, b""))
                     break
                 writer.write(await self.answer(head, await standins.read_body(reader, head[1])))
                 await writer.drain()
-                head = await standins.read_head(reader)
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
 
     async def send_part(self, reader, writer, response):
         head, body = response.split(b"\r\n\r\n", 1)
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -7,18 +7,15 @@
 """
 
 import asyncio
-import contextlib
 import os
 import random
 import signal
-import socket
-import struct
 import subprocess
 import sys
 import time
 
 import soak
-from soak import standins
+from soak import connections, standins
 
 MODELS = ("small", "large")
 ENGINES, ENGINES_NEXT, PLAIN = "drafting", "summaries", "clerk-desk"
@@ -48,7 +45,7 @@
         self.record.line(self.id, "crashes")
         self.server.close()
         for writer in list(self.writers):
-            reset(writer)
+            connections.reset(writer)
         if self.beat:
             self.beat.cancel()
 
@@ -66,20 +63,11 @@
             self.record.line(self.id, "can't restart:", error)
 
     async def serve(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            while True:
-                head = await standins.read_head(reader)
-                if head is None:
-                    break
+        with connections.open_in(self, writer):
+            while head := await standins.read_head(reader):
                 body = await standins.read_body(reader, head[1])
                 if not await self.respond(head, body, writer):
                     break
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
 
     async def respond(self, head, body, writer):
         """Returns whether the connection can be used again."""
@@ -103,7 +91,7 @@
             writer.write(self.draws.randbytes(200))
             return False
         if await self.stream(headers, body, echo, kind, writer):
-            reset(writer)  # the engine crashes once this task has ended, which would close the connection in order
+            connections.reset(writer)  # the engine crashes once this task has ended, which would close the connection in order
             return False
         return False if kind else headers.get("connection", "") != "close"
 
@@ -137,7 +125,7 @@
             if number == break_at and kind == "silent":
                 await asyncio.sleep(5)
             if number == break_at and kind in ("cut", "silent", "reset"):
-                return reset(writer) if kind == "reset" or framing == "end" else writer.close()
+                return connections.reset(writer) if kind == "reset" or framing == "end" else writer.close()
         if framing == "chunked":
             writer.write(b"0\r\n\r\n")
             await writer.drain()
@@ -145,13 +133,6 @@
             writer.close()
 
 
-def reset(writer):
-    """Closes a connection so that its peer can't take it for an orderly end."""
-    with contextlib.suppress(OSError):  # it is closed already
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 def parameters_of(body):
     """Returns the number of events, the time between them, and the size of each."""
     count, gap_ms, size = (int(part) for part in body.split(b" ")[-3:])
