Ledger: hosts that keep a bill answer the retry of its request

What callers saw: while a bill is copied to another host and not in the log yet (a store that answers late, or an outage), the retry of a request that was answered with 200 was refused everywhere: 409 duplicate_in_progress, or in an outage store_unavailable on the host that had run it, which tells the caller that the request hasn't run.

Cause: claims were answered from the log only, although the host of the bill and the holder of its copy have the stored response.

Change: before a claim is routed, and where the owner of the segment serves it, a copied bill or a copy with its key answers it. A bill without a copy doesn't: its response hasn't been sent, and it would be lost with its host.

Evidence: "a retry on a host that keeps the bill of its key gets the stored response before the bill is in the log" failed before on both hosts (unavailable and exists_open instead of exists_billed). 200 random clusters with outages, lost calls, pauses and a killed host hold, and check now that a claim answered as billed has its bill in the log at the end.

--- a/src/ledger_service.cpp
+++ b/src/ledger_service.cpp
@@ -191,6 +191,24 @@
 
     // Copies of other hosts' bills.
 
+    /// @returns the outcome of a claim whose bill is kept here and on another host, so that its response may have been
+    /// sent although the log doesn't have it yet; std::nullopt if there is no such bill.
+    [[nodiscard]] std::optional<append_outcome> keptOutcome(std::string_view account, std::string_view id) const
+    {
+        const auto isOfKey = [&](const ledger_record &record) {
+            return record.account == account && record.id == id;
+        };
+        const auto copy =
+            std::ranges::find_if(m_copies, [&](const auto &entry) { return isOfKey(entry.second.record); });
+        if (copy != m_copies.end())
+            return append_outcome{ledger_status::exists_billed, copy->second.record.response, {}};
+        const auto own = std::ranges::find_if(
+            m_bills, [&](const auto &entry) { return !entry.second.holder.empty() && isOfKey(entry.second.record); });
+        if (own != m_bills.end())
+            return append_outcome{ledger_status::exists_billed, own->second.record.response, {}};
+        return std::nullopt;
+    }
+
     bool acceptCopies(const std::string &host, std::vector<ledger_record> records)
     {
         if (m_draining || m_copies.size() + records.size() > kMaxCopies)
@@ -267,6 +285,8 @@
 
 void ledger_service::claim(const write_claim &request, append_done done)
 {
+    if (const auto kept = m_impl->keptOutcome(request.account, request.requestId))
+        return done(*kept);
     m_impl->m_router.route(m_impl->newRecord(record_type::claim, request.account, request.requestId), std::move(done));
 }
 
@@ -313,11 +333,18 @@
     if (state->remaining == 0)
         return state->done(state->outcomes);
     for (std::size_t i = 0; i < state->outcomes.size(); ++i) {
-        m_impl->m_router.appendLocally(std::move(records.value().records[i]), [state, i](append_outcome outcome) {
+        const auto complete = [state, i](append_outcome outcome) {
             state->outcomes[i] = std::move(outcome);
             if (--state->remaining == 0)
                 state->done(state->outcomes);
-        });
+        };
+        auto &record = records.value().records[i];
+        const auto kept =
+            record.type == record_type::claim ? m_impl->keptOutcome(record.account, record.id) : std::nullopt;
+        if (kept)
+            complete(*kept);
+        else
+            m_impl->m_router.appendLocally(std::move(record), complete);
     }
 }
 
--- a/tests/test_ledger_service.cpp
+++ b/tests/test_ledger_service.cpp
@@ -307,6 +307,8 @@
         // At most one host is killed: if it held a copy, the bill's own host is alive and makes another copy.
         if (call->type == record_type::bill && (status != ledger_status::unknown || isAlive))
             RC_ASSERT(log.contains(key));
+        if (call->type == record_type::claim && status == ledger_status::exists_billed)
+            RC_ASSERT(log.contains("bill " + call->id));
     }
     checkRefusals(calls, log);
     for (const auto &[name, host] : cluster.hosts) {
@@ -365,6 +367,37 @@
     CHECK(cluster.host(4 - holder).service.storedCopies() == 0);
 }
 
+// Guards against a refused retry of a request that was answered while the store was down: the hosts that keep its bill
+// have the response that the caller lost.
+TEST_CASE("a retry on a host that keeps the bill of its key gets the stored response before the bill is in the log")
+{
+    ledger_cluster cluster(6, 4);
+    cluster.sim.runUntil(100ms);
+    const auto claimed = cluster.send(0, record_type::claim, "r");
+    cluster.sim.runUntil(200ms);
+    REQUIRE(claimed->outcome->status == ledger_status::written);
+    cluster.store.isDown = true;
+    const std::string response = R"({"text":"once"})";
+    std::optional<append_outcome> billed;
+    cluster.host(0).service.bill({{}, "studio-legale", "r", "grand", "grand-2", 1, 2, 3, response},
+                                 [&](append_outcome outcome) { billed = std::move(outcome); });
+    cluster.sim.runUntil(300ms);
+    REQUIRE(billed.has_value());
+    REQUIRE(billed->status == ledger_status::copied);
+    const std::size_t holder = cluster.host(1).service.storedCopies() == 1 ? 1 : 3;
+    for (const auto number : {std::size_t{0}, holder}) {
+        const auto retry = cluster.send(number, record_type::claim, "r");
+        cluster.sim.runUntil(cluster.sim.now() + 100ms);
+        REQUIRE(retry->outcome.has_value());
+        CHECK(retry->outcome->status == ledger_status::exists_billed);
+        CHECK(retry->outcome->response == response);
+    }
+    cluster.store.isDown = false;
+    cluster.sim.runUntil(2s);
+    CHECK(cluster.log().at("bill r").starts_with("host0-"));
+    CHECK(cluster.host(holder).service.storedCopies() == 0);
+}
+
 // Guards against time limits that count from the last tick: an idle host copied a bill at once, and responded before
 // the bill was in the log.
 TEST_CASE("a bill of a host that was idle isn't copied before its time")
