Soak: budget.py plays again

Since play() takes the kind of soak as a parameter, bound when it is defined, so that budget.py, which replaced soak.Soak, played a plain soak and ended by an AttributeError. Its list of requests no longer hides callers().

--- a/tests/soak/budget.py
+++ b/tests/soak/budget.py
@@ -9,10 +9,8 @@
 import asyncio
 import bisect
 import random
-import shutil
 import signal
 import sys
-import tempfile
 
 import soak
 from soak import standins
@@ -32,7 +30,7 @@
         self.routes = [("/safe/", SERVICE, "safe", {"max_attempts": self.attempts})]
         self.handed = {}  # request -> [(time, deadline in ms, replica)]
         self.pauses = []  # (time, replica, request) of responses that ask for a pause
-        self.sent, self.callers = [], []  # callers: (gateway, task of a request)
+        self.sent, self.requests = [], []  # requests: (gateway, task)
         self.failure, self.share = "", 0.0
 
     def hook_of(self, replica):
@@ -70,9 +68,9 @@
             index = self.draws.randrange(self.fleet.count)
             self.sent.append(self.record.now())
             request = self.fleet.request(index, "/safe/x", "GET", deadline_ms=1000)
-            self.callers.append((index, asyncio.create_task(request)))
+            self.requests.append((index, asyncio.create_task(request)))
             await asyncio.sleep(1 / self.options.rate)
-        await asyncio.wait([task for _, task in self.callers])
+        await asyncio.wait([task for _, task in self.requests])
 
     def requests_in(self, begin):
         return bisect.bisect_left(self.sent, begin + WINDOW_S) - bisect.bisect_left(self.sent, begin)
@@ -101,7 +99,7 @@
 
     def check_pauses(self):
         """Returns the most arrivals at one replica from one gateway in a pause."""
-        gateways = {task.result().request: index for index, task in self.callers}
+        gateways = {task.result().request: index for index, task in self.requests}
         arrivals = {}
         for request, handed in self.handed.items():
             for at, _, replica in handed:
@@ -148,18 +146,9 @@
     parser.add_argument("--kills", type=int, help="times that all hosts are killed in a burst; default: drawn")
     parser.add_argument("--work-tree", help="project whose target/ holds the gateway; default: build/ of this one")
     parser.add_argument("--records", help="folder that keeps the records")
+    parser.add_argument("--seeds", type=int, default=1, help="plays, of this seed and those after it")
     parser.set_defaults(connections=0)  # of soak.py
-    options = parser.parse_args()
-    directory = tempfile.mkdtemp(prefix="foxtaildyke-soak-")
-    standins.ROOT = soak.make_root(directory, options.work_tree)
-    soak.Soak = Budget
-    try:
-        broken = asyncio.run(soak.play(options, directory))
-    finally:
-        shutil.rmtree(directory, ignore_errors=True)
-    for text in broken[:20]:
-        print(f"seed {options.seed}: broken: {text}", flush=True)
-    return 1 if broken else 0
+    return soak.run_plays(parser.parse_args(), Budget)
 
 
 if __name__ == "__main__":
