--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the scripts of review/11 and later: the platform's store, replicas, clients, and gateways as processes.
+"""Stand-ins for the scripts of review/11 to review/15: the platform's store, replicas, clients, and gateways as processes.
 
 The store, the replicas and the clients follow PROTOCOL.md and the news pages; a case sets what they do beyond serving.
 Everything listens on the loopback address, on free ports.
@@ -117,7 +117,7 @@
     def __init__(self, record, first_era=1):
         self.record, self.era, self.revision = record, first_era, 100
         self.objects, self.history, self.oldest = {}, [], 100
-        self.changed, self.is_down, self.copied = asyncio.Condition(), False, None
+        self.changed, self.is_down, self.is_mute, self.copied = asyncio.Condition(), False, False, None
         self.listeners = []
 
     async def listen(self, view=lambda kind, spec: spec):
@@ -182,6 +182,20 @@
             self.era += 1
         self.is_down = False
 
+    async def lapse(self, name):
+        """Removes an entry after three heartbeats of silence."""
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        await self.remove("servers", name)
+
+    async def compact(self):
+        """Watches hear nothing for a second while changes are made; then the changes so far are dropped, and a watch from
+        before them gets 410."""
+        self.is_mute = True
+        await asyncio.sleep(1)
+        self.history, self.oldest, self.is_mute = [], self.revision, False
+        async with self.changed:
+            self.changed.notify_all()
+
     async def answer(self, request, view):
         method, target, _ = request.line.split(" ")
         path, _, query = target.partition("?")
@@ -222,7 +236,7 @@
             if after < self.oldest or after > self.revision:
                 return 410, {}
             events = [{"removed": is_removed, "object": self.shown(name, item, view, kind)}
-                      for revision, what, name, item, is_removed in self.history if what == kind and revision > after]
+                      for revision, what, name, item, is_removed in self.history if what == kind and revision > after and not self.is_mute]
             left = end - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "at": self.revision}
