--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -136,9 +136,18 @@
                 writer.write(head(status, [("Content-Type", "application/json"), ("Store-Era", self.era)], len(text)) + text)
                 await writer.drain()
         await listener.listen(serve)
+        listener.serve = serve
         self.listeners.append(listener)
         return listener.port
 
+    def cut(self, port):
+        """Cuts the host that uses the address off: its channels are reset, new ones refused."""
+        next(listener for listener in self.listeners if listener.port == port).close()
+
+    async def heal(self, port):
+        listener = next(listener for listener in self.listeners if listener.port == port)
+        await listener.listen(listener.serve)
+
     def shown(self, name, item, view, kind):
         return {"metadata": {"name": name, "revision": item["revision"], "created": item["created"], "finalizers": [],
                              "deleting": False}, "spec": view(kind, item["spec"]), "status": item["status"]}
